--- /dev/null
+++ b/packages/godwitpass-cli/src/godwitpass_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command, a client of the administration API."""
--- /dev/null
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs beside each upstream instance."""
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/events.py
@@ -0,0 +1,49 @@
+"""Numbered events of the log and the time line.
+
+Each area declares its kinds as constants in its own `events` module, inside its range:
+100 process, 200 distribution and acceptance, 300 membership, 400 calls, 500 claims and crashes,
+600 administration, 700 store and peer transport.
+"""
+
+from enum import Enum
+
+import msgspec
+
+from godwitpass.ids import InstanceId, RegionId, Version, ZoneId
+
+Field = str | int | float | bool
+
+
+class Level(Enum):
+    """Severity of an event, named as in the log library."""
+
+    DEBUG = "DEBUG"
+    INFO = "INFO"
+    WARNING = "WARNING"
+    ERROR = "ERROR"
+
+
+class EventKind(msgspec.Struct, frozen=True):
+    """What an event means; `number` never changes its meaning between releases."""
+
+    number: int
+    name: str
+    summary: str
+    level: Level = Level.INFO
+
+
+class TimelineEvent(msgspec.Struct, frozen=True):
+    """One occurrence; `time` is seconds since the epoch on the instance's own clock.
+
+    `sequence` orders the events of one process where clocks are too coarse or step back.
+    """
+
+    time: float
+    sequence: int
+    number: int
+    name: str
+    instance: InstanceId
+    zone: ZoneId
+    region: RegionId
+    version: Version
+    fields: dict[str, Field] = {}
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/actions.py
@@ -0,0 +1,34 @@
+"""Actions that every decision object may return.
+
+A decision object has one method, `handle(event, now) -> list[Action]`; `now` is in seconds on a
+clock that never goes back. It holds no socket, clock or global random generator.
+"""
+
+from typing import Generic, TypeVar
+
+import msgspec
+
+from godwitpass.events import EventKind, Field
+from godwitpass.ids import Address
+
+M = TypeVar("M")
+
+
+class Send(msgspec.Struct, Generic[M], frozen=True):
+    """Sends `message` to another daemon; it may be lost, repeated or overtaken."""
+
+    to: Address
+    message: M
+
+
+class Wake(msgspec.Struct, frozen=True):
+    """Asks for a timer event at time `at`; an earlier request stays in force."""
+
+    at: float
+
+
+class Report(msgspec.Struct, frozen=True):
+    """Adds a numbered event to the log and the time line."""
+
+    kind: EventKind
+    fields: dict[str, Field] = {}
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/codec.py
@@ -0,0 +1,42 @@
+"""Encoding, compression and hashing of stored and transmitted content."""
+
+import hashlib
+from typing import TypeVar
+
+import msgspec
+import zstandard
+
+from godwitpass.document import Document
+from godwitpass.ids import ContentHash
+
+T = TypeVar("T")
+
+HASH_BYTES = 16
+COMPRESSION_LEVEL = 9
+MAX_DECOMPRESSED_BYTES = 16 * 1024 * 1024
+
+
+def encode_canonical(document: Document) -> bytes:
+    """Encode `document` so that equal content gives equal bytes, whatever the order of entries."""
+    ordered = msgspec.structs.replace(
+        document,
+        services=tuple(sorted(document.services, key=lambda service: service.name)),
+        routes=tuple(sorted(document.routes, key=lambda route: route.name)),
+        policies=tuple(sorted(document.policies, key=lambda policy: policy.name)),
+    )
+    return msgspec.json.encode(ordered, order="deterministic")
+
+
+def hash_content(content: bytes) -> ContentHash:
+    """Return the hexadecimal BLAKE2b hash of `content`."""
+    return ContentHash(hashlib.blake2b(content, digest_size=HASH_BYTES).hexdigest())
+
+
+def compress(content: bytes) -> bytes:
+    """Compress `content` with Zstandard."""
+    return zstandard.ZstdCompressor(level=COMPRESSION_LEVEL).compress(content)
+
+
+def decompress(content: bytes) -> bytes:
+    """Decompress `content`; raises `zstandard.ZstdError` when it is corrupt or too large."""
+    return zstandard.ZstdDecompressor().decompress(content, max_output_size=MAX_DECOMPRESSED_BYTES)
