Resolve policies as a pure public function

Cause: the calls area needs a route's treatment with inheritance followed and defaults filled in. Change: godwitpass.policy has resolve_policy(document, route) and resolve_policies(document), which return ResolvedPolicy.

--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/policy.py
@@ -0,0 +1,85 @@
+"""Policies as routes use them: inheritance followed and defaults filled in."""
+
+from typing import TypeVar
+
+import msgspec
+
+from godwitpass.document import Document, Execution, Policy, Route
+from godwitpass.ids import PolicyName
+
+T = TypeVar("T")
+
+DEFAULT_TIMEOUT_MS = 15_000
+DEFAULT_STALL_TIMEOUT_MS = 5_000
+DEFAULT_ATTEMPTS = 1
+DEFAULT_IDEMPOTENT_ATTEMPTS = 2
+DEFAULT_QUEUE_MS = 100
+
+MAX_EXTENDS_DEPTH = 16
+"""Longest chain of policies that extend each other."""
+
+
+class ResolvedPolicy(msgspec.Struct, frozen=True):
+    """Treatment of the calls on one route, with no field left open.
+
+    `timeout_ms` bounds a call up to its first answer byte and `stall_timeout_ms` a transfer
+    without progress; `attempts` counts the first one; `queue_ms` bounds the wait for a slot.
+    """
+
+    execution: Execution
+    timeout_ms: int
+    stall_timeout_ms: int
+    attempts: int
+    queue_ms: int
+
+
+def resolve_policy(document: Document, route: Route) -> ResolvedPolicy:
+    """Return the policy of `route` in a checked `document`, without any unset field.
+
+    >>> resolve_policy(Document(1), Route("status", "/status", "status-desk")).execution
+    <Execution.UNSAFE: 'unsafe'>
+    """
+    return _fill_defaults(_follow_extends(document, route.policy))
+
+
+def resolve_policies(document: Document) -> dict[PolicyName | None, ResolvedPolicy]:
+    """Resolve every policy of a checked `document`; None holds the one of routes without any."""
+    names: list[PolicyName | None] = [None, *(policy.name for policy in document.policies)]
+    by_name = {policy.name: policy for policy in document.policies}
+    return {name: _fill_defaults(_list_ancestry(by_name, name)) for name in names}
+
+
+def _follow_extends(document: Document, name: PolicyName | None) -> list[Policy]:
+    if name is None:
+        return []
+    return _list_ancestry({policy.name: policy for policy in document.policies}, name)
+
+
+def _list_ancestry(by_name: dict[PolicyName, Policy], name: PolicyName | None) -> list[Policy]:
+    ancestry: list[Policy] = []
+    while name is not None:
+        assert len(ancestry) < MAX_EXTENDS_DEPTH, "a checked document bounds its chains"
+        policy = by_name[name]
+        ancestry.append(policy)
+        name = policy.extends
+    return ancestry
+
+
+def _fill_defaults(ancestry: list[Policy]) -> ResolvedPolicy:
+    execution = _first_set([policy.execution for policy in ancestry], Execution.UNSAFE)
+    attempts = (
+        DEFAULT_IDEMPOTENT_ATTEMPTS if execution is Execution.IDEMPOTENT else DEFAULT_ATTEMPTS
+    )
+    return ResolvedPolicy(
+        execution=execution,
+        timeout_ms=_first_set([policy.timeout_ms for policy in ancestry], DEFAULT_TIMEOUT_MS),
+        stall_timeout_ms=_first_set(
+            [policy.stall_timeout_ms for policy in ancestry], DEFAULT_STALL_TIMEOUT_MS
+        ),
+        attempts=_first_set([policy.attempts for policy in ancestry], attempts),
+        queue_ms=_first_set([policy.queue_ms for policy in ancestry], DEFAULT_QUEUE_MS),
+    )
+
+
+def _first_set(values: list[T | None], default: T) -> T:
+    return next((value for value in values if value is not None), default)
