Let a single route be internal

Cause: a public service may have parts, such as payroll views, that must stay inside the mesh. Change: Route.internal, false by default and left out of encoded documents when unset. Figures: none, a type only; content hashes of documents without it stay as they were.

--- a/packages/godwitpass/src/godwitpass/document.py
+++ b/packages/godwitpass/src/godwitpass/document.py
@@ -57,7 +57,10 @@
 
 
 class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
-    """Maps requests to a service; an empty `host` or `methods` matches any."""
+    """Maps requests to a service; an empty `host` or `methods` matches any.
+
+    An `internal` route is reached only from inside the mesh, whatever its service.
+    """
 
     name: RouteName
     path_prefix: str
@@ -65,6 +68,7 @@
     host: str = ""
     methods: tuple[str, ...] = ()
     policy: PolicyName | None = None
+    internal: bool = False
 
 
 class Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
