Take calls: listeners, routing, choice of upstream, limits and retries

Cause: daemons had no hot path; callers must get whole answers of their own or typed refusals. Change: pure decisions (routing, balancing, admission, retrying, dispatcher) and the edge service around them, asyncio protocols on httptools towards callers and upstreams; a stand-in upstream and a caller in the testkit. Conclusion: the edge can be wired as EdgeService(kernel, outer, inner, place).

--- /dev/null
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP listeners for calls, and the connections to upstreams."""
--- /dev/null
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/answers.py
@@ -0,0 +1,42 @@
+"""Typed answers that the daemon gives itself."""
+
+import math
+
+import msgspec
+
+from godwitpass.internal.calls.outcomes import (
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    Outcome,
+    Reason,
+    choose_status,
+)
+from godwitpass_daemon.edge.heads import Header, encode_own_answer
+
+DEFAULT_RETRY_AFTER_S = 1.0
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """The body of a typed answer; `retry_after_ms` is 0 when coming back is of no use."""
+
+    outcome: Outcome
+    reason: Reason
+    retry_after_ms: int = 0
+
+
+def encode_refusal(
+    outcome: Outcome, reason: Reason, retry_after_s: float | None, close: bool
+) -> bytes:
+    """Encode a typed answer; only a request that did not run is told when to come back."""
+    status = choose_status(outcome, reason)
+    headers: list[Header] = [
+        (OUTCOME_HEADER, outcome.value.encode()),
+        (REASON_HEADER, reason.value.encode()),
+    ]
+    retry_after_ms = 0
+    if outcome is Outcome.NOT_RUN:
+        wait_s = retry_after_s if retry_after_s is not None else DEFAULT_RETRY_AFTER_S
+        retry_after_ms = round(wait_s * 1000)
+        headers.append((b"retry-after", b"%d" % max(1, math.ceil(wait_s))))
+    body = msgspec.json.encode(Refusal(outcome, reason, retry_after_ms))
+    return encode_own_answer(status, headers, body, close)
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstream a call goes to, decided on what this daemon measured itself."""
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/calls/__init__.py
@@ -0,0 +1,1 @@
+"""What the edge does with a call: outcomes, deadlines and the dispatcher of one service."""
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which route a request takes, decided on its strictly normalised target."""
--- /dev/null
+++ b/testkit/src/godwitpass_testkit/edge.py
@@ -0,0 +1,174 @@
+"""One daemon's edge in front of stand-in upstreams, for tests and experiments."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from contextlib import asynccontextmanager
+from functools import wraps
+
+import anyio
+from anyio.abc import TaskGroup
+
+from godwitpass.document import Document, Execution, Policy, Route, Service
+from godwitpass.events import EventKind, Field
+from godwitpass.ids import (
+    Address,
+    ChangeId,
+    ContentHash,
+    InstanceId,
+    PolicyName,
+    RegionId,
+    RouteName,
+    ServiceName,
+    Version,
+    ZoneId,
+)
+from godwitpass.internal.calls.dispatcher import Place
+from godwitpass.mesh import Member, Upstream, UpstreamState
+from godwitpass.snapshot import Snapshot
+from godwitpass_daemon.edge.service import EdgeService
+from godwitpass_daemon.kernel import Kernel
+from godwitpass_daemon.kernel import Service as KernelService
+from godwitpass_testkit.caller import Answer, request
+from godwitpass_testkit.upstream import StandInUpstream, UpstreamOptions
+
+ZONE, REGION = ZoneId("bergen"), RegionId("vest")
+PLACE = Place(InstanceId("d1"), ZONE, REGION)
+STOFFBOK, PAYROLL = ServiceName("stoffbok"), ServiceName("payroll")
+READ, WRITE, ONCE = PolicyName("read"), PolicyName("write"), PolicyName("once")
+DOCUMENT = Document(
+    1,
+    services=(Service(STOFFBOK), Service(PAYROLL, internal=True)),
+    routes=(
+        Route(RouteName("books"), "/books", STOFFBOK, policy=READ),
+        Route(RouteName("scans"), "/scans", STOFFBOK, policy=WRITE),
+        Route(RouteName("orders"), "/orders", STOFFBOK, policy=ONCE),
+        Route(RouteName("payroll"), "/payroll", PAYROLL, policy=READ),
+    ),
+    policies=(
+        Policy(READ, execution=Execution.IDEMPOTENT, timeout_ms=2_000, attempts=2),
+        Policy(WRITE, execution=Execution.UNSAFE, timeout_ms=2_000, stall_timeout_ms=700),
+        Policy(ONCE, execution=Execution.ONCE, timeout_ms=2_000),
+    ),
+)
+
+
+def make_snapshot(document: Document = DOCUMENT, version: int = 1) -> Snapshot:
+    """Return a snapshot of `document`."""
+    return Snapshot(Version(version), ChangeId("c"), ContentHash("h"), document)
+
+
+class FakePeers:
+    """Distribution, membership and events in one; what they say is set by hand."""
+
+    def __init__(self, snapshot: Snapshot | None) -> None:
+        self.held = snapshot
+        self.known: dict[ServiceName, list[Upstream]] = {}
+        self.emitted: list[str] = []
+        self._callbacks: list[Callable[..., None]] = []
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+    def snapshot(self) -> Snapshot | None:
+        """Return the snapshot that was set."""
+        return self.held
+
+    def members(self) -> Sequence[Member]:
+        """Return no daemons."""
+        return ()
+
+    def upstreams(self, service: ServiceName) -> Sequence[Upstream]:
+        """Return the upstreams that were set."""
+        return self.known.get(service, [])
+
+    def subscribe(self, callback: Callable[..., None]) -> None:
+        """Keep `callback` for `publish` and `change`."""
+        self._callbacks.append(callback)
+
+    def publish(self, snapshot: Snapshot) -> None:
+        """Put `snapshot` in force."""
+        self.held = snapshot
+        self._callbacks[0](snapshot)
+
+    def change(self, service: ServiceName, upstreams: list[Upstream]) -> None:
+        """Set the upstreams of a service."""
+        self.known[service] = upstreams
+        self._callbacks[1]()
+
+    def emit(self, kind: EventKind, **fields: Field) -> None:
+        """Keep the event's name."""
+        self.emitted.append(kind.name)
+
+
+class Mesh:
+    """One daemon's edge in front of stand-in upstreams."""
+
+    def __init__(
+        self, edge: EdgeService, peers: FakePeers, upstreams: list[StandInUpstream]
+    ) -> None:
+        self.edge = edge
+        self.peers = peers
+        self.upstreams = upstreams
+        self.outer, self.inner = edge.bound_addresses
+
+    async def get(self, path: str, **headers: str) -> Answer:
+        """Send a GET to the inner listener; underscores in names of headers become hyphens."""
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        return await request(self.inner, path, headers=named)
+
+    def count_runs(self, request_id: str) -> int:
+        """Return how often upstreams ran the request."""
+        return sum(upstream.runs[request_id.encode()] for upstream in self.upstreams)
+
+
+def make_upstream(index: int, address: Address, service: ServiceName = STOFFBOK) -> Upstream:
+    """Return a ready upstream in the daemon's availability zone."""
+    instance = InstanceId(f"u{index}")
+    return Upstream(instance, service, address, ZONE, REGION, UpstreamState.READY, 12)
+
+
+@asynccontextmanager
+async def run_mesh(
+    upstreams: int = 1,
+    snapshot: Snapshot | None = None,
+    options: UpstreamOptions | None = None,
+    services: dict[str, KernelService] | None = None,
+    configured: bool = True,
+) -> AsyncIterator[Mesh]:
+    """Run an edge; `services` adds guards to its kernel by name."""
+    peers = FakePeers((snapshot or make_snapshot()) if configured else None)
+    stand_ins = [StandInUpstream(options) for _ in range(upstreams)]
+    for index, stand_in in enumerate(stand_ins):
+        found = make_upstream(index, await stand_in.start())
+        peers.known.setdefault(STOFFBOK, []).append(found)
+    peers.known[PAYROLL] = peers.known.get(STOFFBOK, [])
+    kernel = Kernel()
+    for name in ("distribution", "membership", "events"):
+        kernel.register(name, lambda _: peers)
+    for name, service in (services or {}).items():
+        _register(kernel, name, service)
+    listen = Address("127.0.0.1:0")
+    edge = EdgeService(kernel, listen, listen, PLACE, grace_s=5.0)
+    async with anyio.create_task_group() as tasks:
+        await edge.start(tasks)
+        yield Mesh(edge, peers, stand_ins)
+        await edge.stop()
+        tasks.cancel_scope.cancel()
+    for stand_in in stand_ins:
+        stand_in.close()
+
+
+def _register(kernel: Kernel, name: str, service: KernelService) -> None:
+    kernel.register(name, lambda _: service)
+
+
+def run_async(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
+    """Let a test method run on a loop as the daemon's own."""
+
+    @wraps(test)
+    def run(self: object) -> None:
+        anyio.run(test, self, backend_options={"use_uvloop": True})
+
+    return run
--- /dev/null
+++ b/testkit/src/godwitpass_testkit/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: each writes rows of figures as JSON."""
