Carry a document and a call through the whole path with real processes

Cause: every part stands on a path that runs: operator, store, daemons in three zones, upstream. Ruled out: a bound method as a bare ASGI application, which uvicorn takes for ASGI 2.

--- /dev/null
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -0,0 +1,41 @@
+"""The composition root: wires the services of one daemon."""
+
+from godwitpass_daemon.admin_thin import AdminService
+from godwitpass_daemon.edge_thin import EdgeService
+from godwitpass_daemon.kernel import Kernel
+from godwitpass_daemon.services.acceptance import AcceptanceService
+from godwitpass_daemon.services.distribution import DistributionService
+from godwitpass_daemon.services.membership import MembershipService
+from godwitpass_daemon.services.store import StoreClient
+from godwitpass_daemon.settings import Settings
+
+
+def build_kernel(settings: Settings) -> Kernel:
+    """Build the kernel of one daemon with all its services, none started."""
+    kernel = Kernel()
+    kernel.register("store", lambda _: StoreClient(settings.store))
+    kernel.register(
+        "membership",
+        lambda found: MembershipService(settings, found.find("store", StoreClient)),
+    )
+    kernel.register("acceptance", lambda found: AcceptanceService(found.find("store", StoreClient)))
+    kernel.register(
+        "distribution", lambda found: DistributionService(found.find("store", StoreClient))
+    )
+    kernel.register(
+        "edge",
+        lambda found: EdgeService(
+            settings.listen.outer,
+            found.find("distribution", DistributionService),
+            found.find("membership", MembershipService),
+        ),
+    )
+    kernel.register(
+        "admin",
+        lambda found: AdminService(
+            settings,
+            found.find("acceptance", AcceptanceService),
+            found.find("distribution", DistributionService),
+        ),
+    )
+    return kernel
