--- a/packages/godwitpass/src/godwitpass/document.py
+++ b/packages/godwitpass/src/godwitpass/document.py
@@ -127,6 +127,10 @@
     policy: Annotated[
         PolicyName | None, Meta(description="Treatment of the calls; unset for the defaults.")
     ] = None
+    internal: Annotated[
+        bool,
+        Meta(description="Whether only callers inside the mesh reach it, whatever its service."),
+    ] = False
 
 
 class Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
