Check settings whole and read secrets from files

Cause: a settings file was refused for its first misfit only, and secrets stood in it. Change: settings go through the collector of documents: types, IP addresses with ports, addresses used twice, secrets given inline or by file. The repr hides secrets. Conclusion: one reader serves documents and settings alike.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/settings.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/settings.py
@@ -1,49 +1,207 @@
 """Settings of one daemon, read from JSON with comments."""
 
+import ipaddress
+import sys
+from enum import Enum
 from pathlib import Path
+from typing import Annotated, Any, TextIO
 
-import jsonc
 import msgspec
+from msgspec import Meta
 
+from godwitpass.document import NAME_PATTERN
 from godwitpass.errors import Finding, InvalidSettings
 from godwitpass.ids import Address, InstanceId, RegionId, ServiceName, ZoneId
+from godwitpass.internal.validation.findings import Findings
+from godwitpass.internal.validation.reader import read_struct
+from godwitpass.internal.validation.structure import show_value
+
+MIN_SECRET_CHARS = 16
+MAX_PORT = 65_535
+
+
+class Profile(Enum):
+    """Size of the deployment, which chooses the defaults in `PROFILES`."""
+
+    SMALL = "small"
+    LARGE = "large"
+
+
+class LogFormat(Enum):
+    """Form of the log lines."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+class Tuning(msgspec.Struct, frozen=True):
+    """Defaults that follow from the size of a deployment."""
+
+    timeline_events: int
+    """Events that a daemon keeps for the time line."""
+
+
+PROFILES = {
+    Profile.SMALL: Tuning(timeline_events=5_000),
+    Profile.LARGE: Tuning(timeline_events=1_000),
+}
 
 
 class UpstreamSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The upstream beside this daemon."""
 
-    service: ServiceName
-    address: Address
+    service: Annotated[
+        ServiceName, Meta(pattern=NAME_PATTERN, description="Service that it is a part of.")
+    ]
+    address: Annotated[Address, Meta(description="Where it takes calls.")]
 
 
 class ListenSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Where this daemon listens; `outer` takes calls from outside the mesh, `inner` from it."""
+    """Where this daemon listens; each address is an IP number with a port."""
 
-    outer: Address
-    inner: Address
-    admin: Address
-    peer: Address
+    outer: Annotated[Address, Meta(description="Calls from outside the mesh.")]
+    inner: Annotated[Address, Meta(description="Calls from inside the mesh.")]
+    admin: Annotated[Address, Meta(description="Administration API; keep it from outer callers.")]
+    peer: Annotated[Address, Meta(description="Messages of other daemons, over UDP and TCP.")]
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Everything one process is told; the rest comes from the document."""
 
-    instance: InstanceId
-    zone: ZoneId
-    region: RegionId
-    listen: ListenSettings
-    store: tuple[Address, ...]
-    admin_token: str
-    peer_key: str
-    upstream: UpstreamSettings | None = None
-    log_file: str | None = None
+    instance: Annotated[
+        InstanceId, Meta(pattern=NAME_PATTERN, description="Unique among all daemons.")
+    ]
+    zone: Annotated[ZoneId, Meta(pattern=NAME_PATTERN, description="Availability zone.")]
+    region: Annotated[RegionId, Meta(pattern=NAME_PATTERN, description="Region of the zone.")]
+    listen: Annotated[ListenSettings, Meta(description="Addresses of this daemon.")]
+    store: Annotated[
+        tuple[Address, ...],
+        Meta(min_length=1, description="Addresses of the platform's key-value service."),
+    ]
+    admin_token: Annotated[
+        str, Meta(description="Token of operators, at least 16 characters; or `admin_token_file`.")
+    ] = ""
+    peer_key: Annotated[
+        str,
+        Meta(description="Key shared by all daemons, at least 16 characters; or `peer_key_file`."),
+    ] = ""
+    upstream: Annotated[
+        UpstreamSettings | None, Meta(description="The upstream beside this daemon, if any.")
+    ] = None
+    log_file: Annotated[
+        str | None, Meta(description="File that gets the log too, as JSON lines; for tests.")
+    ] = None
+    admin_token_file: Annotated[
+        str | None, Meta(description="File with the token, relative to the settings file.")
+    ] = None
+    peer_key_file: Annotated[
+        str | None, Meta(description="File with the key, relative to the settings file.")
+    ] = None
+    log_format: Annotated[LogFormat, Meta(description="Form of the log on standard error.")] = (
+        LogFormat.TEXT
+    )
+    profile: Annotated[Profile, Meta(description="Size of the deployment; chooses defaults.")] = (
+        Profile.SMALL
+    )
+
+    def __repr__(self) -> str:
+        """Return a text without the secrets."""
+        return f"Settings(instance={self.instance!r}, zone={self.zone!r}, region={self.region!r})"
+
+    @property
+    def tuning(self) -> Tuning:
+        """Return the defaults of the profile."""
+        return PROFILES[self.profile]
 
 
 def read_settings(path: Path) -> Settings:
-    """Read and check the settings file at `path`; raises `InvalidSettings`."""
+    """Read and check the settings file at `path`; raises `InvalidSettings` with all findings."""
     try:
-        raw = jsonc.loads(path.read_text(encoding="utf-8"))
-        return msgspec.convert(raw, Settings)
-    except (OSError, ValueError) as error:
-        finding = Finding("", str(error), "correct the file", source=str(path))
+        content = path.read_bytes()
+    except OSError as error:
+        finding = Finding("", f"can't be read: {error.strerror}", "correct the path", 0, str(path))
         raise InvalidSettings([finding]) from error
+    secrets: dict[str, str] = {}
+
+    def check(value: Any, settings: Settings | None, findings: Findings) -> None:
+        if isinstance(value, dict):
+            _check_listen(value.get("listen"), findings)
+            _check_addresses(value, findings)
+            for name in ("admin_token", "peer_key"):
+                secrets[name] = _read_secret(value, name, path.parent, findings)
+
+    settings, found = read_struct(content, str(path), Settings, check)
+    if settings is None:
+        raise InvalidSettings(found)
+    return msgspec.structs.replace(settings, **secrets)
+
+
+def report_settings(path: Path, output: TextIO | None = None) -> bool:
+    """Check the settings file at `path`, print the outcome and tell whether it is valid."""
+    output = output or sys.stdout
+    try:
+        settings = read_settings(path)
+    except InvalidSettings as error:
+        print(error, file=output)
+        return False
+    print(f"{path}: valid settings of instance {settings.instance}", file=output)
+    return True
+
+
+def _check_listen(listen: Any, findings: Findings) -> None:
+    if not isinstance(listen, dict):
+        return
+    taken: dict[str, str] = {}
+    for name, address in listen.items():
+        if not isinstance(address, str) or name not in ListenSettings.__struct_fields__:
+            continue
+        pointer = f"/listen/{name}"
+        _check_address(address, pointer, findings)
+        if address in taken:
+            message = f"address {address!r} is taken by {taken[address]!r}"
+            findings.add(pointer, message, "use another port")
+        taken.setdefault(address, name)
+
+
+def _check_addresses(value: dict[str, Any], findings: Findings) -> None:
+    stores = value.get("store")
+    for index, address in enumerate(stores if isinstance(stores, list) else []):
+        if isinstance(address, str):
+            _check_address(address, f"/store/{index}", findings)
+    upstream = value.get("upstream")
+    if isinstance(upstream, dict) and isinstance(upstream.get("address"), str):
+        _check_address(upstream["address"], "/upstream/address", findings)
+
+
+def _check_address(address: str, pointer: str, findings: Findings) -> None:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+        valid = port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT
+    except ValueError:
+        valid = False
+    if not valid:
+        message = f"{show_value(address)} is not an IP number with a port"
+        findings.add(pointer, message, "write it as '10.0.0.1:7000'")
+
+
+def _read_secret(value: dict[str, Any], name: str, folder: Path, findings: Findings) -> str:
+    given, file = value.get(name, ""), value.get(f"{name}_file")
+    pointer = f"/{name}"
+    if not isinstance(given, str) or not isinstance(file, str | None):
+        return ""
+    if file is not None:
+        pointer = f"/{name}_file"
+        if given:
+            findings.add(pointer, f"{name!r} is given too", "keep one of the two")
+        try:
+            given = (folder / file).read_text(encoding="utf-8").strip()
+        except (OSError, ValueError) as error:
+            findings.add(pointer, f"{show_value(file)} can't be read: {error}", "correct the path")
+            return ""
+    if not given:
+        findings.add("", f"neither {name!r} nor '{name}_file' is given", "add one of the two")
+    elif len(given) < MIN_SECRET_CHARS:
+        message = f"a secret of {len(given)} characters"
+        findings.add(pointer, message, f"use at least {MIN_SECRET_CHARS}")
+    return given
--- /dev/null
+++ b/packages/godwitpass-daemon/tests/settings/test_settings.py
@@ -0,0 +1,72 @@
+import io
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from godwitpass.errors import InvalidSettings
+from godwitpass_daemon.settings import Profile, read_settings, report_settings
+
+VALID: dict[str, Any] = {
+    "instance": "status-desk-1",
+    "zone": "lakes-a",
+    "region": "great-lakes",
+    "listen": {
+        "outer": "127.0.0.1:7001",
+        "inner": "127.0.0.1:7002",
+        "admin": "127.0.0.1:7003",
+        "peer": "[::1]:7004",
+    },
+    "store": ["127.0.0.1:7900"],
+    "admin_token": "an-operators-token",
+    "peer_key_file": "peer.key",
+}
+
+
+def write(folder: Path, **changes: Any) -> Path:
+    (folder / "peer.key").write_text("a-key-of-all-daemons\n")
+    path = folder / "settings.json"
+    path.write_text(json.dumps(VALID | changes, indent=1).replace("\n", " // comment\n", 1))
+    return path
+
+
+def find_pointers(path: Path) -> list[str]:
+    with pytest.raises(InvalidSettings) as refused:
+        read_settings(path)
+    return sorted(finding.pointer for finding in refused.value.findings)
+
+
+class TestSettings:
+    def test_a_secret_is_read_from_its_file_and_never_shown(self, tmp_path: Path) -> None:
+        settings = read_settings(write(tmp_path, profile="large"))
+        assert settings.peer_key == "a-key-of-all-daemons"
+        assert settings.peer_key not in repr(settings)
+        assert settings.profile is Profile.LARGE
+
+    def test_all_findings_come_in_one_answer(self, tmp_path: Path) -> None:
+        listen = VALID["listen"] | {"outer": "localhost:80", "peer": "127.0.0.1:7003"}
+        path = write(
+            tmp_path,
+            listen=listen,
+            store=["10.0.0.1:99999"],
+            admin_token="short",
+            peer_key_file="absent",
+            zoen="lakes-a",
+        )
+        assert find_pointers(path) == sorted(
+            ["/listen/outer", "/listen/peer", "/store/0", "/admin_token", "/peer_key_file", "/zoen"]
+        )
+
+    @pytest.mark.parametrize("content", [b"", b"[]", b"\xff", b'{"listen": 3, "store": {}}'])
+    def test_a_broken_file_is_refused(self, tmp_path: Path, content: bytes) -> None:
+        path = tmp_path / "broken.json"
+        path.write_bytes(content)
+        assert find_pointers(path)
+
+    def test_the_report_names_file_place_and_remedy(self, tmp_path: Path) -> None:
+        output = io.StringIO()
+        assert not report_settings(write(tmp_path, instance="a b"), output)
+        assert "settings.json: line 2: /instance:" in output.getvalue()
+        assert not report_settings(tmp_path / "absent.json", output)
+        assert report_settings(write(tmp_path), output)
