Log numbered events and merge them into one time line

Cause: what happened across processes can only be seen side by side. Change: the events service numbers events with instance, zone, region, version, clock and sequence, logs them through loguru (text, or one JSON line each) and keeps a ring. merge_timelines orders many rings or files by time while each process keeps its own order, even if its clock steps back. At most 50 events of a kind a second pass; the rest are counted. Conclusion: storms of one kind can't fill the log or the ring past 50 events a second.

--- /dev/null
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/eventlog/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered events: the log and the ring that the time line is merged from."""
--- /dev/null
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/eventlog/service.py
@@ -0,0 +1,117 @@
+"""The kernel service "events"."""
+
+import contextlib
+import sys
+import time
+from collections import deque
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING
+
+import msgspec
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from godwitpass.events import EventKind, Field, TimelineEvent
+from godwitpass.ids import NO_VERSION, Version
+from godwitpass_daemon.eventlog.events import STARTED, STOPPING, SUPPRESSED
+from godwitpass_daemon.eventlog.limiter import EventLimiter
+from godwitpass_daemon.settings import LogFormat, Settings
+
+if TYPE_CHECKING:
+    from loguru import Record
+
+TEXT_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level:<7} {message}"
+MICROSECONDS = 1_000_000
+
+
+class EventLog:
+    """Numbers, logs and keeps the events of one process."""
+
+    def __init__(self, settings: Settings, clock: Callable[[], float] = time.time) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._version = NO_VERSION
+        # Starting at the time keeps the order across restarts of an instance.
+        self._sequence = int(clock() * MICROSECONDS)
+        self._ring: deque[TimelineEvent] = deque(maxlen=settings.tuning.timeline_events)
+        self._limiter = EventLimiter()
+        self._logger = logger.bind(event_log=id(self))
+        self._sinks: list[int] = []
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Open the log."""
+        with contextlib.suppress(ValueError):
+            # The library's own sink; another event log may have removed it.
+            logger.remove(0)
+        as_json = self._settings.log_format is LogFormat.JSON
+        self._add_sink(sys.stderr, as_json)
+        if self._settings.log_file is not None:
+            self._add_sink(self._settings.log_file, as_json=True)
+        self.emit(STARTED)
+
+    async def stop(self) -> None:
+        """Close the log; the ring stays readable."""
+        self.emit(STOPPING)
+        for sink in self._sinks:
+            logger.remove(sink)
+        self._sinks.clear()
+
+    def emit(self, kind: EventKind, /, **fields: Field) -> None:
+        """Add an event; past a bound of events of one kind a second it is only counted."""
+        now = self._clock()
+        admission = self._limiter.admit(kind.number, now)
+        if not admission.admitted:
+            return
+        if admission.suppressed:
+            self._record(SUPPRESSED, now, {"number": kind.number, "count": admission.suppressed})
+        self._record(kind, now, fields)
+
+    def set_version(self, version: Version) -> None:
+        """Make `version` the one that events carry."""
+        self._version = version
+
+    def list_events(self, after: int = 0) -> Sequence[TimelineEvent]:
+        """Return the kept events with a sequence later than `after`, oldest first."""
+        return [event for event in self._ring if event.sequence > after]
+
+    def _record(self, kind: EventKind, now: float, fields: dict[str, Field]) -> None:
+        self._sequence += 1
+        settings = self._settings
+        event = TimelineEvent(
+            now,
+            self._sequence,
+            kind.number,
+            kind.name,
+            settings.instance,
+            settings.zone,
+            settings.region,
+            self._version,
+            fields,
+        )
+        self._ring.append(event)
+        if self._sinks:
+            self._logger.bind(event=event).log(kind.level.value, render_event(event))
+
+    def _add_sink(self, target: object, as_json: bool) -> None:
+        def accept(record: "Record") -> bool:
+            return record["extra"].get("event_log") == id(self)
+
+        def format_json(record: "Record") -> str:
+            record["extra"]["line"] = msgspec.json.encode(record["extra"]["event"]).decode()
+            return "{extra[line]}\n"
+
+        # The library would otherwise print local variables, secrets among them.
+        options = {"filter": accept, "level": 0, "diagnose": False, "backtrace": False}
+        form = format_json if as_json else TEXT_FORMAT
+        self._sinks.append(logger.add(target, format=form, **options))  # type: ignore[call-overload]
+
+
+def render_event(event: TimelineEvent) -> str:
+    """Return `event` as one line for people, without its time.
+
+    >>> render_event(TimelineEvent(0, 1, 201, "version-applied", "i", "z", "r", 7, {"ms": 3}))
+    '201 version-applied instance=i zone=z version=7 ms=3'
+    """
+    fields = "".join(f" {name}={value}" for name, value in event.fields.items())
+    place = f"instance={event.instance} zone={event.zone} version={event.version}"
+    return f"{event.number} {event.name} {place}{fields}"
--- /dev/null
+++ b/packages/godwitpass-daemon/tests/eventlog/test_eventlog.py
@@ -0,0 +1,111 @@
+import json
+from pathlib import Path
+
+import anyio
+import msgspec
+import pytest
+
+from godwitpass.events import EventKind, Level, TimelineEvent
+from godwitpass.ids import Address, InstanceId, RegionId, Version, ZoneId
+from godwitpass.timeline import InvalidTimeline, merge_timelines, parse_timeline
+from godwitpass_daemon.eventlog.limiter import MAX_EVENTS_PER_WINDOW
+from godwitpass_daemon.eventlog.service import EventLog
+from godwitpass_daemon.settings import ListenSettings, LogFormat, Settings
+
+APPLIED = EventKind(201, "version-applied", "A version is in force.", Level.WARNING)
+LISTEN = ListenSettings(*(Address(f"127.0.0.1:{port}") for port in range(7001, 7005)))
+
+
+def build_settings(instance: str, **changes: object) -> Settings:
+    settings = Settings(
+        InstanceId(instance),
+        ZoneId("lakes-a"),
+        RegionId("great-lakes"),
+        LISTEN,
+        (Address("127.0.0.1:1"),),
+        "t" * 16,
+        "k" * 16,
+    )
+    return msgspec.structs.replace(settings, **changes)
+
+
+class TestEventLog:
+    def test_the_file_holds_the_events_of_the_ring_of_its_own_process(self, tmp_path: Path) -> None:
+        path = tmp_path / "one.log"
+        one = EventLog(build_settings("one", log_file=str(path)))
+        two = EventLog(build_settings("two"))
+
+        async def run() -> None:
+            async with anyio.create_task_group() as tasks:
+                await one.start(tasks)
+                await two.start(tasks)
+            one.set_version(Version(7))
+            one.emit(APPLIED, service="{maal}\n<red>")
+            two.emit(APPLIED)
+            await one.stop()
+            await two.stop()
+
+        anyio.run(run)
+        events = parse_timeline(path.read_bytes(), "one.log")
+        assert events == list(one.list_events())
+        assert [event.name for event in events][1:-1] == ["version-applied"]
+        assert (events[1].version, events[1].fields) == (7, {"service": "{maal}\n<red>"})
+
+    def test_json_lines_go_to_standard_error_on_request(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        log = EventLog(build_settings("one", log_format=LogFormat.JSON))
+
+        async def run() -> None:
+            async with anyio.create_task_group() as tasks:
+                await log.start(tasks)
+            await log.stop()
+
+        anyio.run(run)
+        names = [json.loads(line)["name"] for line in capsys.readouterr().err.splitlines()]
+        assert names == ["process-started", "process-stopping"]
+
+    def test_a_storm_of_one_kind_is_counted_and_leaves_room_for_others(self) -> None:
+        now = 10.0
+        log = EventLog(build_settings("one"), clock=lambda: now)
+        for _ in range(MAX_EVENTS_PER_WINDOW + 30):
+            log.emit(APPLIED)
+        log.emit(EventKind(202, "other", "Another."))
+        assert len(log.list_events()) == MAX_EVENTS_PER_WINDOW + 1
+        now = 11.5
+        log.emit(APPLIED)
+        assert log.list_events()[-2].fields == {"number": 201, "count": 30}
+
+    def test_events_after_a_sequence_are_the_later_ones(self) -> None:
+        log = EventLog(build_settings("one"))
+        log.emit(APPLIED)
+        log.emit(APPLIED)
+        first, second = log.list_events()
+        assert log.list_events(after=first.sequence) == [second]
+
+
+def build_event(instance: str, time: float, sequence: int) -> TimelineEvent:
+    place = (InstanceId(instance), ZoneId("z"), RegionId("r"), Version(1))
+    return TimelineEvent(time, sequence, 201, "version-applied", *place)
+
+
+class TestMerging:
+    def test_processes_interleave_by_time_and_keep_their_own_order(self) -> None:
+        one = [build_event("one", 5.0, 1), build_event("one", 2.0, 2), build_event("one", 9.0, 3)]
+        two = [build_event("two", 4.0, 8), build_event("two", 6.0, 9)]
+        merged = merge_timelines([reversed(one), two, one[:2]])
+        assert [(event.instance, event.sequence) for event in merged] == [
+            ("two", 8),
+            ("one", 1),
+            ("one", 2),
+            ("two", 9),
+            ("one", 3),
+        ]
+
+    def test_a_line_cut_off_by_a_crash_is_left_out(self) -> None:
+        whole = msgspec.json.encode(build_event("one", 5.0, 1))
+        assert len(parse_timeline(whole + b"\n" + whole[:20], "x")) == 1
+
+    def test_a_text_log_is_refused_with_its_place(self) -> None:
+        with pytest.raises(InvalidTimeline, match=r"x\.log:2: not an event"):
+            parse_timeline(b"\n201 version-applied\n", "x.log")
