Add a virtual-time queue and store for decision objects

Cause: the decisions of distribution, membership and claims need one way to be driven under faults without sockets or clocks. Change: store requests and answers as typed actions and events; a queue that hands actions to other nodes as events after seeded delays, with loss, repetition, overtaking, pauses and deaths; a store with outages, slowness and lost answers that counts its calls. Conclusion: one harness serves all pure objects.

--- a/packages/godwitpass/src/godwitpass/internal/actions.py
+++ b/packages/godwitpass/src/godwitpass/internal/actions.py
@@ -32,3 +32,14 @@
 
     kind: EventKind
     fields: dict[str, Field] = {}
+
+
+class Received(msgspec.Struct, Generic[M], frozen=True):
+    """Event: `message` arrived from another daemon, possibly late, twice or out of order."""
+
+    sender: Address
+    message: M
+
+
+class Woken(msgspec.Struct, frozen=True):
+    """Event: the time of an earlier `Wake` has come."""
--- /dev/null
+++ b/testkit/src/godwitpass_testkit/virtual_store.py
@@ -0,0 +1,162 @@
+"""An in-memory store under virtual time, with outages, slowness and lost answers."""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from godwitpass.ids import NO_REVISION, Address, Revision
+from godwitpass.internal.requests import (
+    Delete,
+    Get,
+    GotEntry,
+    List,
+    Listed,
+    Put,
+    PutDone,
+    RequestFailed,
+    Watch,
+)
+from godwitpass.store import MAX_VALUE_BYTES, Entry, PutResult, WatchResult
+from godwitpass_testkit.virtual import VirtualQueue
+
+
+class MemoryStore:
+    """Keys, values and revisions, without time or faults."""
+
+    def __init__(self) -> None:
+        self.revision = NO_REVISION
+        self.entries: dict[str, Entry] = {}
+        self.log: list[Entry] = []
+
+    def get(self, key: str) -> Entry:
+        """Return the entry at `key`; an absent one has no value and revision 0."""
+        return self.entries.get(key, Entry(key, None, NO_REVISION))
+
+    def list(self, prefix: str) -> WatchResult:
+        """Return all present entries below `prefix`."""
+        found = (entry for key, entry in sorted(self.entries.items()) if key.startswith(prefix))
+        return WatchResult(self.revision, tuple(found))
+
+    def put(self, key: str, value: bytes | None, expected: Revision | None) -> PutResult:
+        """Write `value`, or delete when it is None, if the entry is at `expected`."""
+        assert value is None or len(value) <= MAX_VALUE_BYTES, f"value of {key} is too large"
+        current = self.get(key)
+        if expected is not None and current.revision != expected:
+            return PutResult(False, current)
+        self.revision = Revision(self.revision + 1)
+        entry = Entry(key, value, self.revision)
+        self.log.append(entry)
+        if value is None:
+            self.entries.pop(key, None)
+        else:
+            self.entries[key] = entry
+        return PutResult(True, entry)
+
+    def changes(self, prefix: str, after: Revision) -> tuple[Entry, ...]:
+        """Return the changes below `prefix` later than `after`, oldest first."""
+        newer: list[Entry] = []
+        for entry in reversed(self.log):
+            if entry.revision <= after:
+                break
+            if entry.key.startswith(prefix):
+                newer.append(entry)
+        return tuple(reversed(newer))
+
+
+class _Waiter:
+    """One watch that has not been answered."""
+
+    def __init__(self, request: Watch, answer: Callable[[Any], None]) -> None:
+        self.request = request
+        self.answer = answer
+        self.done = False
+
+
+class VirtualStore:
+    """Performs store requests of nodes on a `VirtualQueue`.
+
+    Set `down` to refuse requests, `delay_s` to slow them, `lost_answers` to lose the answers of
+    that many coming writes after they took effect. `cut_off` holds addresses that can't reach it.
+    """
+
+    def __init__(self, memory: MemoryStore | None = None) -> None:
+        self.memory = memory or MemoryStore()
+        self.down = False
+        self.delay_s = 0.003
+        self.lost_answers = 0
+        self.cut_off: Callable[[Address], bool] = lambda address: False
+        self.calls: Counter[str] = Counter()
+        self.calls_by_second: Counter[int] = Counter()
+        self._waiters: list[_Waiter] = []
+
+    def perform(self, queue: VirtualQueue, address: Address, action: Any) -> None:
+        """Perform `action` if it is a store request; meant for `VirtualQueue.perform`."""
+        if not isinstance(action, Get | Put | Delete | List | Watch):
+            return
+        self.calls[type(action).__name__] += 1
+        self.calls_by_second[int(queue.now)] += 1
+        queue.at(queue.now + self.delay_s / 2, lambda: self._execute(queue, address, action))
+
+    def set_down(self, down: bool) -> None:
+        """Begin or end an outage; it ends all waiting watches."""
+        self.down = down
+        if down:
+            for waiter in self._waiters:
+                self._finish(waiter, RequestFailed(waiter.request.tag))
+            self._waiters.clear()
+
+    def write(self, key: str, value: bytes | None, expected: Revision | None = None) -> PutResult:
+        """Write directly, as a client outside the test would, and wake watches."""
+        result = self.memory.put(key, value, expected)
+        if result.written:
+            self._wake_waiters()
+        return result
+
+    def _execute(self, queue: VirtualQueue, address: Address, action: Any) -> None:
+        def answer(event: Any) -> None:
+            queue.post_at(queue.now + self.delay_s / 2, address, event)
+
+        if self.down or self.cut_off(address):
+            answer(RequestFailed(action.tag))
+        elif isinstance(action, Get):
+            answer(GotEntry(action.tag, self.memory.get(action.key)))
+        elif isinstance(action, List):
+            answer(Listed(action.tag, self.memory.list(action.prefix)))
+        elif isinstance(action, Watch):
+            self._wait(queue, action, answer)
+        else:
+            self._write(action, answer)
+
+    def _write(self, action: Put | Delete, answer: Callable[[Any], None]) -> None:
+        value = action.value if isinstance(action, Put) else None
+        result = self.write(action.key, value, action.expected)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            answer(RequestFailed(action.tag, unknown=True))
+        else:
+            answer(PutDone(action.tag, result))
+
+    def _wait(self, queue: VirtualQueue, action: Watch, answer: Callable[[Any], None]) -> None:
+        waiter = _Waiter(action, answer)
+        if not self._try_finish(waiter):
+            self._waiters.append(waiter)
+            empty = Listed(action.tag, WatchResult(self.memory.revision, ()))
+            queue.at(queue.now + action.timeout, lambda: self._finish(waiter, empty))
+
+    def _wake_waiters(self) -> None:
+        self._waiters = [
+            waiter for waiter in self._waiters if not waiter.done and not self._try_finish(waiter)
+        ]
+
+    def _try_finish(self, waiter: _Waiter) -> bool:
+        changes = self.memory.changes(waiter.request.prefix, waiter.request.after)
+        if changes:
+            result = WatchResult(self.memory.revision, changes)
+            self._finish(waiter, Listed(waiter.request.tag, result))
+        return bool(changes)
+
+    @staticmethod
+    def _finish(waiter: _Waiter, event: Any) -> None:
+        if not waiter.done:
+            waiter.done = True
+            waiter.answer(event)
