Add the peer transport

Cause: daemons need authenticated messages among themselves. Change: a PeerTransport that sends payloads up to 1200 bytes as UDP datagrams and larger ones as gRPC unary calls on the same port number, both framed with a keyed BLAKE2b tag and a replay window. Conclusion: garbage, truncated, forged, reflected and repeated messages are dropped and counted.

--- /dev/null
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/peers/events.py
@@ -0,0 +1,27 @@
+"""Events of the peer transport."""
+
+from typing import Protocol
+
+from godwitpass.events import EventKind, Field, Level
+
+PEER_MESSAGES_DROPPED = EventKind(
+    750,
+    "peer-messages-dropped",
+    "Peer messages were refused and not applied; `reason` says why and `count` how many "
+    "since the last such event.",
+    Level.WARNING,
+)
+PEER_SENDS_DROPPED = EventKind(
+    751,
+    "peer-sends-dropped",
+    "Outgoing peer messages were dropped before they left this daemon.",
+    Level.WARNING,
+)
+
+
+class Emit(Protocol):
+    """Adds an event to the log and the time line."""
+
+    def __call__(self, kind: EventKind, **fields: Field) -> None:
+        """Record one occurrence of `kind`."""
+        ...
--- /dev/null
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/__init__.py
@@ -0,0 +1,1 @@
+"""Services of the daemon: thin shells around decision objects."""
--- /dev/null
+++ b/packages/godwitpass-daemon/tests/peers/conftest.py
@@ -0,0 +1,30 @@
+import socket
+from collections.abc import Iterator
+
+import pytest
+
+from godwitpass.events import EventKind, Field
+from godwitpass.ids import Address
+
+
+class EventRecorder:
+    def __init__(self) -> None:
+        self.events: list[tuple[EventKind, dict[str, Field]]] = []
+
+    def __call__(self, kind: EventKind, **fields: Field) -> None:
+        self.events.append((kind, fields))
+
+
+@pytest.fixture
+def recorder() -> EventRecorder:
+    return EventRecorder()
+
+
+@pytest.fixture
+def addresses() -> Iterator[tuple[Address, Address]]:
+    """Two loopback addresses whose ports were free a moment ago."""
+    with socket.socket() as first, socket.socket() as second:
+        for each in (first, second):
+            each.bind(("127.0.0.1", 0))
+        ports = [each.getsockname()[1] for each in (first, second)]
+    yield Address(f"127.0.0.1:{ports[0]}"), Address(f"127.0.0.1:{ports[1]}")
--- /dev/null
+++ b/packages/godwitpass-daemon/tests/peers/test_transport.py
@@ -0,0 +1,124 @@
+import socket
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import asynccontextmanager
+
+import anyio
+import msgspec
+import pytest
+
+from godwitpass.ids import Address
+from godwitpass_daemon.peers import Channel, PeerTransport
+from godwitpass_daemon.peers.events import PEER_MESSAGES_DROPPED
+from godwitpass_daemon.peers.frames import seal_frame
+from godwitpass_daemon.peers.transport import MAX_DATAGRAM_PAYLOAD_BYTES, MAX_PAYLOAD_BYTES
+
+from .conftest import EventRecorder
+
+KEY = b"k" * 32
+PATIENCE_S = 20
+Pair = tuple[Address, Address]
+
+
+@asynccontextmanager
+async def run_transports(transports: Sequence[PeerTransport]) -> AsyncIterator[None]:
+    async with anyio.create_task_group() as tasks:
+        for transport in transports:
+            await transport.start(tasks)
+        try:
+            yield
+        finally:
+            for transport in transports:
+                await transport.stop()
+            tasks.cancel_scope.cancel()
+
+
+async def wait_until(condition: Callable[[], bool]) -> None:
+    with anyio.fail_after(PATIENCE_S):
+        while not condition():  # noqa: ASYNC110 - the counters have no event to wait for
+            await anyio.sleep(0.01)
+
+
+class Inbox:
+    def __init__(self) -> None:
+        self.messages: list[tuple[Address, bytes]] = []
+
+    def __call__(self, sender: Address, payload: bytes) -> None:
+        if payload == b"unreadable":
+            raise msgspec.DecodeError("unreadable")
+        self.messages.append((sender, payload))
+
+    async def wait(self, count: int) -> None:
+        await wait_until(lambda: len(self.messages) >= count)
+
+
+class TestPeerTransport:
+    async def deliver(self, addresses: Pair, recorder: EventRecorder, payload: bytes) -> None:
+        sender, receiver = (PeerTransport(each, [KEY], recorder) for each in addresses)
+        inbox = Inbox()
+        receiver.subscribe(Channel.CLAIMS, inbox)
+        async with run_transports([sender, receiver]):
+            sender.send(Channel.CLAIMS, addresses[1], payload)
+            await inbox.wait(1)
+        assert inbox.messages == [(addresses[0], payload)]
+        sent, received = sender.sent[Channel.CLAIMS], receiver.received[Channel.CLAIMS]
+        assert sent == received
+        assert sent.bytes > len(payload)
+        assert not sender.sent[Channel.MEMBERSHIP].bytes
+
+    @pytest.mark.parametrize("size", [0, MAX_DATAGRAM_PAYLOAD_BYTES, 1201, MAX_PAYLOAD_BYTES])
+    def test_payloads_of_every_size_arrive_with_their_sender(
+        self, addresses: Pair, recorder: EventRecorder, size: int
+    ) -> None:
+        anyio.run(self.deliver, addresses, recorder, b"x" * size)
+
+    def test_an_oversize_payload_is_refused_at_the_sender(
+        self, addresses: Pair, recorder: EventRecorder
+    ) -> None:
+        transport = PeerTransport(addresses[0], [KEY], recorder)
+        with pytest.raises(ValueError, match="split"):
+            transport.send(Channel.CLAIMS, addresses[1], b"x" * (MAX_PAYLOAD_BYTES + 1))
+
+    def test_bad_messages_are_dropped_and_counted_with_one_event_a_reason(
+        self, addresses: Pair, recorder: EventRecorder
+    ) -> None:
+        async def attack() -> None:
+            receiver = PeerTransport(addresses[1], [KEY], recorder)
+            sender = PeerTransport(addresses[0], [KEY], recorder)
+            inbox = Inbox()
+            receiver.subscribe(Channel.CLAIMS, inbox)
+            stamp = receiver._now_us()
+            good = seal_frame(KEY, Channel.CLAIMS, addresses[0], addresses[1], stamp, b"once")
+            forged = seal_frame(b"f" * 32, Channel.CLAIMS, addresses[0], addresses[1], stamp, b"")
+            reflected = seal_frame(KEY, Channel.CLAIMS, addresses[1], addresses[0], stamp, b"")
+            attacks = [b"", b"garbage", good[:-1], good[:9], forged, reflected, good, good, good]
+            async with run_transports([receiver, sender]):
+                host, port = addresses[1].rsplit(":", 1)
+                with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as attacker:
+                    for data in attacks:
+                        attacker.sendto(data, (host, int(port)))
+                sender.send(Channel.CLAIMS, addresses[1], b"unreadable")
+                sender.send(Channel.CRASHES, addresses[1], b"no handler")
+                sender.send(Channel.CLAIMS, addresses[1], b"last")
+                await inbox.wait(2)
+            assert sorted(payload for _, payload in inbox.messages) == [b"last", b"once"]
+            expected = {"malformed": 4, "forged": 3, "replayed": 2, "unhandled": 1}
+            assert receiver.refused.totals == expected
+            reasons = [str(fields["reason"]) for _, fields in recorder.events]
+            assert sorted(reasons) == sorted(expected)
+            assert {kind for kind, _ in recorder.events} == {PEER_MESSAGES_DROPPED}
+
+        anyio.run(attack)
+
+    def test_sends_to_an_absent_daemon_and_after_stop_do_no_harm(
+        self, addresses: Pair, recorder: EventRecorder
+    ) -> None:
+        async def send_in_vain() -> None:
+            sender = PeerTransport(addresses[0], [KEY], recorder)
+            async with run_transports([sender]):
+                for size in (10, 10, 5000):
+                    sender.send(Channel.CLAIMS, addresses[1], b"x" * size)
+                await wait_until(lambda: sender.unsent.totals["unavailable"] > 0)
+            sender.send(Channel.CLAIMS, addresses[1], b"late")
+            assert sender.unsent.totals["backlog"] == 1
+
+        anyio.run(send_in_vain)
