--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/attempts.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/attempts.py
@@ -82,7 +82,7 @@
         self.started = True
         self.upstream = upstream
         edge = self.call.edge
-        self.progress_at = edge.loop.time()
+        self.progress_at = edge.now()
         if not self._is_repeat:
             connection = edge.pool.take(upstream.address, self.call.is_idempotent)
             if connection is not None:
@@ -100,7 +100,7 @@
         parts = self._frame_body(chunks)
         if body.complete:
             self._body_sent = True
-            self._sent_at = self.call.edge.loop.time()
+            self._sent_at = self.call.edge.now()
             if self.call.head.framing is Framing.CHUNKED:
                 parts.append(b"0\r\n\r\n")
         if parts:
@@ -134,7 +134,7 @@
 
     def receive_head(self, head: AnswerHead) -> None:
         """Judge the answer and pass its head on, unless the upstream refused the request."""
-        self._head_at = self.call.edge.loop.time()
+        self._head_at = self.call.edge.now()
         self.progress_at = self._head_at
         if head.status in (429, 503) and head.not_run == self._token:
             self._result = Result.SHED
@@ -147,7 +147,7 @@
     def receive_body(self, chunk: bytes) -> None:
         """Pass on a part of the answer."""
         if not self._ended:
-            self.progress_at = self.call.edge.loop.time()
+            self.progress_at = self.call.edge.now()
             self.call.receive_body(self, chunk)
 
     def finish_answer(self) -> None:
@@ -224,7 +224,7 @@
         if self.call.head.framing is Framing.CHUNKED:
             head += b"0\r\n\r\n"
         self._body_sent = True
-        self._sent_at = self.call.edge.loop.time()
+        self._sent_at = self.call.edge.now()
         connection.write(head)
 
     def _frame_body(self, chunks: list[bytes]) -> list[bytes]:
@@ -233,7 +233,7 @@
         return [b"%x\r\n%b\r\n" % (len(chunk), chunk) for chunk in chunks]
 
     def _note_progress(self) -> None:
-        self.progress_at = self.call.edge.loop.time()
+        self.progress_at = self.call.edge.now()
         if self.stalled:
             self.stalled = False
             self.call.dispatch(Resumed(self.number))
@@ -255,7 +255,7 @@
             self._connecting = None
         if self.started:
             since = self._sent_at or self.progress_at
-            latency = max(0.0, (self._head_at or self.call.edge.loop.time()) - since)
+            latency = max(0.0, (self._head_at or self.call.edge.now()) - since)
             self.call.dispatch(Ended(self.number, result, latency))
 
     def _drop_connection(self) -> None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/callers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/callers.py
@@ -104,7 +104,7 @@
         if self._queue:
             self._serve()
         elif not self._in_head:
-            self._expires_at = self._edge.loop.time() + KEEP_ALIVE_S
+            self._expires_at = self._edge.now() + KEEP_ALIVE_S
         self.resume_body()
 
     def break_off(self) -> None:
@@ -143,7 +143,7 @@
                 encode_refusal(Outcome.NOT_RUN, Reason.OVERLOADED, None, close=True)
             )
             self._transport.close()
-        self._expires_at = self._edge.loop.time() + HEAD_TIMEOUT_S
+        self._expires_at = self._edge.now() + HEAD_TIMEOUT_S
 
     def data_received(self, data: bytes) -> None:
         """Parse a part of a request."""
@@ -193,7 +193,7 @@
         self._headers = []
         self._in_head = True
         self._head_bytes = 0
-        self._expires_at = self._edge.loop.time() + HEAD_TIMEOUT_S
+        self._expires_at = self._edge.now() + HEAD_TIMEOUT_S
 
     def on_url(self, url: bytes) -> None:
         """Gather the target."""
@@ -303,4 +303,4 @@
         transport.write_eof()
         self._paused = False
         transport.resume_reading()
-        self._expires_at = self._edge.loop.time() + LINGER_S
+        self._expires_at = self._edge.now() + LINGER_S
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
@@ -76,7 +76,7 @@
         route: CompiledRoute,
         dispatcher: Dispatcher,
     ) -> None:
-        now = edge.loop.time()
+        now = edge.now()
         self.edge = edge
         self.connection = connection
         self.caller = caller
@@ -121,7 +121,7 @@
         """Return the seconds left until the deadline, None without one."""
         if self._deadline == _NEVER:
             return None
-        return self._deadline - self.edge.loop.time()
+        return self._deadline - self.edge.now()
 
     def cancel(self) -> None:
         """Stop because the caller left; upstreams see their connections close."""
@@ -258,7 +258,7 @@
         if self._ended:
             return
         body = self.body
-        self._body_progress_at = self.edge.loop.time()
+        self._body_progress_at = self.edge.now()
         if body.broken:
             self._refuse(Reason.MALFORMED)
             return
@@ -302,7 +302,7 @@
         self._refuse(Reason.CLAIM_REFUSED)
 
     def _try(self, avoid: Attempt | None, hedge: bool = False) -> None:
-        now = self.edge.loop.time()
+        now = self.edge.now()
         is_first = avoid is None
         if is_first:
             self.dispatcher.budget.deposit()
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/core.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import secrets
+import time
 from collections.abc import Callable
 
 import anyio
@@ -61,6 +62,7 @@
         emit: EmitEvent,
     ) -> None:
         self.loop = loop
+        self.now = time.monotonic  # the loop's own time has a resolution of 1 ms
         self.pool = ConnectionPool(loop)
         self.statistics = EdgeStatistics()
         self.claim_guard: ClaimGuard | None = None
@@ -170,7 +172,7 @@
 
     def dispatch(self, dispatcher: Dispatcher, event: Event) -> None:
         """Give an event to a dispatcher and carry its actions out."""
-        for action in dispatcher.handle(event, self.loop.time()):
+        for action in dispatcher.handle(event, self.now()):
             match action:
                 case Start():
                     self._attempts.pop(action.call).start(action.upstream)
@@ -201,7 +203,7 @@
 
     def sweep(self) -> None:
         """Look for transfers, heads and idle connections that took too long."""
-        now = self.loop.time()
+        now = self.now()
         for call in list(self._calls):
             call.sweep(now)
         for connection in self.connections:
@@ -214,7 +216,7 @@
 
     def record_answer(self, arrived_at: float) -> None:
         """Record a whole answer."""
-        self.statistics.record_answer(self.loop.time() - arrived_at)
+        self.statistics.record_answer(self.now() - arrived_at)
 
     def _update_upstreams(self, name: ServiceName) -> None:
         assert self._table is not None
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/upstreams.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/upstreams.py
@@ -1,6 +1,7 @@
 """Connections to upstreams: one answer at a time, reused only when nothing is left unread."""
 
 import asyncio
+import time
 from typing import Protocol, cast
 
 import httptools
@@ -235,7 +236,7 @@
         if not connection.is_open:
             idle.pop()
             return self.take(address, safe_to_repeat)
-        age = self._loop.time() - connection.idle_since
+        age = time.monotonic() - connection.idle_since
         allowed = self._idle_limits[address]
         if age > (allowed if safe_to_repeat else min(allowed, UNSAFE_IDLE_S)):
             return None
@@ -245,7 +246,7 @@
 
     def put(self, connection: UpstreamConnection) -> None:
         """Keep an idle connection."""
-        connection.idle_since = self._loop.time()
+        connection.idle_since = time.monotonic()
         self._idle.setdefault(connection.address, []).append(connection)
 
     def discard(self, connection: UpstreamConnection) -> None:
--- a/testkit/src/godwitpass_testkit/caller.py
+++ b/testkit/src/godwitpass_testkit/caller.py
@@ -1,6 +1,7 @@
 """A caller: single requests for tests, and load at a fixed rate."""
 
 import asyncio
+import time
 from collections import Counter
 from typing import cast
 
@@ -187,24 +188,24 @@
         if pool[slot].closed:
             pool[slot] = await connect(address)
         answer = await pool[slot].send(data)
-        elapsed = loop.time() - planned
+        elapsed = time.perf_counter() - planned
         kind = answer.outcome or ("cut" if not answer.whole else str(answer.status))
         outcomes[kind] += 1
         if answer.whole and answer.status == 200:
             histogram.record_value(max(1, int(elapsed * 1_000_000)))
 
-    started = loop.time()
+    started = time.perf_counter()
     total = int(rate * seconds)
     for index in range(total):
         planned = started + index / rate
-        delay = planned - loop.time()
+        delay = planned - time.perf_counter()
         if delay > 0:
             await asyncio.sleep(delay)
-        task = loop.create_task(send_one(index, planned if delay <= 0 else loop.time()))
+        task = loop.create_task(send_one(index, planned if delay <= 0 else time.perf_counter()))
         pending.add(task)
         task.add_done_callback(pending.discard)
     await asyncio.gather(*pending)
-    elapsed = loop.time() - started
+    elapsed = time.perf_counter() - started
     for connection in pool:
         connection.close()
     return LoadReport(
--- a/testkit/src/godwitpass_testkit/edge.py
+++ b/testkit/src/godwitpass_testkit/edge.py
@@ -5,6 +5,7 @@
 from functools import wraps
 
 import anyio
+import typer
 from anyio.abc import TaskGroup
 
 from godwitpass.document import Document, Execution, Policy, Route, Service
@@ -172,3 +173,28 @@
         anyio.run(test, self, backend_options={"use_uvloop": True})
 
     return run
+
+
+async def serve_edge(upstreams: Sequence[Address]) -> None:
+    """Serve an edge in front of running upstreams; prints its inner address."""
+    peers = FakePeers(make_snapshot())
+    peers.known[STOFFBOK] = [make_upstream(at, found) for at, found in enumerate(upstreams)]
+    kernel = Kernel()
+    for name in ("distribution", "membership", "events"):
+        kernel.register(name, lambda _: peers)
+    listen = Address("127.0.0.1:0")
+    edge = EdgeService(kernel, listen, listen, PLACE)
+    async with anyio.create_task_group() as tasks:
+        await edge.start(tasks)
+        print(edge.bound_addresses[1], flush=True)
+        await anyio.sleep_forever()
+
+
+def main(upstreams: list[str]) -> None:
+    """Serve an edge in front of the given upstreams until the process is ended."""
+    addresses = [Address(found) for found in upstreams]
+    anyio.run(serve_edge, addresses, backend_options={"use_uvloop": True})
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/testkit/src/godwitpass_testkit/upstream.py
+++ b/testkit/src/godwitpass_testkit/upstream.py
@@ -14,6 +14,7 @@
 import httptools
 import msgspec
 import typer
+import uvloop
 
 from godwitpass.ids import Address
 from godwitpass.internal.calls.outcomes import CALL_HEADER, DEADLINE_HEADER, NOT_RUN_HEADER
@@ -290,16 +291,15 @@
                 connection.transport.abort()
 
 
-def main(port: int, slots: int = 12, work_ms: float = 0.0, sheds: bool = True) -> None:
-    """Serve on 127.0.0.1 until the process is ended."""
+def main(port: int = 0, slots: int = 12, work_ms: float = 0.0, sheds: bool = True) -> None:
+    """Serve on 127.0.0.1 until the process is ended; prints the address."""
 
     async def serve() -> None:
         options = UpstreamOptions(slots=slots, work_s=work_ms / 1000, sheds=sheds)
-        await StandInUpstream(options, exit_on_crash=True).start(port=port)
+        upstream = StandInUpstream(options, exit_on_crash=True)
+        print(await upstream.start(port=port), flush=True)
         await asyncio.Event().wait()
 
-    import uvloop
-
     uvloop.run(serve())
 
 
