Add the stand-in store and the daemon's client for it

Cause: every other part needs the platform's key-value service, in tests with its faults. Change: a pure StoreState (compare-and-swap, leases, watches, counts, caps, faults), a fake over it, an HTTP shell with a control endpoint, and a client that tells 'no effect' from 'unknown', fails over between addresses and backs off with jitter.

--- /dev/null
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/__init__.py
@@ -0,0 +1,1 @@
+"""Services of the daemon: thin shells around the decisions of the `godwitpass` package."""
--- /dev/null
+++ b/packages/godwitpass-daemon/tests/store/test_client.py
@@ -0,0 +1,138 @@
+import random
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+import httpcore
+import msgspec
+import pytest
+
+from godwitpass.errors import StoreOutcomeUnknown, StoreUnavailable
+from godwitpass.ids import Address, Revision
+from godwitpass_daemon.services.store import StoreClient
+from godwitpass_daemon.services.store_guard import Guard
+from godwitpass_testkit.store import Faults, StoreState
+from godwitpass_testkit.store.control import CONTROL_PATH, Control, Description
+from godwitpass_testkit.store.server import build_server
+
+LIMIT_S = 30
+
+
+@asynccontextmanager
+async def serve(state: StoreState) -> AsyncIterator[Address]:
+    listener = socket.create_server(("127.0.0.1", 0))
+    server = build_server(state, "127.0.0.1", 0)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve, [listener])
+        try:
+            with anyio.fail_after(LIMIT_S):
+                while not server.started:  # noqa: ASYNC110 (the server offers no event)
+                    await anyio.sleep(0.01)
+            yield Address(f"127.0.0.1:{listener.getsockname()[1]}")
+        finally:
+            server.should_exit = True
+
+
+def find_closed_address() -> Address:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return Address(f"127.0.0.1:{listener.getsockname()[1]}")
+
+
+async def call_control(address: Address, control: Control) -> Description:
+    async with httpcore.AsyncConnectionPool() as pool:
+        url = f"http://{address}{CONTROL_PATH}"
+        response = await pool.request("POST", url, content=msgspec.json.encode(control))
+    assert response.status == 200, response.content
+    return msgspec.json.decode(response.content, type=Description)
+
+
+class TestCallsOverHttp:
+    def test_every_operation_gives_what_the_state_holds(self) -> None:
+        async def run() -> None:
+            async with serve(StoreState()) as address:
+                client = StoreClient((find_closed_address(), address))
+                lease = await client.grant_lease(30)
+                put = await client.put("a/1", b"x", Revision(0), lease)
+                assert put.written
+                assert await client.get("a/1") == put.entry
+                assert (await client.list("a/")).entries == (put.entry,)
+                assert not (await client.put("a/1", b"y", Revision(0))).written
+                assert (await client.watch("a/", Revision(0), 5)).entries == (put.entry,)
+                assert (await client.watch("b/", Revision(0), 0)).entries == ()
+                assert await client.renew_lease(lease)
+                await client.revoke_lease(lease)
+                assert (await client.get("a/1")).value is None
+                assert (await client.delete("a/1", None)).written
+                await client.stop()
+
+        anyio.run(run)
+
+    def test_a_watch_returns_when_another_client_writes(self) -> None:
+        async def run() -> None:
+            async with serve(StoreState()) as address:
+                client = StoreClient((address,))
+                with anyio.fail_after(LIMIT_S):
+                    async with anyio.create_task_group() as tasks:
+                        tasks.start_soon(client.put, "a/1", b"x", None)
+                        result = await client.watch("a/", Revision(0), LIMIT_S)
+                assert [entry.key for entry in result.entries] == ["a/1"]
+                await client.stop()
+
+        anyio.run(run)
+
+
+class TestErrors:
+    def test_a_write_whose_answer_is_lost_has_an_unknown_outcome_and_took_effect(self) -> None:
+        async def run() -> None:
+            async with serve(StoreState()) as address:
+                client = StoreClient((address,))
+                await call_control(address, Control(faults=Faults(lost_answers=1)))
+                with pytest.raises(StoreOutcomeUnknown):
+                    await client.put("k", b"x", None)
+                assert (await client.get("k")).value == b"x"
+                assert (client.counts.unknown, client.counts.unavailable) == (1, 0)
+                await client.stop()
+
+        anyio.run(run)
+
+    def test_a_store_that_refuses_or_is_unreachable_is_unavailable(self) -> None:
+        async def run() -> None:
+            async with serve(StoreState()) as address:
+                client = StoreClient((address,))
+                await call_control(address, Control(faults=Faults(down=True)))
+                with pytest.raises(StoreUnavailable):
+                    await client.put("k", b"x", None)
+                described = await call_control(address, Control(faults=Faults()))
+                assert described.counts.refused == 1
+                assert (await client.get("k")).value is None
+                await client.stop()
+            unreachable = StoreClient((find_closed_address(),))
+            with pytest.raises(StoreUnavailable):
+                await unreachable.put("k", b"x", None)
+            await unreachable.stop()
+
+        anyio.run(run)
+
+
+class TestGuard:
+    def test_clients_of_a_down_store_send_few_calls_and_spread_their_return(self) -> None:
+        guards = [Guard(random.Random(seed)) for seed in range(100)]
+        sent = [0] * 120
+        for tick in range(1200):
+            for guard in guards:
+                if guard.admit(tick / 10):
+                    sent[tick // 10] += 1
+                    guard.record_failure(tick / 10)
+        assert sum(sent[60:]) / 60 < len(guards)
+        assert max(sent[60:]) < len(guards)
+
+    def test_a_success_ends_the_back_off(self) -> None:
+        guard = Guard(random.Random(1))
+        for _ in range(10):
+            guard.record_failure(0)
+        assert not guard.admit(0)
+        assert guard.admit(10)
+        assert not guard.admit(10)
+        guard.record_success()
+        assert guard.admit(10)
--- /dev/null
+++ b/testkit/src/godwitpass_testkit/store/state.py
@@ -0,0 +1,204 @@
+"""Contents of the stand-in store; pure, every call is told the time."""
+
+import random
+
+import msgspec
+
+from godwitpass.errors import StoreOutcomeUnknown, StoreUnavailable
+from godwitpass.ids import LeaseId, Revision
+from godwitpass.store import MAX_VALUE_BYTES, Entry, PutResult, WatchResult
+from godwitpass_testkit.store.faults import Counts, Faults, RateCap
+
+
+class _Record(msgspec.Struct, frozen=True):
+    entry: Entry
+    written_at: float
+    lease: LeaseId | None = None
+
+
+class _Lease(msgspec.Struct, frozen=True):
+    ttl: float
+    expires_at: float
+
+
+class Backup(msgspec.Struct, frozen=True):
+    """Contents at one moment, for `StoreState.restore`."""
+
+    revision: Revision
+    records: dict[str, _Record]
+
+
+class StoreState:
+    """Entries, leases, counts and faults.
+
+    `now` is in seconds and may not go back. Methods raise `StoreUnavailable` when a call had no
+    effect and `StoreOutcomeUnknown` when a write took effect but its answer is lost.
+    """
+
+    def __init__(self, seed: int = 0) -> None:
+        self.faults = Faults()
+        self.counts = Counts()
+        self.revision = Revision(0)
+        self._records: dict[str, _Record] = {}
+        self._leases: dict[LeaseId, _Lease] = {}
+        self._random = random.Random(seed)
+        self._reads, self._writes = RateCap(), RateCap()
+
+    def get(self, key: str, now: float) -> Entry:
+        """Return the entry at `key`; an absent one has no value and revision 0."""
+        self._admit_read(now)
+        return self._sent(self._present(key))
+
+    def list(self, prefix: str, now: float) -> WatchResult:
+        """Return all present entries whose key starts with `prefix`, oldest first."""
+        self._admit_read(now)
+        entries = [entry for entry in self._below(prefix) if entry.value is not None]
+        return WatchResult(self.revision, tuple(self._sent(entry) for entry in entries))
+
+    def put(
+        self,
+        key: str,
+        value: bytes,
+        expected: Revision | None,
+        lease: LeaseId | None,
+        now: float,
+    ) -> PutResult:
+        """Write `value` if the entry is at revision `expected`; None writes always."""
+        self._admit_write(now)
+        if len(value) > MAX_VALUE_BYTES:
+            raise StoreUnavailable(f"value of {len(value)} bytes exceeds {MAX_VALUE_BYTES}")
+        if lease is not None and lease not in self._leases:
+            raise StoreUnavailable(f"lease {lease} has lapsed")
+        self.counts.bytes_in += len(value)
+        result = self._write(key, value, expected, lease, now)
+        self._lose_answer()
+        return result
+
+    def delete(self, key: str, expected: Revision | None, now: float) -> PutResult:
+        """Delete `key` if it is at revision `expected`; None deletes always."""
+        self._admit_write(now)
+        result = self._write(key, None, expected, None, now)
+        self._lose_answer()
+        return result
+
+    def start_watch(self, now: float) -> None:
+        """Count a watch as one read."""
+        self._admit_read(now)
+        self.counts.watches += 1
+
+    def changes(self, prefix: str, after: Revision, now: float) -> WatchResult:
+        """Return what a watch may see by now; an entry that changed twice is shown once."""
+        self.expire(now)
+        entries = tuple(entry for entry in self._below(prefix) if entry.revision > after)
+        late = tuple(entry for entry in entries if self._is_late(entry, now))
+        revision = Revision(late[0].revision - 1) if late else self.revision
+        visible = tuple(entry for entry in entries if entry.revision <= revision)
+        if self.faults.watch_reversed:
+            visible = visible[::-1]
+        if self.faults.watch_repeated:
+            visible += visible
+        return WatchResult(revision, tuple(self._sent(entry) for entry in visible))
+
+    def grant_lease(self, ttl: float, now: float) -> LeaseId:
+        """Create a lease that lapses `ttl` seconds from now unless renewed."""
+        self._admit_write(now)
+        lease = LeaseId(self._random.getrandbits(48))
+        self._leases[lease] = _Lease(ttl, now + ttl)
+        self._lose_answer()
+        return lease
+
+    def renew_lease(self, lease: LeaseId, now: float) -> bool:
+        """Renew `lease`; False when it has lapsed."""
+        self._admit_write(now)
+        held = self._leases.get(lease)
+        if held is not None:
+            self._leases[lease] = _Lease(held.ttl, now + held.ttl)
+        self._lose_answer()
+        return held is not None
+
+    def revoke_lease(self, lease: LeaseId, now: float) -> None:
+        """End `lease` and delete its keys."""
+        self._admit_write(now)
+        self._end_lease(lease, now)
+        self._lose_answer()
+
+    def lapse_leases(self, now: float) -> None:
+        """Let all leases lapse at once, as for holders that were paused."""
+        for lease in tuple(self._leases):
+            self._end_lease(lease, now)
+
+    def expire(self, now: float) -> None:
+        """Delete the keys of leases that have lapsed by now."""
+        for lease, held in tuple(self._leases.items()):
+            if held.expires_at <= now:
+                self._end_lease(lease, now)
+
+    def save(self) -> Backup:
+        """Return a copy of the contents."""
+        return Backup(self.revision, dict(self._records))
+
+    def restore(self, backup: Backup) -> None:
+        """Go back to an older state, revisions included; leases end."""
+        self.revision = backup.revision
+        self._records = dict(backup.records)
+        self._leases.clear()
+
+    def _below(self, prefix: str) -> tuple[Entry, ...]:
+        found = [record.entry for key, record in self._records.items() if key.startswith(prefix)]
+        return tuple(sorted(found, key=lambda entry: entry.revision))
+
+    def _is_late(self, entry: Entry, now: float) -> bool:
+        return now < self._records[entry.key].written_at + self.faults.watch_delay_s
+
+    def _present(self, key: str) -> Entry:
+        record = self._records.get(key)
+        if record is None or record.entry.value is None:
+            return Entry(key, None, Revision(0))
+        return record.entry
+
+    def _write(
+        self,
+        key: str,
+        value: bytes | None,
+        expected: Revision | None,
+        lease: LeaseId | None,
+        now: float,
+    ) -> PutResult:
+        current = self._present(key)
+        if expected is not None and expected != current.revision:
+            return PutResult(False, current)
+        self.revision = Revision(self.revision + 1)
+        entry = Entry(key, value, self.revision)
+        self._records[key] = _Record(entry, now, lease)
+        return PutResult(True, entry)
+
+    def _end_lease(self, lease: LeaseId, now: float) -> None:
+        self._leases.pop(lease, None)
+        for key, record in tuple(self._records.items()):
+            if record.lease == lease and record.entry.value is not None:
+                self._write(key, None, None, None, now)
+
+    def _admit_read(self, now: float) -> None:
+        self.expire(now)
+        self._admit(self._reads.admit(self.faults.read_rate, now))
+        self.counts.reads += 1
+
+    def _admit_write(self, now: float) -> None:
+        self.expire(now)
+        self._admit(self._writes.admit(self.faults.write_rate, now))
+        self.counts.writes += 1
+
+    def _admit(self, within_rate: bool) -> None:
+        if self.faults.down or not within_rate:
+            self.counts.refused += 1
+            raise StoreUnavailable("the store is down" if self.faults.down else "rate exceeded")
+
+    def _sent(self, entry: Entry) -> Entry:
+        self.counts.bytes_out += len(entry.value or b"")
+        return entry
+
+    def _lose_answer(self) -> None:
+        remaining = self.faults.lost_answers
+        if remaining:
+            self.faults = msgspec.structs.replace(self.faults, lost_answers=remaining - 1)
+            raise StoreOutcomeUnknown("the answer was lost")
