--- a/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -2,7 +2,9 @@
 
 from godwitpass_daemon.admin_thin import AdminService
 from godwitpass_daemon.edge_thin import EdgeService
+from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.kernel import Kernel
+from godwitpass_daemon.peers import PeerTransport
 from godwitpass_daemon.services.acceptance import AcceptanceService
 from godwitpass_daemon.services.distribution import DistributionService
 from godwitpass_daemon.services.membership import MembershipService
@@ -13,7 +15,16 @@
 def build_kernel(settings: Settings) -> Kernel:
     """Build the kernel of one daemon with all its services, none started."""
     kernel = Kernel()
+    kernel.register("events", lambda _: EventLog(settings))
     kernel.register("store", lambda _: StoreClient(settings.store))
+    kernel.register(
+        "peers",
+        lambda found: PeerTransport(
+            settings.listen.peer,
+            (settings.peer_key.encode(),),
+            found.find("events", EventLog).emit,
+        ),
+    )
     kernel.register(
         "membership",
         lambda found: MembershipService(settings, found.find("store", StoreClient)),
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/main.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/main.py
@@ -10,7 +10,7 @@
 from godwitpass.errors import GodwitpassError
 from godwitpass_daemon.composition import build_kernel
 from godwitpass_daemon.kernel import Kernel
-from godwitpass_daemon.settings import Settings, read_settings
+from godwitpass_daemon.settings import Settings, read_settings, report_settings
 
 EXIT_INVALID_SETTINGS = 2
 
@@ -24,8 +24,8 @@
 @click.argument("file", type=click.Path(path_type=Path))
 def check_settings(file: Path) -> None:
     """Check the settings in FILE and report every finding."""
-    _read_or_exit(file)
-    click.echo(f"{file}: ok")
+    if not report_settings(file):
+        sys.exit(EXIT_INVALID_SETTINGS)
 
 
 @main.command("run")
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/peers/events.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/peers/events.py
@@ -22,6 +22,6 @@
 class Emit(Protocol):
     """Adds an event to the log and the time line."""
 
-    def __call__(self, kind: EventKind, **fields: Field) -> None:
+    def __call__(self, kind: EventKind, /, **fields: Field) -> None:
         """Record one occurrence of `kind`."""
         ...
--- a/testkit/src/godwitpass_testkit/deployment.py
+++ b/testkit/src/godwitpass_testkit/deployment.py
@@ -48,7 +48,7 @@
         """Start the stand-in store and wait until it takes calls."""
         port = self._ports.allocate()
         self.store = Address(f"127.0.0.1:{port}")
-        self._spawn("store", "godwitpass_testkit.store_thin", str(port))
+        self._spawn("store", "godwitpass_testkit.store", "--listen", self.store)
         self.wait_until("the store listens", lambda: _is_listening(self.store))
 
     def add_node(self, instance: str, zone: str, region: str, service: str) -> Settings:
