Give all experiments one form of result rows

Change: godwitpass_testkit.measurements with rows, selection and least-squares slopes. Figures: none; types and a doctest.

--- /dev/null
+++ b/testkit/src/godwitpass_testkit/measurements.py
@@ -0,0 +1,62 @@
+"""Rows that experiments write and that benches, plots and the capacity page read."""
+
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+
+import msgspec
+
+Param = str | int | float | bool
+
+
+class Row(msgspec.Struct, frozen=True):
+    """One measured value; `params` tells under which conditions, `unit` in what."""
+
+    name: str
+    params: dict[str, Param]
+    value: float
+    unit: str
+
+
+class Slope(msgspec.Struct, frozen=True):
+    """A straight line through measured values: `base + per_unit * x`."""
+
+    base: float
+    per_unit: float
+
+    def at(self, x: float) -> float:
+        """Return the line's value at `x`.
+
+        >>> fit_slope([(0.0, 1.0), (2.0, 5.0)]).at(10.0)
+        21.0
+        """
+        return self.base + self.per_unit * x
+
+
+def write_rows(path: Path, rows: Sequence[Row]) -> None:
+    """Write `rows` as indented JSON."""
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(list(rows)), indent=1) + b"\n")
+
+
+def read_rows(path: Path) -> list[Row]:
+    """Read rows written by `write_rows`."""
+    return msgspec.json.decode(path.read_bytes(), type=list[Row])
+
+
+def select_rows(rows: Iterable[Row], name: str, **params: Param) -> list[Row]:
+    """Return the rows called `name` whose conditions include `params`."""
+    return [
+        row
+        for row in rows
+        if row.name == name and all(row.params.get(key) == value for key, value in params.items())
+    ]
+
+
+def fit_slope(points: Sequence[tuple[float, float]]) -> Slope:
+    """Fit a line by least squares; needs two different abscissas."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    assert spread > 0.0, "a slope needs points at two different abscissas"
+    per_unit = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    return Slope(mean_y - per_unit * mean_x, per_unit)
