--- /dev/null
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API: operators' documents in, state and events out."""
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/difference.py
@@ -0,0 +1,66 @@
+"""What differs between two documents, entry by entry."""
+
+from collections.abc import Sequence
+from enum import Enum
+
+import msgspec
+
+from godwitpass.document import Document, Policy, Route, Service
+
+
+class Alteration(Enum):
+    """What happened to an entry between two documents."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+class Difference(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One entry that differs; `fields` names the fields that changed."""
+
+    section: str
+    name: str
+    alteration: Alteration
+    fields: tuple[str, ...] = ()
+
+
+def compare_documents(old: Document, new: Document) -> list[Difference]:
+    """Return what turns `old` into `new`, by section and name; the order of entries is ignored.
+
+    >>> compare_documents(Document(1), Document(1, services=(Service("maal"),)))
+    [Difference(section='services', name='maal', alteration=<Alteration.ADDED: 'added'>, fields=())]
+    """
+    differences = [
+        *_compare_entries("services", old.services, new.services),
+        *_compare_entries("routes", old.routes, new.routes),
+        *_compare_entries("policies", old.policies, new.policies),
+    ]
+    if old.distribution != new.distribution:
+        changed = _list_changed_fields(old.distribution, new.distribution)
+        differences.append(Difference("distribution", "", Alteration.CHANGED, changed))
+    return differences
+
+
+def _compare_entries(
+    section: str,
+    old: Sequence[Service | Route | Policy],
+    new: Sequence[Service | Route | Policy],
+) -> list[Difference]:
+    before: dict[str, Service | Route | Policy] = {entry.name: entry for entry in old}
+    after: dict[str, Service | Route | Policy] = {entry.name: entry for entry in new}
+    differences: list[Difference] = []
+    for name in sorted(before.keys() | after.keys()):
+        if name not in before:
+            differences.append(Difference(section, name, Alteration.ADDED))
+        elif name not in after:
+            differences.append(Difference(section, name, Alteration.REMOVED))
+        elif before[name] != after[name]:
+            changed = _list_changed_fields(before[name], after[name])
+            differences.append(Difference(section, name, Alteration.CHANGED, changed))
+    return differences
+
+
+def _list_changed_fields(old: msgspec.Struct, new: msgspec.Struct) -> tuple[str, ...]:
+    fields = old.__struct_fields__
+    return tuple(name for name in fields if getattr(old, name) != getattr(new, name))
--- a/packages/godwitpass/src/godwitpass/internal/validation/reader.py
+++ b/packages/godwitpass/src/godwitpass/internal/validation/reader.py
@@ -20,7 +20,7 @@
 
 T = TypeVar("T", bound=msgspec.Struct)
 
-MAX_CANONICAL_BYTES = 4 * 1024 * 1024
+MAX_CANONICAL_BYTES = 2 * 1024 * 1024
 
 Check = Callable[[Any, Any, Findings], None]
 """Checks (plain value, converted value or None, findings) beyond the types."""
--- a/packages/godwitpass/src/godwitpass/internal/validation/text.py
+++ b/packages/godwitpass/src/godwitpass/internal/validation/text.py
@@ -13,7 +13,7 @@
 
 from godwitpass.internal.validation.findings import Findings
 
-MAX_TEXT_BYTES = 8 * 1024 * 1024
+MAX_TEXT_BYTES = 4 * 1024 * 1024
 MAX_DEPTH = 32
 """Deepest nesting of objects and arrays that is read."""
 MAX_DIGITS = 30
--- a/packages/godwitpass/tests/validation/test_reading.py
+++ b/packages/godwitpass/tests/validation/test_reading.py
@@ -69,7 +69,7 @@
             (b'{"a":' * 900 + b"1" + b"}" * 900, "nested"),
             (b'{"format": NaN}', "not a number"),
             (b'{"format": ' + b"9" * 5000 + b"}", "digits"),
-            (b" " * (8 * 1024 * 1024 + 1), "over the bound"),
+            (b" " * (4 * 1024 * 1024 + 1), "over the bound"),
             (b'"' + b'\\"' * 200_000, "Unterminated"),
             (b"/* " * 200_000, "Expecting value"),
         ],
@@ -151,7 +151,7 @@
 
     def test_a_document_over_the_stored_size_is_refused(self) -> None:
         entry = {"path_prefix": "/" + "x" * 500, "service": "maal"}
-        routes = [entry | {"name": f"r{n}", "host": f"h{n}"} for n in range(9_000)]
+        routes = [entry | {"name": f"r{n}", "host": f"h{n}"} for n in range(4_500)]
         (finding,) = find_problems(json.dumps(MINIMAL | {"routes": routes}))
         assert "over" in finding.message
 
