Listen for operators and measure what they ask

Cause: the API was an application without a listener or metrics. Requests are counted by status and timed in an HDR histogram; processor time, memory and version come from the process. Conclusion: ready to replace the thin API once distribution.status() gives a Spread.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/admin/application.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/admin/application.py
@@ -1,7 +1,6 @@
 """The ASGI application: authentication, dispatch, and problems in place of exceptions."""
 
 import hmac
-from collections.abc import Awaitable, Callable
 
 import anyio
 
@@ -18,26 +17,23 @@
 from godwitpass_daemon.admin.handlers import Api
 from godwitpass_daemon.admin.http import (
     Answer,
-    Receive,
     Refusal,
     Request,
-    Scope,
-    Send,
     read_body,
     read_head,
     send_answer,
 )
+from godwitpass_daemon.admin.meter import RequestMeter
+from godwitpass_daemon.listeners import Application, Receive, Scope, Send
 
 MAX_REQUESTS = 16
 """Requests in progress; more are refused."""
 
 RETRY_AFTER = {"retry-after": "1"}
 
-Application = Callable[[Scope, Receive, Send], Awaitable[None]]
 
-
-def build_application(api: Api) -> Application:
-    """Return the ASGI application of `api`."""
+def build_application(api: Api, meter: RequestMeter) -> Application:
+    """Return the ASGI application of `api`, whose requests `meter` counts."""
     # One body at a time bounds the memory that large documents take.
     body_lock = anyio.Lock()
     in_progress = 0
@@ -47,6 +43,7 @@
         if scope["type"] != "http":
             return
         in_progress += 1
+        began = meter.clock()
         try:
             if in_progress > MAX_REQUESTS:
                 message = f"{MAX_REQUESTS} requests are in progress"
@@ -54,6 +51,7 @@
                 answer = Answer(problem, 503, RETRY_AFTER)
             else:
                 answer = await answer_request(api, scope, receive, body_lock)
+            meter.record(answer.status, meter.clock() - began)
             await send_answer(answer, send)
         finally:
             in_progress -= 1
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/admin/http.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/admin/http.py
@@ -1,7 +1,6 @@
 """Requests and answers of the administration API, above ASGI."""
 
-from collections.abc import Awaitable, Callable, Mapping
-from typing import Any, TypeVar
+from collections.abc import Mapping
 from urllib.parse import parse_qsl
 
 import anyio
@@ -10,12 +9,7 @@
 from godwitpass.administration import Problem, ProblemKind
 from godwitpass.errors import GodwitpassError
 from godwitpass.internal.validation.text import MAX_TEXT_BYTES
-
-Scope = Mapping[str, Any]
-Receive = Callable[[], Awaitable[dict[str, Any]]]
-Send = Callable[[dict[str, Any]], Awaitable[None]]
-
-T = TypeVar("T")
+from godwitpass_daemon.listeners import Receive, Scope, Send
 
 BODY_TIMEOUT_S = 20.0
 MAX_QUERY_BYTES = 1024
--- /dev/null
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/admin/service.py
@@ -0,0 +1,86 @@
+"""The kernel service "admin"."""
+
+from collections.abc import Callable, Iterable, Sequence
+from typing import Protocol, runtime_checkable
+
+from anyio.abc import TaskGroup
+
+from godwitpass.administration import Spread
+from godwitpass.mesh import UpstreamState
+from godwitpass.snapshot import Snapshot
+from godwitpass_daemon.admin.application import build_application
+from godwitpass_daemon.admin.handlers import Api
+from godwitpass_daemon.admin.meter import RequestMeter, collect_process
+from godwitpass_daemon.admin.metrics import Metric
+from godwitpass_daemon.admin.ports import Acceptance, Events, Ports
+from godwitpass_daemon.kernel import Kernel
+from godwitpass_daemon.listeners import Listener
+from godwitpass_daemon.settings import Settings
+
+MetricSource = Callable[[], Iterable[Metric]]
+
+
+@runtime_checkable
+class Distribution(Protocol):
+    """Holds the configuration in force."""
+
+    def snapshot(self) -> Snapshot | None:
+        """Return the version in force, if any is held."""
+        ...
+
+    def status(self) -> Spread:
+        """Return how far the newest known version has spread."""
+        ...
+
+
+@runtime_checkable
+class Membership(Protocol):
+    """Announces the upstream beside the daemon."""
+
+    def announce(self, state: UpstreamState) -> None:
+        """Change the announced state."""
+        ...
+
+
+class AdminService:
+    """Serves the administration API on the admin address only."""
+
+    def __init__(self, settings: Settings, ports: Ports, meter: RequestMeter) -> None:
+        self._address = settings.listen.admin
+        self._application = build_application(Api(settings, ports), meter)
+        self._listener: Listener | None = None
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Listen for operators."""
+        self._listener = Listener(self._application, self._address)
+        await self._listener.start(tasks)
+
+    async def stop(self) -> None:
+        """Stop listening once the requests in progress are answered."""
+        if self._listener is not None:
+            await self._listener.stop()
+
+
+def build_admin(
+    kernel: Kernel, settings: Settings, sources: Sequence[MetricSource] = ()
+) -> AdminService:
+    """Build the service from those registered; `sources` give further metrics."""
+    distribution = kernel.find("distribution", Distribution)  # type: ignore[type-abstract]
+    membership = kernel.find("membership", Membership)  # type: ignore[type-abstract]
+    meter = RequestMeter()
+
+    def collect_metrics() -> list[Metric]:
+        metrics = [*collect_process(distribution.snapshot), *meter.collect()]
+        for source in sources:
+            metrics.extend(source())
+        return metrics
+
+    ports = Ports(
+        kernel.find("acceptance", Acceptance),  # type: ignore[type-abstract]
+        kernel.find("events", Events),  # type: ignore[type-abstract]
+        distribution.snapshot,
+        distribution.status,
+        membership.announce,
+        collect_metrics,
+    )
+    return AdminService(settings, ports, meter)
--- a/packages/godwitpass-daemon/tests/admin/test_admin.py
+++ b/packages/godwitpass-daemon/tests/admin/test_admin.py
@@ -37,6 +37,7 @@
 from godwitpass_daemon.admin.application import MAX_REQUESTS, build_application
 from godwitpass_daemon.admin.endpoints import ENDPOINTS
 from godwitpass_daemon.admin.handlers import Api
+from godwitpass_daemon.admin.meter import RequestMeter
 from godwitpass_daemon.admin.openapi import describe_api
 from godwitpass_daemon.admin.ports import Ports
 from godwitpass_daemon.settings import ListenSettings, Settings, UpstreamSettings
@@ -111,8 +112,16 @@
     """Calls the application in process."""
 
     def __init__(self, daemon: FakeDaemon) -> None:
-        ports = Ports(daemon, daemon, daemon.snapshot, daemon.spread, daemon.announced.append, list)
-        self._application = build_application(Api(SETTINGS, ports))
+        self._meter = RequestMeter()
+        ports = Ports(
+            daemon,
+            daemon,
+            daemon.snapshot,
+            daemon.spread,
+            daemon.announced.append,
+            self._meter.collect,
+        )
+        self._application = build_application(Api(SETTINGS, ports), self._meter)
 
     def call(self, method: str, target: str, body: bytes = b"", **headers: str) -> tuple[int, Any]:
         return anyio.run(self.call_async, method, target, body, headers)
@@ -235,6 +244,13 @@
         client.put(DOCUMENT)
         assert client.call("GET", "/readyz", authorization=no_token)[0] == 200
 
+    def test_metrics_are_text_that_counts_earlier_requests(self) -> None:
+        client = Client(FakeDaemon())
+        client.call("GET", "/v1/nowhere")
+        lines = client.call("GET", "/metrics")[1].splitlines()
+        assert 'godwitpass_admin_requests_total{status="404"} 1' in lines
+        assert "godwitpass_admin_request_seconds_count 1" in lines
+
     def test_drain_announces_the_upstream_as_draining(self) -> None:
         client = Client(daemon := FakeDaemon())
         assert client.call("POST", "/v1/drain")[1]["instance"] == "one"
