Wire the real edge and the real administration API into the daemon

Cause: the thin edge (uvicorn and httpcore) overspends the latency budget, and the thin API lacks conditional writes, findings and metrics. Change: composition root builds EdgeService and build_admin; thin versions removed; the deployment starts the stand-in upstream with slots and faults. Conclusion: only store-backed membership, distribution and acceptance remain thin.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -1,7 +1,8 @@
 """The composition root: wires the services of one daemon."""
 
-from godwitpass_daemon.admin_thin import AdminService
-from godwitpass_daemon.edge_thin import EdgeService
+from godwitpass.internal.calls.dispatcher import Place
+from godwitpass_daemon.admin.service import build_admin
+from godwitpass_daemon.edge.service import EdgeService
 from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.kernel import Kernel
 from godwitpass_daemon.peers import PeerTransport
@@ -36,17 +37,11 @@
     kernel.register(
         "edge",
         lambda found: EdgeService(
+            found,
             settings.listen.outer,
-            found.find("distribution", DistributionService),
-            found.find("membership", MembershipService),
-        ),
-    )
-    kernel.register(
-        "admin",
-        lambda found: AdminService(
-            settings,
-            found.find("acceptance", AcceptanceService),
-            found.find("distribution", DistributionService),
+            settings.listen.inner,
+            Place(settings.instance, settings.zone, settings.region),
         ),
     )
+    kernel.register("admin", lambda found: build_admin(found, settings))
     return kernel
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/acceptance.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/acceptance.py
@@ -1,12 +1,14 @@
 """Accepts documents: one compare-and-swap of the root record."""
 
+from collections.abc import Sequence
+
 import msgspec
 from anyio.abc import TaskGroup
 
 from godwitpass.document import Document
 from godwitpass.errors import VersionConflict
 from godwitpass.ids import NO_REVISION, NO_VERSION, ChangeId, ContentHash, Revision, Version
-from godwitpass.internal.codec import compress, encode_canonical, hash_content
+from godwitpass.internal.codec import compress, decompress, encode_canonical, hash_content
 from godwitpass.store import Entry, Store
 
 ROOT_KEY = "config/root"
@@ -62,6 +64,19 @@
             raise VersionConflict(winner.version, winner.change)
         return Accepted(following.version, following.change, following.content_hash)
 
+    async def history(self) -> Sequence[Accepted]:
+        """Return the newest version; older ones are not kept."""
+        root = decode_root(await self._store.get(ROOT_KEY))
+        return (Accepted(root.version, root.change, root.content_hash),) if root.version else ()
+
+    async def content(self, version: Version) -> Document | None:
+        """Return the content of `version` if it is the newest."""
+        root = decode_root(await self._store.get(ROOT_KEY))
+        entry = await self._store.get(CONTENT_PREFIX + root.content_hash)
+        if root.version != version or entry.value is None:
+            return None
+        return msgspec.json.decode(decompress(entry.value), type=Document)
+
 
 def decode_root(entry: Entry) -> Root:
     """Decode the root record; an absent one is version 0."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
@@ -6,9 +6,10 @@
 import msgspec
 from anyio.abc import TaskGroup
 
+from godwitpass.administration import Spread
 from godwitpass.document import Document
 from godwitpass.errors import StoreError
-from godwitpass.ids import NO_REVISION
+from godwitpass.ids import NO_REVISION, NO_VERSION
 from godwitpass.internal.codec import decompress, hash_content
 from godwitpass.snapshot import Snapshot
 from godwitpass.store import Entry, Store
@@ -41,6 +42,11 @@
         """Call `callback` after each new version."""
         self._callbacks.append(callback)
 
+    def status(self) -> Spread:
+        """Return what this daemon alone holds."""
+        version = NO_VERSION if self._snapshot is None else self._snapshot.version
+        return Spread(version, 1, 1)
+
     async def _watch(self) -> None:
         after = NO_REVISION
         while True:
--- a/testkit/src/godwitpass_testkit/deployment.py
+++ b/testkit/src/godwitpass_testkit/deployment.py
@@ -28,12 +28,6 @@
     """A process of an experiment did not do what was waited for."""
 
 
-class Node(msgspec.Struct, frozen=True):
-    """A daemon to start, with the upstream beside it."""
-
-    settings: Settings
-
-
 class Deployment:
     """Starts a stand-in store, upstreams and daemons, and ends exactly those."""
 
@@ -56,8 +50,7 @@
         upstream = self._allocate_address()
         self._spawn(
             f"upstream-{instance}",
-            "godwitpass_testkit.upstream_thin",
-            instance,
+            "godwitpass_testkit.upstream",
             upstream.rpartition(":")[2],
         )
         settings = Settings(
