--- a/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -5,6 +5,7 @@
 from godwitpass_daemon.edge.service import EdgeService
 from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.kernel import Kernel
+from godwitpass_daemon.metrics import collect_services
 from godwitpass_daemon.peers import PeerTransport
 from godwitpass_daemon.services.acceptance import AcceptanceService
 from godwitpass_daemon.services.distribution import DistributionService
@@ -43,5 +44,7 @@
             Place(settings.instance, settings.zone, settings.region),
         ),
     )
-    kernel.register("admin", lambda found: build_admin(found, settings))
+    kernel.register(
+        "admin", lambda found: build_admin(found, settings, [lambda: collect_services(found)])
+    )
     return kernel
--- /dev/null
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/metrics.py
@@ -0,0 +1,90 @@
+"""Metrics of the daemon's services, collected when a scraper asks."""
+
+from collections.abc import Iterator
+
+from godwitpass_daemon.admin.metrics import Label, Metric, MetricKind, Sample, summarize
+from godwitpass_daemon.edge.service import EdgeService
+from godwitpass_daemon.kernel import Kernel
+from godwitpass_daemon.peers import PeerTransport
+from godwitpass_daemon.services.store import StoreClient
+
+SECONDS_PER_US = 1e-6
+
+
+def collect_services(kernel: Kernel) -> Iterator[Metric]:
+    """Yield the metrics of the peer transport, the store client and the edge."""
+    yield from _collect_peers(kernel.find("peers", PeerTransport))
+    yield from _collect_store(kernel.find("store", StoreClient))
+    yield from _collect_edge(kernel.find("edge", EdgeService))
+
+
+def _collect_peers(peers: PeerTransport) -> Iterator[Metric]:
+    directions = {"sent": peers.sent, "received": peers.received}
+    byte_samples = []
+    message_samples = []
+    for direction, traffic_by_channel in directions.items():
+        for channel, traffic in traffic_by_channel.items():
+            labels = (
+                Label("channel", channel.name.lower()),
+                Label("direction", direction),
+            )
+            byte_samples.append(Sample(traffic.bytes, labels))
+            message_samples.append(Sample(traffic.messages, labels))
+    yield Metric(
+        "godwitpass_peer_bytes_total",
+        "Frame bytes exchanged with other daemons, without IP headers.",
+        MetricKind.COUNTER,
+        tuple(byte_samples),
+    )
+    yield Metric(
+        "godwitpass_peer_messages_total",
+        "Messages exchanged with other daemons.",
+        MetricKind.COUNTER,
+        tuple(message_samples),
+    )
+    yield Metric(
+        "godwitpass_peer_refused_total",
+        "Received messages that were dropped, by reason.",
+        MetricKind.COUNTER,
+        tuple(
+            Sample(count, (Label("reason", reason),))
+            for reason, count in sorted(peers.refused.totals.items())
+        ),
+    )
+
+
+def _collect_store(store: StoreClient) -> Iterator[Metric]:
+    counts = store.counts
+    kinds = {
+        "read": counts.reads,
+        "write": counts.writes,
+        "watch": counts.watches,
+        "held-back": counts.held_back,
+        "unavailable": counts.unavailable,
+        "unknown": counts.unknown,
+    }
+    yield Metric(
+        "godwitpass_store_calls_total",
+        "Calls to the store, by kind or failure.",
+        MetricKind.COUNTER,
+        tuple(Sample(count, (Label("kind", kind),)) for kind, count in kinds.items()),
+    )
+
+
+def _collect_edge(edge: EdgeService) -> Iterator[Metric]:
+    statistics = edge.core.statistics
+    yield Metric(
+        "godwitpass_calls_total",
+        "Calls, by outcome.",
+        MetricKind.COUNTER,
+        tuple(
+            Sample(count, (Label("outcome", outcome),))
+            for outcome, count in sorted(statistics.counts.items())
+        ),
+    )
+    yield summarize(
+        "godwitpass_call_seconds",
+        "Time from a request's head to the end of its answer.",
+        statistics.latency_us,
+        SECONDS_PER_US,
+    )
--- a/testkit/src/godwitpass_testkit/deployment.py
+++ b/testkit/src/godwitpass_testkit/deployment.py
@@ -45,14 +45,16 @@
         self._spawn("store", "godwitpass_testkit.store", "--listen", self.store)
         self.wait_until("the store listens", lambda: _is_listening(self.store))
 
-    def add_node(self, instance: str, zone: str, region: str, service: str) -> Settings:
-        """Start an upstream of `service` and the daemon beside it."""
-        upstream = self._allocate_address()
-        self._spawn(
-            f"upstream-{instance}",
-            "godwitpass_testkit.upstream",
-            upstream.rpartition(":")[2],
-        )
+    def add_node(
+        self, instance: str, zone: str, region: str, service: str, with_upstream: bool = True
+    ) -> Settings:
+        """Start a daemon, and beside it an upstream of `service`."""
+        upstream = None
+        if with_upstream:
+            address = self._allocate_address()
+            port = address.rpartition(":")[2]
+            self._spawn(f"upstream-{instance}", "godwitpass_testkit.upstream", port)
+            upstream = UpstreamSettings(ServiceName(service), address)
         settings = Settings(
             instance=InstanceId(instance),
             zone=ZoneId(zone),
@@ -61,7 +63,7 @@
             store=(self.store,),
             admin_token=ADMIN_TOKEN,
             peer_key=PEER_KEY,
-            upstream=UpstreamSettings(ServiceName(service), upstream),
+            upstream=upstream,
         )
         self.nodes[settings.instance] = settings
         self.start_daemon(settings.instance)
