Distribute versions along a tree with repair by digests

Cause: every daemon has to hold an accepted version within seconds, without a store call each. Change: pure distribution objects: few readers a zone, pushes along a tree with acknowledgements and bypassing of silent daemons, digests, deltas, admission of whole versions, holdings summed up.

--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/acceptance/record.py
@@ -0,0 +1,104 @@
+"""The root record: the newest accepted version, recent deltas and the history before it."""
+
+import msgspec
+
+from godwitpass.ids import NO_VERSION, ChangeId, ContentHash, Version
+from godwitpass.store import MAX_VALUE_BYTES, Entry
+
+ROOT_KEY = "config/root"
+CONTENT_PREFIX = "config/content/"
+HISTORY_LENGTH = 64
+MAX_PART_BYTES = MAX_VALUE_BYTES - 64
+MAX_DELTAS_BYTES = 8 * 1024
+"""Size of all deltas in a root record; a larger one is read as content instead."""
+
+
+class Accepted(msgspec.Struct, frozen=True, array_like=True):
+    """A version that the store has; `time` is seconds since the epoch."""
+
+    version: Version
+    change: ChangeId
+    content_hash: ContentHash
+    time: float = 0.0
+
+
+class RootDelta(msgspec.Struct, frozen=True, array_like=True):
+    """Leads from version `base` to the version after it."""
+
+    base: Version
+    body: bytes
+
+
+class Root(msgspec.Struct, frozen=True, array_like=True):
+    """The record whose compare-and-swap accepts a version; `history` has the newest last."""
+
+    history: tuple[Accepted, ...] = ()
+    deltas: tuple[RootDelta, ...] = ()
+
+    @property
+    def version(self) -> Version:
+        """Return the newest accepted version."""
+        return self.history[-1].version if self.history else NO_VERSION
+
+    @property
+    def newest(self) -> Accepted:
+        """Return the newest accepted version with its change and hash."""
+        return self.history[-1] if self.history else NOTHING_ACCEPTED
+
+    def find_change(self, change: ChangeId) -> Accepted | None:
+        """Return the version that `change` made, if the history still has it."""
+        return next((record for record in self.history if record.change == change), None)
+
+    def find_version(self, version: Version) -> Accepted | None:
+        """Return the record of `version`, if the history still has it."""
+        return next((record for record in self.history if record.version == version), None)
+
+
+NOTHING_ACCEPTED = Accepted(NO_VERSION, ChangeId(""), ContentHash(""))
+
+
+class Part(msgspec.Struct, frozen=True, array_like=True):
+    """One of the `count` stored parts of a content."""
+
+    count: int
+    body: bytes
+
+
+def append_version(root: Root, accepted: Accepted, delta: bytes | None) -> Root:
+    """Return the record that follows `root`; an unknown `delta` ends the run of deltas."""
+    assert accepted.version == root.version + 1, "versions are accepted one after another"
+    history = (*root.history, accepted)[-HISTORY_LENGTH:]
+    if delta is None or len(delta) > MAX_DELTAS_BYTES:
+        return Root(history)
+    deltas = (*root.deltas, RootDelta(root.version, delta))
+    while sum(len(item.body) for item in deltas) > MAX_DELTAS_BYTES:
+        deltas = deltas[1:]
+    return Root(history, deltas)
+
+
+def encode_root(root: Root) -> bytes:
+    """Encode the root record."""
+    return msgspec.msgpack.encode(root)
+
+
+def decode_root(entry: Entry) -> Root:
+    """Decode the root record; an absent one has accepted nothing."""
+    if entry.value is None:
+        return Root()
+    return msgspec.msgpack.decode(entry.value, type=Root)
+
+
+def content_key(content_hash: ContentHash, part: int = 0) -> str:
+    """Return the key of one part of a content."""
+    return f"{CONTENT_PREFIX}{content_hash}.{part}"
+
+
+def split_content(body: bytes) -> tuple[bytes, ...]:
+    """Split an encoded document into values that the store takes."""
+    pieces = [body[at : at + MAX_PART_BYTES] for at in range(0, len(body), MAX_PART_BYTES)]
+    return tuple(msgspec.msgpack.encode(Part(len(pieces), piece)) for piece in pieces)
+
+
+def decode_part(value: bytes) -> Part:
+    """Decode one stored part."""
+    return msgspec.msgpack.decode(value, type=Part)
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Distribution of accepted versions to every daemon."""
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
@@ -0,0 +1,321 @@
+"""The decisions of distribution in one daemon."""
+
+import math
+import random
+
+import msgspec
+
+from godwitpass.document import Favour
+from godwitpass.ids import NO_VERSION, Address, Version
+from godwitpass.internal.actions import Received, Report, Send, Wake, Woken
+from godwitpass.internal.distribution import events
+from godwitpass.internal.distribution.admission import Admission
+from godwitpass.internal.distribution.contents import FULL, Contents, find_unresolved
+from godwitpass.internal.distribution.delta import Codec, WrongContent
+from godwitpass.internal.distribution.fetcher import Fetcher
+from godwitpass.internal.distribution.holdings import Convergence, ZoneTable
+from godwitpass.internal.distribution.messages import (
+    AllHoldings,
+    Announce,
+    AskHoldings,
+    Busy,
+    Fetch,
+    Holding,
+    Message,
+    Update,
+    ZoneHoldings,
+)
+from godwitpass.internal.distribution.pusher import Pusher
+from godwitpass.internal.distribution.reader import Learned, ReaderAction, StoreReader
+from godwitpass.internal.distribution.tuning import REMOTE_DIGEST_SHARE, Tuning, choose_tuning
+from godwitpass.internal.distribution.view import View, parent_position, subtree_size
+from godwitpass.internal.requests import Answer, Get, GotEntry, Listed, RequestFailed, Watch
+from godwitpass.snapshot import Snapshot
+
+
+class ViewChanged(msgspec.Struct, frozen=True):
+    """Event: the members known to this daemon changed; the first one starts distribution."""
+
+    view: View
+
+
+class ConvergenceWanted(msgspec.Struct, frozen=True):
+    """Event: an operator asks for the state of convergence."""
+
+
+class Activate(msgspec.Struct, frozen=True):
+    """Action: put `snapshot` into force, whole."""
+
+    snapshot: Snapshot
+
+
+Event = ViewChanged | ConvergenceWanted | Received[Message] | Woken | Answer
+Action = Send[Message] | Wake | Report | Get | Watch | Activate
+
+
+class Distributor:
+    """Learns versions from the store and from peers, and passes them on.
+
+    Only later versions are taken, each one whole and verified by its hash.
+    """
+
+    def __init__(
+        self,
+        own: Address,
+        generator: random.Random,
+        codec: Codec | None = None,
+        tuning: Tuning | None = None,
+    ) -> None:
+        self._own = own
+        self._random = generator
+        self._fixed_tuning = tuning
+        self._tuning = tuning or choose_tuning(Favour.CONVERGENCE)
+        codec = codec or Codec()
+        self._contents = Contents(codec)
+        self._reader = StoreReader(self._contents, codec, generator)
+        self._pusher = Pusher(own, self._contents)
+        self._fetcher = Fetcher(own, self._contents, generator)
+        self._admission = Admission()
+        self._zones = ZoneTable()
+        self._view: View | None = None
+        self._digest_at = math.inf
+        self._report_at = math.inf
+        self._report_to: Address | None = None
+        self._reported = Holding(NO_VERSION, 0)
+        self._wake_at = math.inf
+
+    @property
+    def current(self) -> Snapshot | None:
+        """Return the version in force."""
+        return self._contents.current
+
+    @property
+    def store_reachable(self) -> bool:
+        """Tell whether the store answered last; True on a daemon that doesn't read it."""
+        return self._reader.reachable
+
+    def convergence(self) -> Convergence:
+        """Return what is known of the convergence of the newest version."""
+        return self._zones.sum_up()
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Decide on `event`."""
+        actions = self._dispatch(event, now)
+        actions += self._report_holdings(now)
+        return actions + self._request_wake(now)
+
+    def _dispatch(self, event: Event, now: float) -> list[Action]:
+        if isinstance(event, Received):
+            return self._receive(event.sender, event.message, now)
+        if isinstance(event, Woken):
+            return self._run(now)
+        if isinstance(event, ViewChanged):
+            return self._change_view(event.view, now)
+        if isinstance(event, ConvergenceWanted):
+            return self._ask_holdings()
+        if isinstance(event, GotEntry | Listed | RequestFailed):
+            return self._perform_reader(self._reader.handle(event, now), now)
+        return []
+
+    def _run(self, now: float) -> list[Action]:
+        if now < self._wake_at:
+            return []
+        self._wake_at = math.inf
+        actions: list[Action] = [*self._pusher.run(now, self._tuning)]
+        actions += self._fetcher.run(self._view, now)
+        if now >= self._reader.deadline:
+            actions += self._perform_reader(self._reader.run(now), now)
+            actions += [] if self._reader.reachable else self._send_digest(remote=True)
+        if now >= self._digest_at:
+            self._digest_at = now + self._draw_digest_period()
+            actions += self._send_digest(self._random.random() < REMOTE_DIGEST_SHARE)
+        return actions
+
+    def _request_wake(self, now: float) -> list[Action]:
+        due = min(
+            self._pusher.deadline,
+            self._fetcher.deadline,
+            self._reader.deadline,
+            self._digest_at,
+            self._report_at,
+        )
+        if due >= self._wake_at:
+            return []
+        self._wake_at = max(due, now)
+        return [Wake(self._wake_at)]
+
+    def _change_view(self, view: View, now: float) -> list[Action]:
+        first, self._view = self._view is None, view
+        self._pusher.change_view(view)
+        self._zones.forget_all_but([view.zone, *view.remote])
+        self._report_to = self._tree_parent() or self._report_to
+        self._reported = Holding(NO_VERSION, 0)
+        actions: list[Action] = []
+        if view.is_reader(self._own):
+            actions += self._perform_reader(self._reader.start(now), now)
+        else:
+            self._reader.stop()
+        if first:
+            self._digest_at = now + self._draw_digest_period() * self._random.random()
+            actions += self._fetcher.start(view, now)
+        return actions
+
+    def _draw_digest_period(self) -> float:
+        return self._tuning.digest_s * self._random.uniform(0.75, 1.25)
+
+    def _tree_parent(self) -> Address | None:
+        position = self._view.position_of(self._own) if self._view else None
+        parent = parent_position(position) if position else None
+        return self._view.order[parent] if self._view and parent is not None else None
+
+    def _send_digest(self, remote: bool) -> list[Action]:
+        if self._view is None or self.current is None:
+            return []
+        zones = [addresses for addresses in self._view.remote.values() if addresses]
+        peers = self._random.choice(zones) if remote and zones else self._view.order
+        peer = self._random.choice(peers) if peers else self._own
+        if peer == self._own:
+            return []
+        return [Send(peer, Announce(self._contents.version, self._contents.digest))]
+
+    def _perform_reader(self, wanted: list[ReaderAction], now: float) -> list[Action]:
+        actions: list[Action] = []
+        for action in wanted:
+            if isinstance(action, Learned):
+                actions += self._learn(action.snapshot, None, now)
+            else:
+                actions.append(action)
+        return actions
+
+    def _learn(self, snapshot: Snapshot, source: Address | None, now: float) -> list[Action]:
+        """Switch to a later version and pass it on."""
+        if snapshot.version <= self._contents.version:
+            return []
+        if find_unresolved(snapshot.document):
+            return [Report(events.VERSION_NOT_CLOSED, {"refused": snapshot.version})]
+        previous = self._contents.version
+        self._contents.add(snapshot)
+        self._fetcher.finish()
+        favour = snapshot.document.distribution.favour
+        self._tuning = self._fixed_tuning or choose_tuning(favour)
+        self._report_to = source or self._tree_parent()
+        upwards = not self._is_above(source)
+        actions: list[Action] = [
+            Activate(snapshot),
+            Report(events.VERSION_ACTIVATED, {"previous": previous, "source": source or "store"}),
+        ]
+        return [*actions, *self._pusher.start_push(previous, upwards, now, self._tuning)]
+
+    def _is_above(self, source: Address | None) -> bool:
+        """Tell whether `source` comes earlier in the tree and thus tells the others itself."""
+        if self._view is None or source is None:
+            return False
+        position, other = self._view.position_of(self._own), self._view.position_of(source)
+        return position is not None and other is not None and other < position
+
+    def _receive(self, sender: Address, message: Message, now: float) -> list[Action]:
+        if isinstance(message, Announce):
+            return self._take_announce(sender, message, now)
+        if isinstance(message, Update):
+            return self._take_update(sender, message, now)
+        if isinstance(message, Holding):
+            return [
+                *self._pusher.record_holding(sender, message, now, self._tuning),
+                *self._fetcher.record_answer(sender, message.version, now),
+            ]
+        if isinstance(message, Fetch):
+            return self._serve(sender, message, now)
+        if isinstance(message, Busy):
+            return [*self._fetcher.record_busy(sender, message.retry_s, now)]
+        if isinstance(message, AskHoldings):
+            return [Send(sender, AllHoldings(self._zones.zones()))]
+        if isinstance(message, ZoneHoldings):
+            self._zones.record(message)
+        elif isinstance(message, AllHoldings):
+            self._zones.replace(message.zones)
+        return []
+
+    def _contradicts(self, version: Version, digest: bytes) -> bool:
+        return version == self._contents.version != NO_VERSION and digest != self._contents.digest
+
+    def _take_announce(self, sender: Address, message: Announce, now: float) -> list[Action]:
+        self._pusher.record_heard(sender, message.version)
+        if self._contradicts(message.version, message.digest):
+            return [Report(events.VERSION_DIFFERS, {"held": message.version, "peer": sender})]
+        if message.version > self._contents.version:
+            return [*self._fetcher.record_answer(sender, message.version, now)]
+        if message.version < self._contents.version:
+            return [Send(sender, Announce(self._contents.version, self._contents.digest))]
+        return [Send(sender, self._sum_up())] if message.acknowledge else []
+
+    def _take_update(self, sender: Address, message: Update, now: float) -> list[Action]:
+        if self._contradicts(message.version, message.digest):
+            return [Report(events.VERSION_DIFFERS, {"held": message.version, "peer": sender})]
+        if message.version <= self._contents.version:
+            return [Send(sender, self._sum_up())]
+        if message.base != FULL and self._contents.find(message.base) is None:
+            return [*self._fetcher.record_answer(sender, message.version, now)]
+        try:
+            snapshot = self._contents.open_update(message)
+        except WrongContent as error:
+            wrong = Report(events.CONTENT_WRONG, {"peer": sender, "reason": str(error)})
+            return [wrong, *self._fetcher.record_wrong(sender, message.version, now)]
+        learned = self._learn(snapshot, sender, now)
+        self._reported = self._sum_up()
+        return [Send(sender, self._reported), *learned]
+
+    def _serve(self, sender: Address, message: Fetch, now: float) -> list[Action]:
+        self._pusher.record_fetch(sender, message.bases)
+        if self.current is None:
+            return []
+        base = self._contents.choose_base(message.bases)
+        if base == self._contents.version:
+            return [Send(sender, self._sum_up())]
+        if base == FULL and (wait_s := self._admission.try_take(now)) > 0:
+            return [Send(sender, Busy(wait_s)), Report(events.SNAPSHOT_DELAYED, {"peer": sender})]
+        return [Send(sender, self._contents.make_update(base))]
+
+    def _sum_up(self) -> Holding:
+        if self.current is None:
+            return Holding(NO_VERSION, 0)
+        return self._pusher.sum_up(self._contents.version)
+
+    def _report_holdings(self, now: float) -> list[Action]:
+        """Report grown holdings: at once when all below hold the version, else now and then."""
+        if self._view is None or self.current is None:
+            return []
+        holding = self._sum_up()
+        if (holding.version, holding.holders) == (self._reported.version, self._reported.holders):
+            self._report_at = math.inf
+            return []
+        position = self._view.position_of(self._own)
+        if position is None:
+            return []
+        complete = holding.holders >= subtree_size(position, len(self._view.order))
+        if not complete and self._report_at == math.inf:
+            self._report_at = now + self._tuning.report_s * self._random.uniform(0.75, 1.25)
+        if not complete and now < self._report_at:
+            return []
+        self._report_at = math.inf
+        self._reported = holding
+        return self._publish(holding, complete)
+
+    def _publish(self, holding: Holding, complete: bool) -> list[Action]:
+        assert self._view is not None
+        if not self._pusher.acts_as_root:
+            return [Send(self._report_to, holding)] if self._report_to else []
+        daemons = len(self._view.order)
+        holders = min(holding.holders, daemons)
+        zone = self._view.zone
+        sums = ZoneHoldings(zone, holding.version, holders, daemons, holding.laggards)
+        self._zones.record(sums)
+        roots = [addresses[0] for addresses in self._view.remote.values() if addresses]
+        actions: list[Action] = [Send(root, sums) for root in roots]
+        if complete:
+            actions.append(Report(events.ZONE_CONVERGED, {"daemons": daemons}))
+        return actions
+
+    def _ask_holdings(self) -> list[Action]:
+        if self._view is None or not self._view.order or self._view.order[0] == self._own:
+            return []
+        return [Send(self._view.order[0], AskHoldings())]
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/events.py
@@ -0,0 +1,44 @@
+"""Events of acceptance and distribution, numbers 200 to 299."""
+
+from godwitpass.events import EventKind, Level
+
+VERSION_ACCEPTED = EventKind(200, "version-accepted", "The store has a new version.")
+VERSION_REFUSED = EventKind(
+    201, "version-refused", "A change was not accepted because another came first.", Level.WARNING
+)
+ACCEPTANCE_UNKNOWN = EventKind(
+    202, "acceptance-unknown", "The outcome of a change could not be learned.", Level.ERROR
+)
+CONTENT_COLLECTED = EventKind(
+    203, "content-collected", "Contents that no version refers to were deleted.", Level.DEBUG
+)
+VERSION_ACTIVATED = EventKind(210, "version-activated", "The daemon switched to a version.")
+ROOT_WENT_BACK = EventKind(
+    211, "root-went-back", "The store shows a lower version than the daemon holds.", Level.ERROR
+)
+VERSION_DIFFERS = EventKind(
+    212, "version-differs", "One version was seen with two contents; kept the own.", Level.ERROR
+)
+CONTENT_WRONG = EventKind(
+    213, "content-wrong", "A received or stored content failed its hash check.", Level.WARNING
+)
+CONTENT_MISSING = EventKind(
+    214, "content-missing", "The store lacks a content that the root names.", Level.ERROR
+)
+VERSION_NOT_CLOSED = EventKind(
+    215, "version-not-closed", "A version refers to entries it lacks; not applied.", Level.ERROR
+)
+STORE_LOST = EventKind(216, "store-lost", "A reader can't reach the store.", Level.WARNING)
+STORE_REGAINED = EventKind(217, "store-regained", "A reader reached the store again.")
+PEER_SILENT = EventKind(
+    218, "peer-silent", "A daemon does not answer; its part of the tree is bypassed.", Level.DEBUG
+)
+SNAPSHOT_DELAYED = EventKind(
+    219, "snapshot-delayed", "A request for a whole version was put off.", Level.DEBUG
+)
+ZONE_CONVERGED = EventKind(
+    220, "zone-converged", "All daemons of the availability zone hold the version."
+)
+MESSAGE_INVALID = EventKind(
+    221, "message-invalid", "A peer's message could not be decoded; dropped.", Level.WARNING
+)
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/pusher.py
@@ -0,0 +1,263 @@
+"""Passes versions on along the tree and gathers the holdings below.
+
+Every push is acknowledged by a `Holding`, so a lost one is repeated, and a silent daemon is
+bypassed: its children become targets of this daemon. At most one push to a target is
+unanswered; versions that arrive meanwhile are folded into the next one.
+"""
+
+import math
+from enum import Enum
+
+from godwitpass.ids import NO_VERSION, Address, InstanceId, Version, ZoneId
+from godwitpass.internal.actions import Report, Send
+from godwitpass.internal.distribution.contents import Contents
+from godwitpass.internal.distribution.events import PEER_SILENT
+from godwitpass.internal.distribution.messages import MAX_LAGGARDS, Announce, Holding, Message
+from godwitpass.internal.distribution.tuning import MAX_TRIES, ZONE_LINKS, Tuning
+from godwitpass.internal.distribution.view import View, child_positions, parent_position
+
+Actions = list[Send[Message] | Report]
+
+
+class Role(Enum):
+    """Why a daemon is told of new versions."""
+
+    CHILD = 0
+    PARENT = 1
+    ZONE = 2
+
+
+class Target:
+    """A daemon that is told of new versions; `position` is its rank in its availability zone."""
+
+    __slots__ = (
+        "address",
+        "deadline",
+        "held",
+        "holders",
+        "laggards",
+        "position",
+        "role",
+        "silent",
+        "tries",
+        "zone",
+    )
+
+    def __init__(self, address: Address, role: Role, zone: ZoneId, position: int) -> None:
+        self.address = address
+        self.role = role
+        self.zone = zone
+        self.position = position
+        self.held = NO_VERSION
+        self.holders = 0
+        self.laggards: tuple[InstanceId, ...] = ()
+        self.tries = 0
+        self.silent = False
+        self.deadline = math.inf
+
+    def inherit(self, earlier: "Target | None") -> None:
+        """Take over what was known of the same daemon in an earlier view."""
+        if earlier is not None:
+            self.held, self.holders = earlier.held, earlier.holders
+            self.laggards, self.silent = earlier.laggards, earlier.silent
+            self.tries, self.deadline = earlier.tries, earlier.deadline
+
+
+class Pusher:
+    """Sends the newest version to the targets of one daemon."""
+
+    def __init__(self, own: Address, contents: Contents) -> None:
+        self._own = own
+        self._contents = contents
+        self._view: View | None = None
+        self._targets: dict[Address, Target] = {}
+        self._next_push_at = -math.inf
+        self._push_at = math.inf
+        self._previous = NO_VERSION
+        self._upwards = False
+
+    @property
+    def deadline(self) -> float:
+        """Return the time of the next repetition or folded push."""
+        unanswered = (target.deadline for target in self._targets.values())
+        return min(self._push_at, min(unanswered, default=math.inf))
+
+    @property
+    def acts_as_root(self) -> bool:
+        """Tell whether this daemon is the root of its tree, or stands in for a silent one."""
+        position = self._position()
+        root = self._targets.get(self._view.order[0]) if position and self._view else None
+        return position == 0 or (root is not None and root.silent)
+
+    def change_view(self, view: View) -> None:
+        """Take over new members; what is known of remaining targets is kept."""
+        self._view = view
+        known, self._targets = self._targets, {}
+        for target in self._duties(self._position()):
+            self._targets[target.address] = target
+            target.inherit(known.get(target.address))
+        for target in list(self._targets.values()):
+            if target.silent and target.role is not Role.ZONE:
+                for adopted in self._adopt_duties(target.position):
+                    adopted.inherit(known.get(adopted.address))
+
+    def start_push(self, previous: Version, upwards: bool, now: float, tuning: Tuning) -> Actions:
+        """Pass on the newest version, at once or when the fold time is over.
+
+        `upwards` is set when the version did not come from the parent, who may lack it then.
+        """
+        if self._push_at == math.inf:
+            self._previous = previous
+        self._upwards = upwards
+        self._push_at = max(now, self._next_push_at)
+        return self.run(now, tuning)
+
+    def run(self, now: float, tuning: Tuning) -> Actions:
+        """Send what is due at `now`."""
+        actions: Actions = []
+        if now >= self._push_at:
+            self._push_at = math.inf
+            self._next_push_at = now + tuning.fold_s
+            for target in list(self._targets.values()):
+                if target.role is not Role.PARENT or self._upwards:
+                    actions += self._push(target, now, tuning)
+        for target in list(self._targets.values()):
+            if now >= target.deadline:
+                actions += self._repeat(target, now, tuning)
+        return actions
+
+    def record_heard(self, sender: Address, version: Version) -> None:
+        """Note that `sender` lives and holds `version`."""
+        target = self._targets.get(sender)
+        if target is None:
+            return
+        target.held = max(target.held, version)
+        target.tries = 0
+        if target.silent:
+            target.silent = False
+            self._release_duties(target)
+
+    def record_holding(
+        self, sender: Address, holding: Holding, now: float, tuning: Tuning
+    ) -> Actions:
+        """Take in an acknowledgement; push again if a later version came meanwhile."""
+        self.record_heard(sender, holding.version)
+        target = self._targets.get(sender)
+        if target is None:
+            return []
+        target.deadline = math.inf
+        if holding.version < self._contents.version:
+            return self._push(target, now, tuning) if self._push_at == math.inf else []
+        target.holders, target.laggards = holding.holders, holding.laggards
+        return []
+
+    def record_fetch(self, sender: Address, bases: tuple[Version, ...]) -> None:
+        """Note that `sender` is being served; its acknowledgement follows."""
+        self.record_heard(sender, max(bases, default=NO_VERSION))
+
+    def sum_up(self, version: Version) -> Holding:
+        """Return the holdings of `version` at and below this daemon."""
+        holders, laggards = 1, list[InstanceId]()
+        for target in self._targets.values():
+            if target.role is not Role.CHILD:
+                continue
+            if target.held >= version:
+                holders += target.holders
+                laggards += target.laggards
+            elif self._view and (instance := self._view.instances.get(target.address)):
+                laggards.append(instance)
+        return Holding(version, holders, tuple(laggards[:MAX_LAGGARDS]))
+
+    def _position(self) -> int | None:
+        return self._view.position_of(self._own) if self._view else None
+
+    def _duties(self, position: int | None) -> list[Target]:
+        """Return the targets of the daemon at `position` of this availability zone."""
+        if self._view is None or position is None:
+            return []
+        view, order = self._view, self._view.order
+        children = child_positions(position, len(order))
+        targets = [Target(order[child], Role.CHILD, view.zone, child) for child in children]
+        parent = parent_position(position)
+        if parent is not None:
+            targets.append(Target(order[parent], Role.PARENT, view.zone, parent))
+        else:
+            zones = view.following_zones(ZONE_LINKS)
+            targets += [Target(view.remote[zone][0], Role.ZONE, zone, 0) for zone in zones]
+        return targets
+
+    def _adopt_duties(self, position: int) -> list[Target]:
+        adopted = []
+        for target in self._duties(position):
+            if target.address != self._own and target.address not in self._targets:
+                self._targets[target.address] = target
+                adopted.append(target)
+        return adopted
+
+    def _release_duties(self, target: Target) -> None:
+        """Leave the duties of a daemon that answers again to itself."""
+        own = {duty.address for duty in self._duties(self._position())}
+        for duty in self._duties(target.position):
+            if duty.address not in own and target.role is not Role.ZONE:
+                self._targets.pop(duty.address, None)
+
+    def _push(self, target: Target, now: float, tuning: Tuning) -> Actions:
+        version = self._contents.version
+        if target.held >= version:
+            return []
+        if target.deadline < math.inf and not target.silent:
+            return []
+        target.holders, target.laggards = 0, ()
+        target.tries = 1
+        target.deadline = now + tuning.acknowledge_s
+        actions = self._send(target, tuning)
+        if target.silent:
+            actions += self._bypass(target, now, tuning)
+        return actions
+
+    def _repeat(self, target: Target, now: float, tuning: Tuning) -> Actions:
+        target.deadline = math.inf
+        if target.held >= self._contents.version:
+            return []
+        if target.tries < MAX_TRIES:
+            target.tries += 1
+            target.deadline = now + tuning.acknowledge_s * target.tries
+            return self._send(target, tuning)
+        if target.silent:
+            return []
+        target.silent = True
+        report = Report(PEER_SILENT, {"peer": target.address})
+        return [report, *self._bypass(target, now, tuning)]
+
+    def _bypass(self, target: Target, now: float, tuning: Tuning) -> Actions:
+        if target.role is Role.ZONE:
+            return self._try_next_rank(target, now, tuning)
+        actions: Actions = []
+        self._adopt_duties(target.position)
+        for duty in self._duties(target.position):
+            adopted = self._targets.get(duty.address)
+            if adopted is not None:
+                actions += self._push(adopted, now, tuning)
+        return actions
+
+    def _try_next_rank(self, target: Target, now: float, tuning: Tuning) -> Actions:
+        """Tell the next daemon of another availability zone whose first ones are silent."""
+        ranked = self._view.remote.get(target.zone, ()) if self._view else ()
+        following = target.position + 1
+        if following >= len(ranked) or ranked[following] in self._targets:
+            return []
+        replacement = Target(ranked[following], Role.ZONE, target.zone, following)
+        self._targets[replacement.address] = replacement
+        return self._push(replacement, now, tuning)
+
+    def _send(self, target: Target, tuning: Tuning) -> Actions:
+        announce = Announce(self._contents.version, self._contents.digest, acknowledge=True)
+        if target.role is not Role.CHILD:
+            return [Send(target.address, announce)]
+        base = target.held if self._contents.find(target.held) else self._previous
+        if self._contents.find(base) is None:
+            return [Send(target.address, announce)]
+        update = self._contents.make_update(base)
+        if len(update.body) > tuning.push_bytes:
+            return [Send(target.address, announce)]
+        return [Send(target.address, update)]
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
@@ -0,0 +1,208 @@
+"""Reads new versions from the store; one of the few readers of its availability zone.
+
+Readers follow from the order of the members, without a lease: two daemons that disagree about
+who reads cost a few calls of the store and nothing else.
+"""
+
+import math
+import random
+from enum import Enum
+
+import msgspec
+
+from godwitpass.document import Document
+from godwitpass.ids import Revision, Version
+from godwitpass.internal.acceptance.record import (
+    ROOT_KEY,
+    Accepted,
+    Root,
+    content_key,
+    decode_part,
+    decode_root,
+)
+from godwitpass.internal.actions import Report
+from godwitpass.internal.distribution import events
+from godwitpass.internal.distribution.contents import Contents
+from godwitpass.internal.distribution.delta import Codec, WrongContent
+from godwitpass.internal.distribution.tuning import STORE_RETRY_MAX_S, STORE_RETRY_MIN_S, WATCH_S
+from godwitpass.internal.requests import Answer, Get, GotEntry, Listed, Watch
+from godwitpass.snapshot import Snapshot
+from godwitpass.store import Entry
+
+GRACE_S = 5.0
+"""Time beyond its timeout after which an unanswered request counts as failed."""
+
+
+class Step(Enum):
+    """What the reader waits for."""
+
+    NOTHING = 0
+    ROOT = 1
+    CONTENT = 2
+    CHANGE = 3
+    RETRY = 4
+
+
+class Learned(msgspec.Struct, frozen=True):
+    """Action inside distribution: the store has this later version."""
+
+    snapshot: Snapshot
+
+
+ReaderAction = Get | Watch | Report | Learned
+
+
+class StoreReader:
+    """Follows the root record by one long poll at a time."""
+
+    def __init__(self, contents: Contents, codec: Codec, generator: random.Random) -> None:
+        self._contents = contents
+        self._codec = codec
+        self._random = generator
+        self._step = Step.NOTHING
+        self._tag = 0
+        self._revision = Revision(0)
+        self._wanted: Accepted | None = None
+        self._pieces: list[bytes] = []
+        self._backoff_s = STORE_RETRY_MIN_S
+        self._alarmed: Accepted | None = None
+        self.reachable = True
+        self.deadline = math.inf
+
+    def start(self, now: float) -> list[ReaderAction]:
+        """Begin to read, unless this already happens."""
+        return self._read_root(now) if self._step is Step.NOTHING else []
+
+    def stop(self) -> None:
+        """Read no more; answers still to come are ignored."""
+        self._step = Step.NOTHING
+        self._tag += 1
+        self.deadline = math.inf
+
+    def run(self, now: float) -> list[ReaderAction]:
+        """Retry, or give up a request that was never answered."""
+        if now < self.deadline:
+            return []
+        return self._read_root(now) if self._step is Step.RETRY else self._fail(now)
+
+    def handle(self, answer: Answer, now: float) -> list[ReaderAction]:
+        """Take in the answer to a request of this reader."""
+        if answer.tag != self._tag or self._step in (Step.NOTHING, Step.RETRY):
+            return []
+        if isinstance(answer, GotEntry):
+            return self._regain() + self._take_entry(answer.entry, now)
+        if isinstance(answer, Listed):
+            return self._regain() + self._take_changes(answer, now)
+        return self._fail(now)
+
+    def _ask(self, step: Step, key: str, now: float) -> list[ReaderAction]:
+        self._tag += 1
+        self._step = step
+        self.deadline = now + GRACE_S
+        return [Get(self._tag, key)]
+
+    def _read_root(self, now: float) -> list[ReaderAction]:
+        return self._ask(Step.ROOT, ROOT_KEY, now)
+
+    def _watch(self, now: float) -> list[ReaderAction]:
+        self._tag += 1
+        self._step = Step.CHANGE
+        self.deadline = now + WATCH_S + GRACE_S
+        return [Watch(self._tag, ROOT_KEY, self._revision, WATCH_S)]
+
+    def _fail(self, now: float) -> list[ReaderAction]:
+        lost: list[ReaderAction] = [Report(events.STORE_LOST)] if self.reachable else []
+        self.reachable = False
+        self._step = Step.RETRY
+        self.deadline = now + self._backoff_s * self._random.uniform(0.5, 1.5)
+        self._backoff_s = min(self._backoff_s * 2, STORE_RETRY_MAX_S)
+        return lost
+
+    def _regain(self) -> list[ReaderAction]:
+        self._backoff_s = STORE_RETRY_MIN_S
+        if self.reachable:
+            return []
+        self.reachable = True
+        return [Report(events.STORE_REGAINED)]
+
+    def _take_changes(self, answer: Listed, now: float) -> list[ReaderAction]:
+        roots = [entry for entry in answer.result.entries if entry.key == ROOT_KEY]
+        if answer.result.revision < self._revision:
+            return self._read_root(now)
+        if not roots:
+            return self._watch(now)
+        return self._take_root(roots[-1], now)
+
+    def _take_entry(self, entry: Entry, now: float) -> list[ReaderAction]:
+        return (
+            self._take_root(entry, now) if self._step is Step.ROOT else self._take_part(entry, now)
+        )
+
+    def _take_root(self, entry: Entry, now: float) -> list[ReaderAction]:
+        self._revision = entry.revision
+        try:
+            root = decode_root(entry)
+        except msgspec.MsgspecError as error:
+            return [Report(events.CONTENT_WRONG, {"reason": str(error)}), *self._watch(now)]
+        if root.version <= self._contents.version:
+            return self._compare(root.newest) + self._watch(now)
+        snapshot = self._follow_deltas(root)
+        if snapshot is not None:
+            return [Learned(snapshot), *self._watch(now)]
+        self._wanted, self._pieces = root.newest, []
+        return self._ask(Step.CONTENT, content_key(root.newest.content_hash), now)
+
+    def _compare(self, newest: Accepted) -> list[ReaderAction]:
+        """Raise an alarm, once, if the store contradicts a version that is held."""
+        held = self._contents.current
+        if held is None or newest == self._alarmed:
+            return []
+        fields = {"held": held.version, "stored": newest.version}
+        if newest.version < held.version:
+            self._alarmed = newest
+            return [Report(events.ROOT_WENT_BACK, dict(fields))]
+        if newest.content_hash != held.content_hash:
+            self._alarmed = newest
+            return [Report(events.VERSION_DIFFERS, dict(fields))]
+        return []
+
+    def _follow_deltas(self, root: Root) -> Snapshot | None:
+        snapshot = self._contents.current
+        if snapshot is None:
+            return None
+        bodies = {delta.base: delta.body for delta in root.deltas}
+        while snapshot.version < root.version:
+            body = bodies.get(snapshot.version)
+            following = root.find_version(Version(snapshot.version + 1))
+            if body is None or following is None:
+                return None
+            try:
+                document = self._codec.decode_delta(snapshot.document, body, following.content_hash)
+            except WrongContent:
+                return None
+            snapshot = _build_snapshot(following, document)
+        return snapshot
+
+    def _take_part(self, entry: Entry, now: float) -> list[ReaderAction]:
+        wanted = self._wanted
+        assert wanted is not None, "a content was asked for"
+        if entry.value is None:
+            missing = Report(events.CONTENT_MISSING, {"hash": wanted.content_hash})
+            return [missing, *self._fail(now)]
+        try:
+            part = decode_part(entry.value)
+            self._pieces.append(part.body)
+            if len(self._pieces) < part.count:
+                return self._ask(
+                    Step.CONTENT, content_key(wanted.content_hash, len(self._pieces)), now
+                )
+            document = self._codec.decode_full(b"".join(self._pieces), wanted.content_hash)
+        except (WrongContent, msgspec.MsgspecError) as error:
+            return [Report(events.CONTENT_WRONG, {"reason": str(error)}), *self._fail(now)]
+        if wanted.version <= self._contents.version:
+            return self._watch(now)
+        return [Learned(_build_snapshot(wanted, document)), *self._watch(now)]
+
+
+def _build_snapshot(accepted: Accepted, document: Document) -> Snapshot:
+    return Snapshot(accepted.version, accepted.change, accepted.content_hash, document)
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/tuning.py
@@ -0,0 +1,48 @@
+"""Constants of distribution that the document's `distribution.favour` chooses."""
+
+import msgspec
+
+from godwitpass.document import Favour
+
+FAN_OUT = 8
+READERS_PER_ZONE = 2
+ZONE_LINKS = 2
+"""Other availability zones that the root of a tree tells of a new version."""
+
+MAX_TRIES = 2
+"""Unanswered messages after which a daemon counts as silent and is bypassed."""
+
+WATCH_S = 20.0
+STORE_RETRY_MIN_S = 0.5
+STORE_RETRY_MAX_S = 4.0
+REMOTE_DIGEST_SHARE = 0.125
+"""Share of the digests that go to another availability zone."""
+
+SNAPSHOTS_PER_S = 8.0
+SNAPSHOTS_BURST = 8.0
+BOOTSTRAP_PEERS = 3
+BOOTSTRAP_S = 0.5
+
+
+class Tuning(msgspec.Struct, frozen=True):
+    """Durations in seconds, sizes in bytes.
+
+    `digest_s` is the period of comparing digests, `fold_s` the least time between two pushes,
+    `acknowledge_s` the time before a push is repeated, `report_s` the time between two reports of
+    partial holdings, `push_bytes` the size above which an update is announced before it is sent.
+    """
+
+    digest_s: float
+    fold_s: float
+    acknowledge_s: float
+    report_s: float
+    push_bytes: int
+
+
+FOR_CONVERGENCE = Tuning(3.0, 0.1, 0.3, 1.0, 65_536)
+FOR_BYTES = Tuning(20.0, 2.0, 0.8, 3.0, 2_048)
+
+
+def choose_tuning(favour: Favour) -> Tuning:
+    """Return the constants for `favour`."""
+    return FOR_CONVERGENCE if favour is Favour.CONVERGENCE else FOR_BYTES
