Check configuration invariants under faults in virtual time

Cause: the decisions of distribution need proof under death, loss, cuts and corruption. Change: invariants as a reusable checker, a fleet of distributors for tests, reports that are repeated once lost, slower repetition to silent daemons, stand-ins for a silent root.

--- a/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
@@ -13,7 +13,7 @@
 from godwitpass.internal.distribution.contents import FULL, Contents, find_unresolved
 from godwitpass.internal.distribution.delta import Codec, WrongContent
 from godwitpass.internal.distribution.fetcher import Fetcher
-from godwitpass.internal.distribution.holdings import Convergence, ZoneTable
+from godwitpass.internal.distribution.holdings import Convergence
 from godwitpass.internal.distribution.messages import (
     AllHoldings,
     Announce,
@@ -27,8 +27,9 @@
 )
 from godwitpass.internal.distribution.pusher import Pusher
 from godwitpass.internal.distribution.reader import Learned, ReaderAction, StoreReader
+from godwitpass.internal.distribution.reporting import Reporter
 from godwitpass.internal.distribution.tuning import REMOTE_DIGEST_SHARE, Tuning, choose_tuning
-from godwitpass.internal.distribution.view import View, parent_position, subtree_size
+from godwitpass.internal.distribution.view import View, parent_position
 from godwitpass.internal.requests import Answer, Get, GotEntry, Listed, RequestFailed, Watch
 from godwitpass.snapshot import Snapshot
 
@@ -76,12 +77,9 @@
         self._pusher = Pusher(own, self._contents)
         self._fetcher = Fetcher(own, self._contents, generator)
         self._admission = Admission()
-        self._zones = ZoneTable()
+        self._reporter = Reporter(own, self._contents, self._pusher, generator)
         self._view: View | None = None
         self._digest_at = math.inf
-        self._report_at = math.inf
-        self._report_to: Address | None = None
-        self._reported = Holding(NO_VERSION, 0)
         self._wake_at = math.inf
 
     @property
@@ -96,12 +94,12 @@
 
     def convergence(self) -> Convergence:
         """Return what is known of the convergence of the newest version."""
-        return self._zones.sum_up()
+        return self._reporter.zones.sum_up()
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Decide on `event`."""
         actions = self._dispatch(event, now)
-        actions += self._report_holdings(now)
+        actions += self._reporter.run(now, self._tuning)
         return actions + self._request_wake(now)
 
     def _dispatch(self, event: Event, now: float) -> list[Action]:
@@ -128,6 +126,7 @@
             actions += [] if self._reader.reachable else self._send_digest(remote=True)
         if now >= self._digest_at:
             self._digest_at = now + self._draw_digest_period()
+            actions += self._reporter.repeat()
             actions += self._send_digest(self._random.random() < REMOTE_DIGEST_SHARE)
         return actions
 
@@ -137,7 +136,7 @@
             self._fetcher.deadline,
             self._reader.deadline,
             self._digest_at,
-            self._report_at,
+            self._reporter.deadline,
         )
         if due >= self._wake_at:
             return []
@@ -147,9 +146,7 @@
     def _change_view(self, view: View, now: float) -> list[Action]:
         first, self._view = self._view is None, view
         self._pusher.change_view(view)
-        self._zones.forget_all_but([view.zone, *view.remote])
-        self._report_to = self._tree_parent() or self._report_to
-        self._reported = Holding(NO_VERSION, 0)
+        self._reporter.change_view(view, self._tree_parent())
         actions: list[Action] = []
         if view.is_reader(self._own):
             actions += self._perform_reader(self._reader.start(now), now)
@@ -198,7 +195,6 @@
         self._fetcher.finish()
         favour = snapshot.document.distribution.favour
         self._tuning = self._fixed_tuning or choose_tuning(favour)
-        self._report_to = source or self._tree_parent()
         upwards = not self._is_above(source)
         actions: list[Action] = [
             Activate(snapshot),
@@ -228,11 +224,11 @@
         if isinstance(message, Busy):
             return [*self._fetcher.record_busy(sender, message.retry_s, now)]
         if isinstance(message, AskHoldings):
-            return [Send(sender, AllHoldings(self._zones.zones()))]
+            return [Send(sender, AllHoldings(self._reporter.zones.zones()))]
         if isinstance(message, ZoneHoldings):
-            self._zones.record(message)
+            self._reporter.zones.record(message)
         elif isinstance(message, AllHoldings):
-            self._zones.replace(message.zones)
+            self._reporter.zones.replace(message.zones)
         return []
 
     def _contradicts(self, version: Version, digest: bytes) -> bool:
@@ -246,13 +242,13 @@
             return [*self._fetcher.record_answer(sender, message.version, now)]
         if message.version < self._contents.version:
             return [Send(sender, Announce(self._contents.version, self._contents.digest))]
-        return [Send(sender, self._sum_up())] if message.acknowledge else []
+        return [Send(sender, self._reporter.sum_up())] if message.acknowledge else []
 
     def _take_update(self, sender: Address, message: Update, now: float) -> list[Action]:
         if self._contradicts(message.version, message.digest):
             return [Report(events.VERSION_DIFFERS, {"held": message.version, "peer": sender})]
         if message.version <= self._contents.version:
-            return [Send(sender, self._sum_up())]
+            return [Send(sender, self._reporter.sum_up())]
         if message.base != FULL and self._contents.find(message.base) is None:
             return [*self._fetcher.record_answer(sender, message.version, now)]
         try:
@@ -261,8 +257,7 @@
             wrong = Report(events.CONTENT_WRONG, {"peer": sender, "reason": str(error)})
             return [wrong, *self._fetcher.record_wrong(sender, message.version, now)]
         learned = self._learn(snapshot, sender, now)
-        self._reported = self._sum_up()
-        return [Send(sender, self._reported), *learned]
+        return [self._reporter.acknowledge(sender), *learned]
 
     def _serve(self, sender: Address, message: Fetch, now: float) -> list[Action]:
         self._pusher.record_fetch(sender, message.bases)
@@ -270,51 +265,11 @@
             return []
         base = self._contents.choose_base(message.bases)
         if base == self._contents.version:
-            return [Send(sender, self._sum_up())]
+            return [Send(sender, self._reporter.sum_up())]
         if base == FULL and (wait_s := self._admission.try_take(now)) > 0:
             return [Send(sender, Busy(wait_s)), Report(events.SNAPSHOT_DELAYED, {"peer": sender})]
         return [Send(sender, self._contents.make_update(base))]
 
-    def _sum_up(self) -> Holding:
-        if self.current is None:
-            return Holding(NO_VERSION, 0)
-        return self._pusher.sum_up(self._contents.version)
-
-    def _report_holdings(self, now: float) -> list[Action]:
-        """Report grown holdings: at once when all below hold the version, else now and then."""
-        if self._view is None or self.current is None:
-            return []
-        holding = self._sum_up()
-        if (holding.version, holding.holders) == (self._reported.version, self._reported.holders):
-            self._report_at = math.inf
-            return []
-        position = self._view.position_of(self._own)
-        if position is None:
-            return []
-        complete = holding.holders >= subtree_size(position, len(self._view.order))
-        if not complete and self._report_at == math.inf:
-            self._report_at = now + self._tuning.report_s * self._random.uniform(0.75, 1.25)
-        if not complete and now < self._report_at:
-            return []
-        self._report_at = math.inf
-        self._reported = holding
-        return self._publish(holding, complete)
-
-    def _publish(self, holding: Holding, complete: bool) -> list[Action]:
-        assert self._view is not None
-        if not self._pusher.acts_as_root:
-            return [Send(self._report_to, holding)] if self._report_to else []
-        daemons = len(self._view.order)
-        holders = min(holding.holders, daemons)
-        zone = self._view.zone
-        sums = ZoneHoldings(zone, holding.version, holders, daemons, holding.laggards)
-        self._zones.record(sums)
-        roots = [addresses[0] for addresses in self._view.remote.values() if addresses]
-        actions: list[Action] = [Send(root, sums) for root in roots]
-        if complete:
-            actions.append(Report(events.ZONE_CONVERGED, {"daemons": daemons}))
-        return actions
-
     def _ask_holdings(self) -> list[Action]:
         if self._view is None or not self._view.order or self._view.order[0] == self._own:
             return []
--- a/packages/godwitpass/src/godwitpass/internal/distribution/holdings.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/holdings.py
@@ -11,6 +11,8 @@
 class Convergence(msgspec.Struct, frozen=True):
     """How many of the known daemons hold `version`; `laggards` names a few that don't.
 
+    `unheard` names availability zones whose holdings are unknown; their daemons aren't counted.
+
     >>> Convergence(Version(412), 12_998, 13_000, (InstanceId("maal-2"),)).render()
     'version 412: 12998 of 13000, waiting for maal-2'
     """
@@ -19,11 +21,18 @@
     holders: int
     daemons: int
     laggards: tuple[InstanceId, ...] = ()
+    unheard: tuple[ZoneId, ...] = ()
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether every known daemon holds the version."""
+        return self.holders == self.daemons and not self.unheard
 
     def render(self) -> str:
         """Return the state of convergence as one line."""
         waiting = f", waiting for {', '.join(self.laggards)}" if self.laggards else ""
-        return f"version {self.version}: {self.holders} of {self.daemons}{waiting}"
+        unheard = f", nothing heard from {', '.join(self.unheard)}" if self.unheard else ""
+        return f"version {self.version}: {self.holders} of {self.daemons}{waiting}{unheard}"
 
 
 class ZoneTable:
@@ -31,11 +40,12 @@
 
     def __init__(self) -> None:
         self._zones: dict[ZoneId, ZoneHoldings] = {}
+        self._present: set[ZoneId] = set()
 
     def record(self, holdings: ZoneHoldings) -> None:
         """Keep `holdings` unless later ones are known."""
         known = self._zones.get(holdings.zone)
-        if known is None or _order(holdings) >= _order(known):
+        if known is None or holdings.version >= known.version:
             self._zones[holdings.zone] = holdings
 
     def replace(self, zones: Iterable[ZoneHoldings]) -> None:
@@ -43,10 +53,10 @@
         for holdings in zones:
             self.record(holdings)
 
-    def forget_all_but(self, zones: Iterable[ZoneId]) -> None:
-        """Drop availability zones that have no member any more."""
-        present = set(zones)
-        self._zones = {zone: held for zone, held in self._zones.items() if zone in present}
+    def limit_to(self, zones: Iterable[ZoneId]) -> None:
+        """Keep to the availability zones that have members."""
+        self._present = set(zones)
+        self._zones = {zone: held for zone, held in self._zones.items() if zone in self._present}
 
     def zones(self) -> tuple[ZoneHoldings, ...]:
         """Return the holdings of all known availability zones."""
@@ -62,8 +72,5 @@
         holders = sum(held.holders for held in zones if held.version == version)
         daemons = sum(held.daemons for held in zones)
         laggards = [name for held in zones for name in held.laggards]
-        return Convergence(version, holders, daemons, tuple(laggards[:MAX_LAGGARDS]))
-
-
-def _order(holdings: ZoneHoldings) -> tuple[Version, int]:
-    return holdings.version, holdings.holders
+        unheard = tuple(sorted(self._present - self._zones.keys()))
+        return Convergence(version, holders, daemons, tuple(laggards[:MAX_LAGGARDS]), unheard)
--- a/packages/godwitpass/src/godwitpass/internal/distribution/pusher.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/pusher.py
@@ -28,7 +28,10 @@
 
 
 class Target:
-    """A daemon that is told of new versions; `position` is its rank in its availability zone."""
+    """A daemon that is told of new versions; `position` is its rank in its availability zone.
+
+    One that is `upwards` is told only of versions that didn't come from above in the tree.
+    """
 
     __slots__ = (
         "address",
@@ -40,6 +43,7 @@
         "role",
         "silent",
         "tries",
+        "upwards",
         "zone",
     )
 
@@ -53,6 +57,7 @@
         self.laggards: tuple[InstanceId, ...] = ()
         self.tries = 0
         self.silent = False
+        self.upwards = role is Role.PARENT
         self.deadline = math.inf
 
     def inherit(self, earlier: "Target | None") -> None:
@@ -84,10 +89,14 @@
 
     @property
     def acts_as_root(self) -> bool:
-        """Tell whether this daemon is the root of its tree, or stands in for a silent one."""
+        """Tell whether this daemon is the root of its tree, or the first after silent ones."""
         position = self._position()
-        root = self._targets.get(self._view.order[0]) if position and self._view else None
-        return position == 0 or (root is not None and root.silent)
+        if not position or self._view is None:
+            return position == 0
+        root = self._targets.get(self._view.order[0])
+        return root is not None and all(
+            target.silent for target in self._targets.values() if self._precedes(target, position)
+        )
 
     def change_view(self, view: View) -> None:
         """Take over new members; what is known of remaining targets is kept."""
@@ -98,7 +107,7 @@
             target.inherit(known.get(target.address))
         for target in list(self._targets.values()):
             if target.silent and target.role is not Role.ZONE:
-                for adopted in self._adopt_duties(target.position):
+                for adopted in self._adopt_duties(target):
                     adopted.inherit(known.get(adopted.address))
 
     def start_push(self, previous: Version, upwards: bool, now: float, tuning: Tuning) -> Actions:
@@ -119,7 +128,7 @@
             self._push_at = math.inf
             self._next_push_at = now + tuning.fold_s
             for target in list(self._targets.values()):
-                if target.role is not Role.PARENT or self._upwards:
+                if self._upwards or not target.upwards:
                     actions += self._push(target, now, tuning)
         for target in list(self._targets.values()):
             if now >= target.deadline:
@@ -166,7 +175,10 @@
                 laggards += target.laggards
             elif self._view and (instance := self._view.instances.get(target.address)):
                 laggards.append(instance)
-        return Holding(version, holders, tuple(laggards[:MAX_LAGGARDS]))
+        return Holding(version, holders, tuple(dict.fromkeys(laggards))[:MAX_LAGGARDS])
+
+    def _precedes(self, target: Target, position: int) -> bool:
+        return target.role is not Role.ZONE and target.position < position
 
     def _position(self) -> int | None:
         return self._view.position_of(self._own) if self._view else None
@@ -186,12 +198,13 @@
             targets += [Target(view.remote[zone][0], Role.ZONE, zone, 0) for zone in zones]
         return targets
 
-    def _adopt_duties(self, position: int) -> list[Target]:
+    def _adopt_duties(self, silent: Target) -> list[Target]:
         adopted = []
-        for target in self._duties(position):
-            if target.address != self._own and target.address not in self._targets:
-                self._targets[target.address] = target
-                adopted.append(target)
+        for duty in self._duties(silent.position):
+            if duty.address != self._own and duty.address not in self._targets:
+                duty.upwards = duty.upwards or silent.upwards
+                self._targets[duty.address] = duty
+                adopted.append(duty)
         return adopted
 
     def _release_duties(self, target: Target) -> None:
@@ -205,35 +218,34 @@
         version = self._contents.version
         if target.held >= version:
             return []
-        if target.deadline < math.inf and not target.silent:
+        if target.deadline < math.inf:
             return []
         target.holders, target.laggards = 0, ()
         target.tries = 1
         target.deadline = now + tuning.acknowledge_s
-        actions = self._send(target, tuning)
-        if target.silent:
-            actions += self._bypass(target, now, tuning)
-        return actions
+        return self._send(target, tuning)
 
     def _repeat(self, target: Target, now: float, tuning: Tuning) -> Actions:
+        """Send again to a daemon that did not answer; bypass it after a few tries."""
         target.deadline = math.inf
         if target.held >= self._contents.version:
             return []
-        if target.tries < MAX_TRIES:
+        actions: Actions = []
+        if target.tries >= MAX_TRIES and not target.silent:
+            target.silent = True
+            actions.append(Report(PEER_SILENT, {"peer": target.address}))
+            actions += self._bypass(target, now, tuning)
+        if target.tries < tuning.tries:
             target.tries += 1
             target.deadline = now + tuning.acknowledge_s * target.tries
-            return self._send(target, tuning)
-        if target.silent:
-            return []
-        target.silent = True
-        report = Report(PEER_SILENT, {"peer": target.address})
-        return [report, *self._bypass(target, now, tuning)]
+            actions += self._send(target, tuning)
+        return actions
 
     def _bypass(self, target: Target, now: float, tuning: Tuning) -> Actions:
         if target.role is Role.ZONE:
             return self._try_next_rank(target, now, tuning)
         actions: Actions = []
-        self._adopt_duties(target.position)
+        self._adopt_duties(target)
         for duty in self._duties(target.position):
             adopted = self._targets.get(duty.address)
             if adopted is not None:
@@ -252,7 +264,7 @@
 
     def _send(self, target: Target, tuning: Tuning) -> Actions:
         announce = Announce(self._contents.version, self._contents.digest, acknowledge=True)
-        if target.role is not Role.CHILD:
+        if target.role is not Role.CHILD or target.silent:
             return [Send(target.address, announce)]
         base = target.held if self._contents.find(target.held) else self._previous
         if self._contents.find(base) is None:
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/reporting.py
@@ -0,0 +1,114 @@
+"""Reports holdings up the tree, and from its root to the other availability zones."""
+
+import math
+import random
+
+from godwitpass.ids import NO_VERSION, Address
+from godwitpass.internal.actions import Report, Send
+from godwitpass.internal.distribution.contents import Contents
+from godwitpass.internal.distribution.events import ZONE_CONVERGED
+from godwitpass.internal.distribution.holdings import ZoneTable
+from godwitpass.internal.distribution.messages import Holding, Message, ZoneHoldings
+from godwitpass.internal.distribution.pusher import Pusher
+from godwitpass.internal.distribution.tuning import Tuning
+from godwitpass.internal.distribution.view import View, subtree_size
+
+REPORT_REPEATS = 2
+
+Actions = list[Send[Message] | Report]
+
+
+class Reporter:
+    """Decides when grown holdings are worth a message."""
+
+    def __init__(
+        self, own: Address, contents: Contents, pusher: Pusher, generator: random.Random
+    ) -> None:
+        self._own = own
+        self._contents = contents
+        self._pusher = pusher
+        self._random = generator
+        self._view: View | None = None
+        self._reported = Holding(NO_VERSION, 0)
+        self._report_at = math.inf
+        self._publish_at = math.inf
+        self._report_to: Address | None = None
+        self._repeats_left = 0
+        self.zones = ZoneTable()
+
+    @property
+    def deadline(self) -> float:
+        """Return the time of the next report that is put off."""
+        return min(self._report_at, self._publish_at)
+
+    def change_view(self, view: View, parent: Address | None) -> None:
+        """Report anew to the daemon now above."""
+        self._view = view
+        self.zones.limit_to([view.zone, *view.remote])
+        self._report_to = parent
+        self._reported = Holding(NO_VERSION, 0)
+
+    def sum_up(self) -> Holding:
+        """Return the holdings at and below this daemon."""
+        if self._contents.current is None:
+            return Holding(NO_VERSION, 0)
+        return self._pusher.sum_up(self._contents.version)
+
+    def acknowledge(self, sender: Address) -> Send[Message]:
+        """Report to `sender`, from whom the newest version came."""
+        self._report_to = sender
+        self._reported = self.sum_up()
+        return Send(sender, self._reported)
+
+    def repeat(self) -> Actions:
+        """Send the last report of several daemons again, in case it was lost."""
+        if not self._repeats_left or self._report_to is None or self._reported.holders < 2:
+            return []
+        self._repeats_left -= 1
+        return [] if self._pusher.acts_as_root else [Send(self._report_to, self._reported)]
+
+    def run(self, now: float, tuning: Tuning) -> Actions:
+        """Report at once when all below hold the version, else after a while."""
+        if self._view is None or self._contents.current is None:
+            return []
+        position = self._view.position_of(self._own)
+        if position is None:
+            return []
+        holding = self.sum_up()
+        is_new = (holding.version, holding.holders) != (
+            self._reported.version,
+            self._reported.holders,
+        )
+        complete = holding.holders >= subtree_size(position, len(self._view.order))
+        if now >= self._publish_at or (is_new and complete):
+            return self._report(holding, is_new and complete, now, tuning)
+        if is_new and now >= self._report_at:
+            return self._report(holding, False, now, tuning)
+        if is_new and self._report_at == math.inf:
+            self._report_at = now + tuning.report_s * self._random.uniform(0.75, 1.25)
+        elif not is_new:
+            self._report_at = math.inf
+        return []
+
+    def _report(self, holding: Holding, completed: bool, now: float, tuning: Tuning) -> Actions:
+        self._report_at, self._publish_at = math.inf, math.inf
+        self._reported = holding
+        self._repeats_left = REPORT_REPEATS
+        if not self._pusher.acts_as_root:
+            return [Send(self._report_to, holding)] if self._report_to else []
+        self._publish_at = now + tuning.publish_s * self._random.uniform(0.75, 1.25)
+        return self._publish(holding, completed)
+
+    def _publish(self, holding: Holding, completed: bool) -> Actions:
+        """Tell the other availability zones what this one holds."""
+        assert self._view is not None
+        daemons = len(self._view.order)
+        holders = min(holding.holders, daemons)
+        laggards = holding.laggards if holders < daemons else ()
+        sums = ZoneHoldings(self._view.zone, holding.version, holders, daemons, laggards)
+        self.zones.record(sums)
+        roots = [addresses[0] for addresses in self._view.remote.values() if addresses]
+        actions: Actions = [Send(root, sums) for root in roots]
+        if completed:
+            actions.append(Report(ZONE_CONVERGED, {"daemons": daemons}))
+        return actions
--- a/packages/godwitpass/src/godwitpass/internal/distribution/tuning.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/tuning.py
@@ -29,18 +29,22 @@
 
     `digest_s` is the period of comparing digests, `fold_s` the least time between two pushes,
     `acknowledge_s` the time before a push is repeated, `report_s` the time between two reports of
-    partial holdings, `push_bytes` the size above which an update is announced before it is sent.
+    partial holdings, `publish_s` the period of repeating an availability zone's holdings to the
+    others, `tries` how often a daemon is told of a version, `push_bytes` the size above which an
+    update is announced before it is sent.
     """
 
     digest_s: float
     fold_s: float
     acknowledge_s: float
     report_s: float
+    publish_s: float
+    tries: int
     push_bytes: int
 
 
-FOR_CONVERGENCE = Tuning(3.0, 0.1, 0.3, 1.0, 65_536)
-FOR_BYTES = Tuning(20.0, 2.0, 0.8, 3.0, 2_048)
+FOR_CONVERGENCE = Tuning(3.0, 0.1, 0.3, 1.0, 20.0, 5, 65_536)
+FOR_BYTES = Tuning(10.0, 2.0, 0.8, 3.0, 60.0, 4, 2_048)
 
 
 def choose_tuning(favour: Favour) -> Tuning:
--- /dev/null
+++ b/packages/godwitpass/tests/distribution/test_parts.py
@@ -0,0 +1,137 @@
+import pytest
+
+from godwitpass.document import Document, Policy, Route, Service
+from godwitpass.ids import (
+    Address,
+    ChangeId,
+    ContentHash,
+    InstanceId,
+    PolicyName,
+    RegionId,
+    RouteName,
+    ServiceName,
+    Version,
+    ZoneId,
+)
+from godwitpass.internal.codec import encode_canonical, hash_content
+from godwitpass.internal.distribution.admission import Admission
+from godwitpass.internal.distribution.contents import Contents, find_unresolved
+from godwitpass.internal.distribution.delta import (
+    Codec,
+    WrongContent,
+    decode_delta,
+    decode_full,
+    encode_delta,
+    encode_full,
+)
+from godwitpass.internal.distribution.messages import InvalidMessage, decode_message
+from godwitpass.internal.distribution.tuning import SNAPSHOTS_BURST
+from godwitpass.internal.distribution.view import build_view, child_positions, parent_position
+from godwitpass.internal.invariants import ConfigurationInvariants, InvariantBroken
+from godwitpass.mesh import Member, MemberState
+from godwitpass.snapshot import Snapshot
+
+
+def build_document(*services: str) -> Document:
+    names = [ServiceName(service) for service in services]
+    routes = tuple(Route(RouteName(name), f"/{name}", name) for name in names)
+    return Document(1, tuple(Service(name) for name in names), routes)
+
+
+def hash_document(document: Document) -> ContentHash:
+    return hash_content(encode_canonical(document))
+
+
+def build_snapshot(version: int, document: Document) -> Snapshot:
+    change = ChangeId(f"change-{version}")
+    return Snapshot(Version(version), change, hash_document(document), document)
+
+
+class TestDelta:
+    def test_removals_and_additions_lead_to_the_same_content(self) -> None:
+        old, new = build_document("maal", "stoffbok"), build_document("stoffbok", "tilskjaering")
+        opened = decode_delta(old, encode_delta(old, new), hash_document(new))
+        assert hash_document(opened) == hash_document(new)
+
+    def test_a_delta_applied_to_another_base_is_refused(self) -> None:
+        old, new = build_document("maal"), build_document("maal", "stoffbok")
+        with pytest.raises(WrongContent):
+            decode_delta(build_document("other"), encode_delta(old, new), hash_document(new))
+
+    @pytest.mark.parametrize("cut", [0, 1, 7, 30])
+    def test_truncated_bodies_are_refused(self, cut: int) -> None:
+        old, new = build_document("maal"), build_document("maal", "stoffbok")
+        with pytest.raises(WrongContent):
+            decode_delta(old, encode_delta(old, new)[:cut], hash_document(new))
+        with pytest.raises(WrongContent):
+            decode_full(encode_full(new)[:cut], hash_document(new))
+
+
+class TestContents:
+    def test_a_lower_version_can_not_be_added(self) -> None:
+        contents = Contents(Codec())
+        contents.add(build_snapshot(2, build_document("maal")))
+        with pytest.raises(AssertionError, match="lower"):
+            contents.add(build_snapshot(1, build_document("stoffbok")))
+
+    def test_references_to_missing_services_and_policies_are_found(self) -> None:
+        route = Route(RouteName("r"), "/", ServiceName("gone"), policy=PolicyName("gone"))
+        policy = Policy(PolicyName("p"), extends=PolicyName("gone"))
+        document = Document(1, routes=(route,), policies=(policy,))
+        pointers = [finding.pointer for finding in find_unresolved(document)]
+        assert pointers == ["/routes/0/service", "/routes/0/policy", "/policies/0/extends"]
+
+
+class TestView:
+    def test_all_daemons_agree_on_a_tree_that_reaches_each_of_them_once(self) -> None:
+        members = [
+            Member(
+                InstanceId(f"instance-{index}"),
+                ZoneId("bergen"),
+                RegionId("vest"),
+                Address(f"127.0.0.1:{index}"),
+                1,
+                1,
+                MemberState.DEAD if index == 7 else MemberState.ALIVE,
+            )
+            for index in range(100)
+        ]
+        view = build_view(members, ZoneId("bergen"))
+        assert view == build_view(reversed(members), ZoneId("bergen"))
+        reached = [child for position in range(99) for child in child_positions(position, 99)]
+        assert reached == list(range(1, 99))
+        assert all(parent_position(child) is not None for child in reached)
+        assert Address("127.0.0.1:7") not in view.order
+
+
+class TestAdmission:
+    def test_whole_versions_beyond_the_burst_are_put_off(self) -> None:
+        admission = Admission()
+        waits = [admission.try_take(100.0) for _ in range(int(SNAPSHOTS_BURST) + 1)]
+        assert waits[:-1] == [0.0] * int(SNAPSHOTS_BURST)
+        assert waits[-1] > 0
+        assert admission.try_take(100.0 + waits[-1]) == 0
+
+
+class TestMessages:
+    @pytest.mark.parametrize("payload", [b"", b"\xff" * 40, b"\x93\x02\x01", b"\x92\x63\x01"])
+    def test_garbage_is_refused(self, payload: bytes) -> None:
+        with pytest.raises(InvalidMessage):
+            decode_message(payload)
+
+
+class TestInvariants:
+    def test_each_broken_invariant_is_found(self) -> None:
+        document = build_document("maal")
+        checks = ConfigurationInvariants()
+        checks.check_activation("a", build_snapshot(5, document))
+        with pytest.raises(InvariantBroken, match="moved"):
+            checks.check_activation("a", build_snapshot(4, document))
+        with pytest.raises(InvariantBroken, match="two contents"):
+            checks.check_activation("b", build_snapshot(5, build_document("other")))
+        torn = Snapshot(Version(6), ChangeId("c"), hash_document(document), Document(1))
+        with pytest.raises(InvariantBroken, match="whole"):
+            checks.check_activation("a", torn)
+        open_route = Document(1, routes=document.routes)
+        with pytest.raises(InvariantBroken, match="unknown service"):
+            checks.check_activation("a", build_snapshot(7, open_route))
--- a/testkit/src/godwitpass_testkit/fleet.py
+++ b/testkit/src/godwitpass_testkit/fleet.py
@@ -113,7 +113,7 @@
         self._codec = remember_codec()
         self._tuning = tuning
         self._random = random.Random(seed)
-        self._views: dict[ZoneId, View] = {}
+        self.views: dict[ZoneId, View] = {}
         self.change_views(self.members)
 
     @property
@@ -127,7 +127,7 @@
             seed = self._random.getrandbits(32)
             node = Distributor(address, random.Random(seed), self._codec, self._tuning)
             self.queue.attach(address, node)
-            self.queue.post(address, ViewChanged(self._views[self.by_address[address].zone]))
+            self.queue.post(address, ViewChanged(self.views[self.by_address[address].zone]))
 
     def start_all(self) -> None:
         """Start all daemons."""
@@ -145,9 +145,9 @@
         for zone in self.zones:
             local = [item for item in known if item.zone == zone]
             others = [item for item in contacts if item.zone != zone]
-            self._views[zone] = build_view(local + others, zone)
+            self.views[zone] = build_view(local + others, zone)
         for address in self.queue.addresses():
-            self.queue.post(address, ViewChanged(self._views[self.by_address[address].zone]))
+            self.queue.post(address, ViewChanged(self.views[self.by_address[address].zone]))
 
     def detect_deaths(self) -> None:
         """Let membership remove the dead and add the living."""
--- a/testkit/src/godwitpass_testkit/virtual_store.py
+++ b/testkit/src/godwitpass_testkit/virtual_store.py
@@ -114,6 +114,8 @@
 
     def _execute(self, queue: VirtualQueue, address: Address, action: Any) -> None:
         def answer(event: Any) -> None:
+            if self.cut_off(address):
+                event = RequestFailed(action.tag, unknown=isinstance(action, Put | Delete))
             queue.post_at(queue.now + self.delay_s / 2, address, event)
 
         if self.down or self.cut_off(address):
