--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/holdings.py
@@ -0,0 +1,76 @@
+"""Sums up which daemons hold a version, along the tree and across availability zones."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from godwitpass.ids import NO_VERSION, InstanceId, Version, ZoneId
+from godwitpass.internal.distribution.messages import MAX_LAGGARDS, ZoneHoldings
+
+
+class Convergence(msgspec.Struct, frozen=True):
+    """How many of the known daemons hold `version`; `laggards` names a few that don't.
+
+    `unheard` names availability zones whose holdings are unknown; their daemons aren't counted.
+
+    >>> Convergence(Version(412), 12_998, 13_000, (InstanceId("maal-2"),)).render()
+    'version 412: 12998 of 13000, waiting for maal-2'
+    """
+
+    version: Version
+    holders: int
+    daemons: int
+    laggards: tuple[InstanceId, ...] = ()
+    unheard: tuple[ZoneId, ...] = ()
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether every known daemon holds the version."""
+        return self.holders == self.daemons and not self.unheard
+
+    def render(self) -> str:
+        """Return the state of convergence as one line."""
+        waiting = f", waiting for {', '.join(self.laggards)}" if self.laggards else ""
+        unheard = f", nothing heard from {', '.join(self.unheard)}" if self.unheard else ""
+        return f"version {self.version}: {self.holders} of {self.daemons}{waiting}{unheard}"
+
+
+class ZoneTable:
+    """The newest known holdings of each availability zone."""
+
+    def __init__(self) -> None:
+        self._zones: dict[ZoneId, ZoneHoldings] = {}
+        self._present: set[ZoneId] = set()
+
+    def record(self, holdings: ZoneHoldings) -> None:
+        """Keep `holdings` unless later ones are known."""
+        known = self._zones.get(holdings.zone)
+        if known is None or holdings.version >= known.version:
+            self._zones[holdings.zone] = holdings
+
+    def replace(self, zones: Iterable[ZoneHoldings]) -> None:
+        """Take over the table of another daemon where it is newer."""
+        for holdings in zones:
+            self.record(holdings)
+
+    def limit_to(self, zones: Iterable[ZoneId]) -> None:
+        """Keep to the availability zones that have members."""
+        self._present = set(zones)
+        self._zones = {zone: held for zone, held in self._zones.items() if zone in self._present}
+
+    def zones(self) -> tuple[ZoneHoldings, ...]:
+        """Return the holdings of all known availability zones."""
+        return tuple(self._zones[zone] for zone in sorted(self._zones))
+
+    def sum_up(self) -> Convergence:
+        """Return the holdings of the newest version over all availability zones.
+
+        A zone that last reported an older version counts with no holder.
+        """
+        zones = self._zones.values()
+        version = max((held.version for held in zones), default=NO_VERSION)
+        holders = sum(held.holders for held in zones if held.version == version)
+        daemons = sum(held.daemons for held in zones)
+        laggards = [name for held in zones for name in held.laggards]
+        unheard = tuple(sorted(self._present - self._zones.keys()))
+        return Convergence(version, holders, daemons, tuple(laggards[:MAX_LAGGARDS]), unheard)
