Decide at-most-once claims by a swap of the shard's head

Cause: approvals and cutting orders must run at most once, across daemons, deaths and outages. Change: pure claims node (asking side, sixteen shards' holders); batches of claims are one compare-and-swap of a small head, older claims are sealed in segments; expiry follows the time inside the key and a floor kept in the head, so that no clock can let a key run again. Figures: 300 random histories with kills, pauses, split views, lost, late and unanswered writes: no key ran twice. Conclusion: the fence is the head's revision; claims never live only in memory.

--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/claims/claimant.py
@@ -0,0 +1,151 @@
+"""The asking side: one claim for each sending of a caller, answered once."""
+
+import msgspec
+
+from godwitpass.ids import Address
+from godwitpass.internal.actions import Send, Wake
+from godwitpass.internal.claims.batch import is_acceptable
+from godwitpass.internal.claims.generations import Generations
+from godwitpass.internal.claims.keys import ClaimKey
+from godwitpass.internal.claims.messages import (
+    FIRST_HTTP_STATUS,
+    LAST_HTTP_STATUS,
+    RELEASED,
+    ClaimMessage,
+    ClaimOutcome,
+    ClaimReply,
+    ClaimRequest,
+    Mark,
+    MarkReply,
+)
+from godwitpass.internal.claims.placement import Placement
+
+ASK_AGAIN_S = 0.4
+"""Time without an answer after which a claim is sent again; a busy shard writes each 0.16 s."""
+
+ASKS_PER_HOLDER = 2
+MARK_AGAIN_S = 3.0
+MARK_ATTEMPTS = 5
+MAX_MARKS = 4096
+
+
+class Resolve(msgspec.Struct, frozen=True):
+    """Answers the asker; `GRANTED` is given at most once for a token."""
+
+    token: int
+    outcome: ClaimOutcome
+    status: int = 0
+
+
+class _Question(msgspec.Struct):
+    key: ClaimKey
+    deadline: float
+    ask_at: float
+    asks: int = 0
+    asked: tuple[Address, ...] = ()
+
+
+class _OpenMark(msgspec.Struct):
+    mark: Mark
+    send_at: float
+    attempts: int = 0
+
+
+ClaimantAction = Send[ClaimMessage] | Wake | Resolve
+Actions = list[ClaimantAction]
+
+
+class Claimant:
+    """Asks the holders of shards; a call may be sent only after `GRANTED`."""
+
+    def __init__(self, placement: Placement, generations: Generations) -> None:
+        self._placement = placement
+        self._generations = generations
+        self._questions: dict[int, _Question] = {}
+        self._granted: dict[int, ClaimKey] = {}
+        self._marks: dict[int, _OpenMark] = {}
+
+    def ask(self, token: int, key: ClaimKey, now: float, wall: float, deadline: float) -> Actions:
+        """Claim `key` before `deadline`; `token` is never used for another sending."""
+        assert token not in self._questions, "a token stands for one sending"
+        if not is_acceptable(key, wall):
+            return [Resolve(token, ClaimOutcome.EXPIRED)]
+        self._questions[token] = _Question(key, deadline, now)
+        return [Wake(deadline), *self._send_question(token, now)]
+
+    def cancel(self, token: int, now: float) -> Actions:
+        """Give up a sending that was not granted yet, or whose call was not sent."""
+        question = self._questions.pop(token, None)
+        if question is not None:
+            return self._open_mark(token, question.key, RELEASED, now)
+        key = self._granted.pop(token, None)
+        return self._open_mark(token, key, RELEASED, now) if key is not None else []
+
+    def complete(self, token: int, status: int, now: float) -> Actions:
+        """Record that the granted call ran and was answered with an HTTP status."""
+        assert FIRST_HTTP_STATUS <= status <= LAST_HTTP_STATUS
+        key = self._granted.pop(token, None)
+        return self._open_mark(token, key, status, now) if key is not None else []
+
+    def abandon(self, token: int) -> None:
+        """Leave a granted claim as it is: whether its call ran is not known."""
+        self._granted.pop(token, None)
+
+    def receive(self, message: ClaimReply | MarkReply, now: float) -> Actions:
+        """Take a holder's answer; one that nobody waits for is ignored."""
+        if isinstance(message, MarkReply):
+            self._marks.pop(message.token, None)
+            return []
+        question = self._questions.pop(message.token, None)
+        if question is None:
+            return []
+        self._generations.record(question.key.shard, message.generation)
+        if message.outcome is ClaimOutcome.GRANTED:
+            self._granted[message.token] = question.key
+            return [Resolve(message.token, message.outcome)]
+        actions: Actions = [Resolve(message.token, message.outcome, message.status)]
+        # Another holder that was asked may still record this claim.
+        if message.outcome is ClaimOutcome.UNSETTLED or question.asks > 1:
+            actions += self._open_mark(message.token, question.key, RELEASED, now)
+        return actions
+
+    def tick(self, now: float) -> Actions:
+        """Repeat what was not answered, and answer what is past its deadline."""
+        actions: Actions = []
+        for token, question in tuple(self._questions.items()):
+            if question.deadline <= now:
+                del self._questions[token]
+                actions.append(Resolve(token, ClaimOutcome.UNSETTLED))
+                actions += self._open_mark(token, question.key, RELEASED, now)
+            elif question.ask_at <= now:
+                actions += self._send_question(token, now)
+        for token, opened in tuple(self._marks.items()):
+            if opened.send_at <= now:
+                actions += self._send_mark(token, opened, now)
+        return actions
+
+    def _send_question(self, token: int, now: float) -> Actions:
+        question = self._questions[token]
+        rank = question.asks // ASKS_PER_HOLDER
+        question.asks += 1
+        question.ask_at = now + ASK_AGAIN_S
+        generation = self._generations.highest(question.key.shard)
+        request = ClaimRequest(token, question.key, generation)
+        holder = self._placement.holder(question.key.shard, rank)
+        return [Send(holder, request), Wake(question.ask_at)]
+
+    def _open_mark(self, token: int, key: ClaimKey, status: int, now: float) -> Actions:
+        if len(self._marks) >= MAX_MARKS:
+            return []
+        opened = _OpenMark(Mark(token, key, status), now)
+        self._marks[token] = opened
+        return self._send_mark(token, opened, now)
+
+    def _send_mark(self, token: int, opened: _OpenMark, now: float) -> Actions:
+        if opened.attempts >= MARK_ATTEMPTS:
+            del self._marks[token]
+            return []
+        holder = self._placement.holder(opened.mark.key.shard, 0)
+        opened.send_at = now + MARK_AGAIN_S * 2.0**opened.attempts
+        opened.attempts += 1
+        return [Send(holder, opened.mark), Wake(opened.send_at)]
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/claims/inbox.py
@@ -0,0 +1,136 @@
+"""Claims and marks that wait at a shard's holder, and the answers decided for them."""
+
+import msgspec
+
+from godwitpass.ids import Address
+from godwitpass.internal.actions import Send
+from godwitpass.internal.claims.batch import Decision, apply_claim, apply_mark
+from godwitpass.internal.claims.generations import Generations
+from godwitpass.internal.claims.keys import ShardId
+from godwitpass.internal.claims.messages import (
+    ClaimMessage,
+    ClaimOutcome,
+    ClaimReply,
+    ClaimRequest,
+    Mark,
+    MarkReply,
+)
+from godwitpass.internal.claims.table import ShardTable
+
+MAX_PENDING = 4096
+PATIENCE_S = 1.0
+"""Time after which a claim that could not be settled is answered."""
+
+MARK_DELAY_S = 2.0
+"""Time that marks wait for a claim to be written along with."""
+
+Replies = list[Send[ClaimMessage]]
+
+
+class _PendingClaim(msgspec.Struct):
+    request: ClaimRequest
+    asker: Address
+    expires_at: float
+    is_unsettled: bool = False
+
+
+class _PendingMark(msgspec.Struct):
+    mark: Mark
+    asker: Address
+    due_at: float
+
+
+class Inbox:
+    """Holds at most `MAX_PENDING` claims and as many marks, each once by its token."""
+
+    def __init__(self, shard: ShardId, generations: Generations) -> None:
+        self._shard = shard
+        self._generations = generations
+        self._claims: dict[int, _PendingClaim] = {}
+        self._marks: dict[int, _PendingMark] = {}
+        self._decisions: dict[int, Decision] = {}
+        self._applied_marks: tuple[int, ...] = ()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing waits."""
+        return not (self._claims or self._marks)
+
+    def add_claim(self, asker: Address, request: ClaimRequest, now: float) -> Replies:
+        """Keep a claim; refused when there are too many."""
+        if request.token in self._claims:
+            return []
+        if len(self._claims) >= MAX_PENDING:
+            return self.refuse(asker, request.token)
+        self._claims[request.token] = _PendingClaim(request, asker, now + PATIENCE_S)
+        return []
+
+    def add_mark(self, asker: Address, mark: Mark, now: float) -> None:
+        """Keep a mark; one too many is dropped, and its sender repeats it."""
+        if len(self._marks) < MAX_PENDING:
+            self._marks.setdefault(mark.token, _PendingMark(mark, asker, now + MARK_DELAY_S))
+
+    def is_due(self, now: float) -> bool:
+        """Tell whether a claim waits, or a mark has waited long enough."""
+        return bool(self._claims) or any(mark.due_at <= now for mark in self._marks.values())
+
+    def decide(self, table: ShardTable, wall: float) -> bool:
+        """Apply all that waits to `table`; False when no write is needed to answer."""
+        changed = [apply_mark(table, pending.mark, wall) for pending in self._marks.values()]
+        self._applied_marks = tuple(self._marks)
+        self._decisions = {
+            token: apply_claim(table, pending.request, wall)
+            for token, pending in self._claims.items()
+        }
+        return any(changed) or any(decision.changed for decision in self._decisions.values())
+
+    def answer_decided(self) -> Replies:
+        """Answer what was decided, now that the table is stored."""
+        replies: Replies = []
+        for token, decision in self._decisions.items():
+            asker = self._claims.pop(token).asker
+            replies.append(self._reply(asker, token, decision.outcome, decision.status))
+        for token in self._applied_marks:
+            replies.append(Send(self._marks.pop(token).asker, MarkReply(token)))
+        self._decisions, self._applied_marks = {}, ()
+        return replies
+
+    def note_unsettled(self) -> None:
+        """Remember that a write of the waiting claims may have taken effect."""
+        for pending in self._claims.values():
+            pending.is_unsettled = True
+
+    def expire(self, now: float, is_writing: bool) -> Replies:
+        """Answer claims that ran out of patience; a write under way may still record them."""
+        replies: Replies = []
+        for token, pending in tuple(self._claims.items()):
+            if pending.expires_at > now:
+                continue
+            pending.is_unsettled |= is_writing
+            replies.append(self._give_up(token, pending))
+            del self._claims[token]
+            self._decisions.pop(token, None)
+        return replies
+
+    def refuse_all(self) -> Replies:
+        """Answer all claims and drop the marks, whose senders repeat them."""
+        replies = [self._give_up(token, pending) for token, pending in self._claims.items()]
+        self._claims.clear()
+        self._marks.clear()
+        self._decisions, self._applied_marks = {}, ()
+        return replies
+
+    def refuse(self, asker: Address, token: int) -> Replies:
+        """Answer a claim that is not even kept."""
+        return [self._reply(asker, token, ClaimOutcome.UNAVAILABLE)]
+
+    def _give_up(self, token: int, pending: _PendingClaim) -> Send[ClaimMessage]:
+        unsettled = pending.is_unsettled
+        outcome = ClaimOutcome.UNSETTLED if unsettled else ClaimOutcome.UNAVAILABLE
+        return self._reply(pending.asker, token, outcome)
+
+    def _reply(
+        self, asker: Address, token: int, outcome: ClaimOutcome, status: int = 0
+    ) -> Send[ClaimMessage]:
+        generation = self._generations.highest(self._shard)
+        return Send(asker, ClaimReply(token, outcome, status, generation))
--- /dev/null
+++ b/packages/godwitpass/tests/claims/test_histories.py
@@ -0,0 +1,86 @@
+import random
+
+import pytest
+
+from godwitpass.ids import Address
+from godwitpass.internal.claims import events, table
+from godwitpass.internal.claims.keys import ClaimKey
+from godwitpass_testkit.experiments.claims_world import Weather, World
+from godwitpass_testkit.store import Faults
+
+ADDRESSES = tuple(Address(f"10.0.{zone}.{host}:7000") for zone in range(3) for host in range(2))
+STEPS = 60
+
+
+def build_weather(rng: random.Random) -> Weather:
+    return Weather(
+        peer_jitter=rng.choice((0.001, 0.05, 1.0)),
+        message_loss=rng.choice((0.0, 0.2)),
+        message_repeat=rng.choice((0.0, 0.3)),
+        store_delay=rng.choice((0.003, 0.1, 0.8)),
+        lost_requests=rng.choice((0.0, 0.2)),
+        late_requests=rng.choice((0.0, 0.3)),
+        lost_answers=rng.choice((0.0, 0.4)),
+    )
+
+
+def play(seed: int) -> World:
+    """Play a random history: callers repeat keys anywhere while daemons and the store fail."""
+    rng = random.Random(seed)
+    world = World(seed, ADDRESSES, writes_per_s=50.0)
+    keys: list[ClaimKey] = [world.wall_key(bytes([n])) for n in range(12)]
+    for _ in range(STEPS):
+        address = rng.choice(ADDRESSES)
+        match rng.randrange(10):
+            case 0:
+                world.weather = build_weather(rng)
+            case 1:
+                world.kill(address)
+            case 2:
+                world.pause(address, rng.choice((0.05, 1.0, 10.0)))
+            case 3:
+                world.show_members(address, rng.sample(ADDRESSES, rng.randrange(1, 6)))
+            case 4:
+                world.store.faults = Faults(down=rng.random() < 0.3)
+            case _:
+                world.send(rng.choice(keys), address, rng.choice((0.3, 1.0, 5.0)))
+        world.run(world.now + rng.choice((0.0, 0.001, 0.02, 0.5)))
+    world.store.faults = Faults()
+    world.run(world.now + 30)
+    return world
+
+
+class TestHistories:
+    @pytest.mark.parametrize("block", range(8))
+    def test_no_history_of_failures_runs_a_key_twice(self, block: int) -> None:
+        for seed in range(block * 25, (block + 1) * 25):
+            assert max(play(seed).runs.values(), default=0) <= 1, f"seed {seed}"
+
+    def test_no_history_with_sealed_claims_runs_a_key_twice(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(table, "MAX_HEAD_CLAIMS", 3)
+        monkeypatch.setattr(table, "KEPT_HEAD_CLAIMS", 1)
+        monkeypatch.setattr(table, "MAX_SEGMENT_ROWS", 5)
+        sealed = 0
+        for seed in range(1000, 1100):
+            world = play(seed)
+            assert max(world.runs.values(), default=0) <= 1, f"seed {seed}"
+            sealed += len(world.store.list("claims/00/", world.now).entries) > 0
+        assert sealed > 25
+
+    def test_the_histories_reach_the_failures_that_they_are_for(self) -> None:
+        worlds = [play(seed) for seed in range(25)]
+        reports = sum((world.reports for world in worlds), worlds[0].reports.__class__())
+        assert reports[events.SHARD_CONFLICT] > 10
+        assert reports[events.SHARD_UNSETTLED] > 10
+        assert reports[events.SHARD_UNAVAILABLE] > 10
+        assert sum(sum(world.runs.values()) for world in worlds) > 50
+
+    def test_every_sending_to_a_daemon_that_lives_is_answered(self) -> None:
+        world = World(1, ADDRESSES)
+        world.weather = Weather(message_loss=0.5, lost_requests=0.3)
+        for n in range(50):
+            world.send(world.wall_key(bytes([n])), ADDRESSES[n % 6])
+        world.run(5)
+        assert all(sending.outcome is not None for sending in world.sendings.values())
--- /dev/null
+++ b/testkit/src/godwitpass_testkit/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: measurements that write their rows to a file."""
--- /dev/null
+++ b/testkit/src/godwitpass_testkit/experiments/claims_world.py
@@ -0,0 +1,268 @@
+"""Daemons' claims, the network between them and the store, under virtual time."""
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable
+from functools import partial
+
+import msgspec
+
+from godwitpass.errors import StoreOutcomeUnknown, StoreUnavailable
+from godwitpass.events import EventKind
+from godwitpass.ids import Address
+from godwitpass.internal.actions import Report, Send, Wake
+from godwitpass.internal.claims.claimant import Resolve
+from godwitpass.internal.claims.keys import ClaimKey
+from godwitpass.internal.claims.messages import (
+    ClaimMessage,
+    ClaimOutcome,
+    decode_message,
+    encode_message,
+)
+from godwitpass.internal.claims.node import (
+    Abandon,
+    Ask,
+    Cancel,
+    ClaimsAction,
+    ClaimsEvent,
+    ClaimsNode,
+    Complete,
+    MembersChanged,
+    Receive,
+    Tick,
+)
+from godwitpass.internal.claims.steps import (
+    Failure,
+    StoreAnswered,
+    StoreCall,
+    StoreDelete,
+    StoreGet,
+    StoreList,
+    StorePut,
+)
+from godwitpass.store import Entry, PutResult, WatchResult
+from godwitpass_testkit.store import StoreState
+
+WALL_OFFSET_S = 1_700_000_000.0
+STORE_TIMEOUT_S = 2.0
+Answer = Entry | WatchResult | PutResult | Failure
+
+
+class Weather(msgspec.Struct):
+    """How the network and the store behave from now on; delays in seconds, shares from 0 to 1."""
+
+    peer_delay: float = 0.001
+    peer_jitter: float = 0.001
+    message_loss: float = 0.0
+    message_repeat: float = 0.0
+    store_delay: float = 0.003
+    lost_requests: float = 0.0
+    late_requests: float = 0.0
+    lost_answers: float = 0.0
+
+
+class Sending(msgspec.Struct):
+    """One sending by a caller, and what became of it."""
+
+    key: ClaimKey
+    node: Address
+    asked_at: float
+    resolved_at: float | None = None
+    outcome: ClaimOutcome | None = None
+    status: int = 0
+
+
+class _Machine(msgspec.Struct):
+    node: ClaimsNode
+    incarnation: int = 0
+    paused_until: float = 0.0
+
+
+class World:
+    """Runs claims nodes; `runs` counts how often the call of each key ran."""
+
+    def __init__(self, seed: int, addresses: Iterable[Address], writes_per_s: float = 6.25) -> None:
+        self.now = 0.0
+        self.weather = Weather()
+        self.store = StoreState(seed)
+        self.runs_calls = True
+        self.runs: Counter[bytes] = Counter()
+        self.sendings: dict[int, Sending] = {}
+        self.reports: Counter[EventKind] = Counter()
+        self.peer_bytes = 0
+        self.random = random.Random(seed)
+        self._writes_per_s = writes_per_s
+        self._order = itertools.count()
+        self._queue: list[tuple[float, int, Callable[[], object]]] = []
+        self.machines = {address: _Machine(self._build_node(address)) for address in addresses}
+        for address in self.machines:
+            self.show_members(address, self.machines)
+
+    def _build_node(self, address: Address) -> ClaimsNode:
+        seed = self.random.getrandbits(64)
+        return ClaimsNode(address, random.Random(seed), WALL_OFFSET_S, self._writes_per_s)
+
+    def at(self, time: float, callback: Callable[[], object]) -> None:
+        """Call `callback` at `time`."""
+        heapq.heappush(self._queue, (max(time, self.now), next(self._order), callback))
+
+    def run(self, until: float) -> None:
+        """Let time pass."""
+        while self._queue and self._queue[0][0] <= until:
+            self.now, _, callback = heapq.heappop(self._queue)
+            callback()
+        self.now = max(self.now, until)
+
+    def wall_key(self, digest: bytes, age: float = 0.0) -> ClaimKey:
+        """Return a key made `age` seconds ago."""
+        padded = digest.rjust(12, b"\0")
+        return msgspec.convert((padded, int(WALL_OFFSET_S + self.now - age)), ClaimKey)
+
+    def show_members(self, address: Address, members: Iterable[Address]) -> None:
+        """Let one daemon believe that just `members` are alive."""
+        joined = tuple(members)
+        left = tuple(member for member in self.machines if member not in joined)
+        self.deliver(address, MembersChanged(joined, left))
+
+    def pause(self, address: Address, seconds: float) -> None:
+        """Stop one daemon for a while; what arrives meanwhile is handled afterwards."""
+        self.machines[address].paused_until = self.now + seconds
+
+    def kill(self, address: Address) -> None:
+        """Replace one daemon by a new one that knows nothing."""
+        machine = self.machines[address]
+        machine.node = self._build_node(address)
+        machine.incarnation += 1
+        machine.paused_until = 0.0
+        self.show_members(address, self.machines)
+
+    def send(self, key: ClaimKey, address: Address, patience: float = 1.0) -> int:
+        """Let a caller send a request with `key` to a daemon; returns the sending's token."""
+        token = self.random.getrandbits(63)
+        self.sendings[token] = Sending(key, address, self.now)
+        self.deliver(address, Ask(token, key, self.now + patience))
+        return token
+
+    def outcome(self, token: int) -> ClaimOutcome | None:
+        """Return the answer to a sending, if there is one."""
+        return self.sendings[token].outcome
+
+    def deliver(self, address: Address, event: ClaimsEvent) -> None:
+        """Let a daemon handle `event` now, or once it is no longer paused."""
+        machine = self.machines[address]
+        if machine.paused_until > self.now:
+            self.at(machine.paused_until, lambda: self.deliver(address, event))
+            return
+        self._perform(address, machine.node.handle(event, self.now))
+
+    def _perform(self, address: Address, actions: Iterable[ClaimsAction]) -> None:
+        for action in actions:
+            match action:
+                case Send(to, message):
+                    self._send_message(address, to, message)
+                case Wake(at):
+                    self._wake(address, at)
+                case Report(kind):
+                    self.reports[kind] += 1
+                case Resolve():
+                    self._resolve(address, action)
+                case StoreDelete(key):
+                    self.at(self.now + self.weather.store_delay, partial(self._delete, key))
+                case StoreGet() | StoreList() | StorePut():
+                    self._call_store(address, action)
+
+    def _wake(self, address: Address, at: float) -> None:
+        incarnation = self.machines[address].incarnation
+
+        def tick() -> None:
+            if self.machines[address].incarnation == incarnation:
+                self.deliver(address, Tick())
+
+        self.at(at, tick)
+
+    def _send_message(self, sender: Address, to: Address, message: ClaimMessage) -> None:
+        encoded = encode_message(message)
+        self.peer_bytes += len(encoded)
+        copies = 1 + (self.random.random() < self.weather.message_repeat)
+        for _ in range(copies):
+            if sender != to and self.random.random() < self.weather.message_loss:
+                continue
+            decoded = decode_message(encoded)
+            delay = 0.0
+            if sender != to:
+                delay = self.weather.peer_delay + self.random.random() * self.weather.peer_jitter
+            event = Receive(sender, decoded)
+            self.at(self.now + delay, partial(self.deliver, to, event))
+
+    def _resolve(self, address: Address, resolve: Resolve) -> None:
+        sending = self.sendings[resolve.token]
+        assert sending.outcome is None, "a sending is answered once"
+        sending.outcome, sending.status = resolve.outcome, resolve.status
+        sending.resolved_at = self.now
+        if resolve.outcome is ClaimOutcome.GRANTED and self.runs_calls:
+            incarnation = self.machines[address].incarnation
+            self.at(self.now + 0.01, lambda: self._run_call(address, incarnation, resolve.token))
+
+    def _run_call(self, address: Address, incarnation: int, token: int) -> None:
+        machine = self.machines[address]
+        if machine.paused_until > self.now:
+            self.at(machine.paused_until, lambda: self._run_call(address, incarnation, token))
+            return
+        if machine.incarnation != incarnation:
+            return
+        fate = self.random.random()
+        if fate < 0.1:
+            self.deliver(address, Cancel(token))
+            return
+        self.runs[self.sendings[token].key.digest] += 1
+        self.deliver(address, Complete(token, 201) if fate < 0.8 else Abandon(token))
+
+    def _call_store(self, address: Address, call: StoreCall) -> None:
+        incarnation = self.machines[address].incarnation
+
+        def answer(result: Answer) -> None:
+            if self.machines[address].incarnation == incarnation:
+                self.deliver(address, StoreAnswered(call.shard, call.step, result))
+
+        delay = self.weather.store_delay / 2
+        lost = Failure.UNKNOWN if isinstance(call, StorePut) else Failure.UNAVAILABLE
+        if self.random.random() < self.weather.lost_requests:
+            self.at(self.now + STORE_TIMEOUT_S, lambda: answer(lost))
+            return
+        if self.random.random() < self.weather.late_requests:
+            late = self.random.uniform(0.0, 2 * STORE_TIMEOUT_S)
+            self.at(self.now + late, lambda: self._apply(call))
+            self.at(self.now + STORE_TIMEOUT_S, lambda: answer(lost))
+            return
+        loses_answer = self.random.random() < self.weather.lost_answers
+
+        def arrive() -> None:
+            result = self._apply(call)
+            if loses_answer:
+                self.at(self.now + STORE_TIMEOUT_S, lambda: answer(lost))
+            else:
+                self.at(self.now + delay, lambda: answer(result))
+
+        self.at(self.now + delay, arrive)
+
+    def _apply(self, call: StoreCall) -> Answer:
+        try:
+            match call:
+                case StoreGet(_, _, key):
+                    return self.store.get(key, self.now)
+                case StoreList(_, _, prefix):
+                    return self.store.list(prefix, self.now)
+                case StorePut(_, _, key, value, expected):
+                    return self.store.put(key, value, expected, None, self.now)
+        except StoreUnavailable:
+            return Failure.UNAVAILABLE
+        except StoreOutcomeUnknown:
+            return Failure.UNKNOWN
+
+    def _delete(self, key: str) -> None:
+        try:
+            self.store.delete(key, None, self.now)
+        except (StoreUnavailable, StoreOutcomeUnknown):
+            return
