--- a/testkit/src/godwitpass_testkit/fleet.py
+++ b/testkit/src/godwitpass_testkit/fleet.py
@@ -52,7 +52,7 @@
     entries = [Service(name) for name in names]
     entries[-1] = Service(names[-1], slots=12 + mark)
     routes = [
-        Route(RouteName(f"route-{index:05}"), f"/{name}/", name, host=f"{name}.example")
+        Route(RouteName(f"route-{index:05}"), f"/{name}", name, host=f"{name}.example")
         for index, name in enumerate(names)
     ]
     return Document(1, tuple(entries), tuple(routes), distribution=Distribution(favour))
