Keep the path prefixes of experiments in normal form

Cause: documents are now held to normal path prefixes, and a trailing slash was refused. Change: prefixes without the trailing slash in the process experiment.

--- a/testkit/src/godwitpass_testkit/experiments/processes.py
+++ b/testkit/src/godwitpass_testkit/experiments/processes.py
@@ -100,8 +100,8 @@
     """Build a document of `services` services; each `mark` gives other content."""
     named = [ServiceName(f"service-{index}") for index in range(services)]
     listed = [Service(SERVICE, slots=1 + mark % 64), *(Service(name) for name in named)]
-    routes = [Route(RouteName("desk"), "/desk/", SERVICE)]
-    routes += [Route(RouteName(f"route-{name}"), f"/{name}/", name) for name in named]
+    routes = [Route(RouteName("desk"), "/desk", SERVICE)]
+    routes += [Route(RouteName(f"route-{name}"), f"/{name}", name) for name in named]
     return Document(1, tuple(listed), tuple(routes))
 
 
