Give operators the godwitctl command

Cause: the administration API had no client. Change: godwitctl validate, apply, get, diff, history, rollback, status, timeline and drain: tables for people, JSON on request, documented exit codes, shell completion, configuration from flags, environment or a checked file. Several daemons are tried in order; a change id makes the repeat safe, and an unknown outcome is never hidden by a later failure. Drain asks one daemon only. An administration API above fakes moves to the testkit, so that API and client are tested as one.

--- /dev/null
+++ b/packages/godwitpass-cli/src/godwitpass_cli/exits.py
@@ -0,0 +1,48 @@
+"""Exit codes of `godwitctl`."""
+
+from enum import IntEnum
+
+from godwitpass.administration import ProblemKind
+
+
+class ExitCode(IntEnum):
+    """What a script can learn from the exit code."""
+
+    DONE = 0
+    FAULT = 1
+    USAGE = 2
+    INVALID_INPUT = 3
+    CONFLICT = 4
+    UNAVAILABLE = 5
+    OUTCOME_UNKNOWN = 6
+    UNAUTHORIZED = 7
+    NOT_FOUND = 8
+
+
+MEANINGS = {
+    ExitCode.DONE: "Done.",
+    ExitCode.FAULT: "A fault of this command or of the daemon.",
+    ExitCode.USAGE: "Unknown command, option or configuration.",
+    ExitCode.INVALID_INPUT: "The document or another input was refused; every finding is printed.",
+    ExitCode.CONFLICT: "Another change was accepted first.",
+    ExitCode.UNAVAILABLE: "No daemon, or not its store, could be reached; nothing was changed.",
+    ExitCode.OUTCOME_UNKNOWN: "Not known whether it was done; repeat it with the same change id.",
+    ExitCode.UNAUTHORIZED: "The token is missing or wrong.",
+    ExitCode.NOT_FOUND: "The version, upstream or path does not exist.",
+}
+
+CODES = {
+    ProblemKind.INVALID_DOCUMENT: ExitCode.INVALID_INPUT,
+    ProblemKind.INVALID_REQUEST: ExitCode.INVALID_INPUT,
+    ProblemKind.UNAUTHORIZED: ExitCode.UNAUTHORIZED,
+    ProblemKind.NOT_FOUND: ExitCode.NOT_FOUND,
+    ProblemKind.METHOD_NOT_ALLOWED: ExitCode.FAULT,
+    ProblemKind.TOO_LARGE: ExitCode.INVALID_INPUT,
+    ProblemKind.TOO_SLOW: ExitCode.UNAVAILABLE,
+    ProblemKind.BUSY: ExitCode.UNAVAILABLE,
+    ProblemKind.VERSION_CONFLICT: ExitCode.CONFLICT,
+    ProblemKind.NOT_READY: ExitCode.UNAVAILABLE,
+    ProblemKind.STORE_UNAVAILABLE: ExitCode.UNAVAILABLE,
+    ProblemKind.OUTCOME_UNKNOWN: ExitCode.OUTCOME_UNKNOWN,
+    ProblemKind.INTERNAL: ExitCode.FAULT,
+}
--- a/packages/godwitpass-daemon/tests/admin/test_admin.py
+++ b/packages/godwitpass-daemon/tests/admin/test_admin.py
@@ -1,5 +1,4 @@
 import json
-from collections.abc import Sequence
 from typing import Any
 
 import anyio
@@ -13,47 +12,25 @@
     CHANGE_HEADER,
     Problem,
     ProblemKind,
-    Spread,
     ValidationResult,
-    VersionRecord,
 )
-from godwitpass.document import Document, Service
-from godwitpass.errors import AcceptanceUnknown, StoreUnavailable, VersionConflict
-from godwitpass.events import EventKind, Field, TimelineEvent
+from godwitpass.document import Service
+from godwitpass.errors import AcceptanceUnknown, StoreUnavailable
 from godwitpass.ids import (
     NO_VERSION,
-    Address,
     ChangeId,
-    ContentHash,
-    InstanceId,
-    RegionId,
     ServiceName,
-    Version,
-    ZoneId,
 )
 from godwitpass.internal.validation.text import MAX_TEXT_BYTES
 from godwitpass.mesh import UpstreamState
-from godwitpass.snapshot import Snapshot
 from godwitpass_daemon.admin.application import MAX_REQUESTS, build_application
 from godwitpass_daemon.admin.endpoints import ENDPOINTS
 from godwitpass_daemon.admin.handlers import Api
 from godwitpass_daemon.admin.meter import RequestMeter
 from godwitpass_daemon.admin.openapi import describe_api
-from godwitpass_daemon.admin.ports import Ports
-from godwitpass_daemon.settings import ListenSettings, Settings, UpstreamSettings
-
-TOKEN = "t" * 16
-LISTEN = ListenSettings(*(Address(f"127.0.0.1:{port}") for port in range(7001, 7005)))
-SETTINGS = Settings(
-    InstanceId("one"),
-    ZoneId("lakes-a"),
-    RegionId("great-lakes"),
-    LISTEN,
-    (Address("127.0.0.1:1"),),
-    TOKEN,
-    "k" * 16,
-    UpstreamSettings(ServiceName("maal"), Address("127.0.0.1:2")),
-)
+from godwitpass_testkit.administration import ADMIN_TOKEN, UNUSED, FakeDaemon, build_settings
+
+SETTINGS = build_settings(UNUSED)
 DOCUMENT = {
     "format": 1,
     "services": [{"name": "maal"}],
@@ -61,67 +38,14 @@
 }
 
 
-class FakeDaemon:
-    """The other services: accepts at once, and fails on request."""
-
-    def __init__(self) -> None:
-        self.versions: list[tuple[VersionRecord, Document]] = []
-        self.failure: Exception | None = None
-        self.emitted: list[str] = []
-        self.announced: list[UpstreamState] = []
-
-    async def accept(
-        self, document: Document, change: ChangeId, if_version: Version | None
-    ) -> VersionRecord:
-        if self.failure is not None:
-            raise self.failure
-        for record, _ in self.versions:
-            if record.change == change:
-                return record
-        if if_version is not None and if_version != len(self.versions):
-            raise VersionConflict(Version(len(self.versions)), self.versions[-1][0].change)
-        record = VersionRecord(Version(len(self.versions) + 1), change, ContentHash("00"))
-        self.versions.append((record, document))
-        return record
-
-    async def history(self) -> Sequence[VersionRecord]:
-        if self.failure is not None:
-            raise self.failure
-        return [record for record, _ in self.versions]
-
-    async def content(self, version: Version) -> Document | None:
-        return self.versions[version - 1][1] if version <= len(self.versions) else None
-
-    def emit(self, kind: EventKind, /, **fields: Field) -> None:
-        self.emitted.append(kind.name)
-
-    def list_events(self, after: int = 0) -> Sequence[TimelineEvent]:
-        return []
-
-    def snapshot(self) -> Snapshot | None:
-        if not self.versions:
-            return None
-        record, document = self.versions[-1]
-        return Snapshot(record.version, record.change, record.content_hash, document)
-
-    def spread(self) -> Spread:
-        return Spread(Version(len(self.versions)), 1, 3)
-
-
 class Client:
     """Calls the application in process."""
 
     def __init__(self, daemon: FakeDaemon) -> None:
         self._meter = RequestMeter()
-        ports = Ports(
-            daemon,
-            daemon,
-            daemon.snapshot,
-            daemon.spread,
-            daemon.announced.append,
-            self._meter.collect,
+        self._application = build_application(
+            Api(SETTINGS, daemon.build_ports(self._meter)), self._meter
         )
-        self._application = build_application(Api(SETTINGS, ports), self._meter)
 
     def call(self, method: str, target: str, body: bytes = b"", **headers: str) -> tuple[int, Any]:
         return anyio.run(self.call_async, method, target, body, headers)
@@ -130,7 +54,7 @@
         self, method: str, target: str, body: bytes, headers: dict[str, str]
     ) -> tuple[int, Any]:
         path, _, query = target.partition("?")
-        given = {"authorization": f"Bearer {TOKEN}"} | headers
+        given = {"authorization": f"Bearer {ADMIN_TOKEN}"} | headers
         pairs = [
             (name.lower().replace("_", "-").encode("latin-1"), value.encode("latin-1"))
             for name, value in given.items()
@@ -262,7 +186,7 @@
         client = Client(daemon := FakeDaemon())
         closed = [endpoint for endpoint in ENDPOINTS if not endpoint.is_open]
         for endpoint in closed:
-            for header in ("", "Bearer wrong", f"Basic {TOKEN}", "Bearer \xff"):
+            for header in ("", "Bearer wrong", f"Basic {ADMIN_TOKEN}", "Bearer \xff"):
                 status, _ = client.call(endpoint.method, endpoint.path, authorization=header)
                 assert status == 401
         assert not daemon.versions and not daemon.announced
--- /dev/null
+++ b/testkit/src/godwitpass_testkit/administration.py
@@ -0,0 +1,133 @@
+"""An administration API above fakes, for tests of the API and of its clients."""
+
+import contextlib
+import threading
+from collections.abc import Iterator, Sequence
+
+import anyio
+import anyio.to_thread
+
+from godwitpass.administration import Spread, VersionRecord
+from godwitpass.document import Document
+from godwitpass.errors import VersionConflict
+from godwitpass.events import EventKind, Field, TimelineEvent
+from godwitpass.ids import (
+    Address,
+    ChangeId,
+    ContentHash,
+    InstanceId,
+    RegionId,
+    ServiceName,
+    Version,
+    ZoneId,
+)
+from godwitpass.mesh import UpstreamState
+from godwitpass.snapshot import Snapshot
+from godwitpass_daemon.admin.meter import RequestMeter
+from godwitpass_daemon.admin.ports import Ports
+from godwitpass_daemon.admin.service import AdminService
+from godwitpass_daemon.settings import ListenSettings, Settings, UpstreamSettings
+
+ADMIN_TOKEN = "experiment-token-not-a-secret"
+UNUSED = Address("127.0.0.1:1")
+START_LIMIT_S = 60.0
+
+
+class FakeDaemon:
+    """The other services: accepts at once, and fails on request."""
+
+    def __init__(self) -> None:
+        self.versions: list[tuple[VersionRecord, Document]] = []
+        self.failure: Exception | None = None
+        self.emitted: list[str] = []
+        self.events: list[TimelineEvent] = []
+        self.announced: list[UpstreamState] = []
+
+    async def accept(
+        self, document: Document, change: ChangeId, if_version: Version | None
+    ) -> VersionRecord:
+        """Make a version unless the change or the precondition forbids it."""
+        if self.failure is not None:
+            raise self.failure
+        for record, _ in self.versions:
+            if record.change == change:
+                return record
+        if if_version is not None and if_version != len(self.versions):
+            raise VersionConflict(Version(len(self.versions)), self.versions[-1][0].change)
+        record = VersionRecord(Version(len(self.versions) + 1), change, ContentHash("00"))
+        self.versions.append((record, document))
+        return record
+
+    async def history(self) -> Sequence[VersionRecord]:
+        """Return the versions, oldest first."""
+        if self.failure is not None:
+            raise self.failure
+        return [record for record, _ in self.versions]
+
+    async def content(self, version: Version) -> Document | None:
+        """Return the content of a version."""
+        return self.versions[version - 1][1] if version <= len(self.versions) else None
+
+    def emit(self, kind: EventKind, /, **fields: Field) -> None:
+        """Note the name of the event."""
+        self.emitted.append(kind.name)
+
+    def list_events(self, after: int = 0) -> Sequence[TimelineEvent]:
+        """Return the events set by a test."""
+        return [event for event in self.events if event.sequence > after]
+
+    def snapshot(self) -> Snapshot | None:
+        """Return the last version."""
+        if not self.versions:
+            return None
+        record, document = self.versions[-1]
+        return Snapshot(record.version, record.change, record.content_hash, document)
+
+    def spread(self) -> Spread:
+        """Return a spread of one in three."""
+        return Spread(Version(len(self.versions)), 1, 3)
+
+    def build_ports(self, meter: RequestMeter) -> Ports:
+        """Return this as the services that the administration API needs."""
+        return Ports(self, self, self.snapshot, self.spread, self.announced.append, meter.collect)
+
+
+def build_settings(admin: Address) -> Settings:
+    """Return settings whose administration API listens at `admin`."""
+    listen = ListenSettings(UNUSED, UNUSED, admin, UNUSED)
+    upstream = UpstreamSettings(ServiceName("maal"), UNUSED)
+    return Settings(
+        InstanceId("one"),
+        ZoneId("lakes-a"),
+        RegionId("great-lakes"),
+        listen,
+        (UNUSED,),
+        ADMIN_TOKEN,
+        ADMIN_TOKEN,
+        upstream,
+    )
+
+
+@contextlib.contextmanager
+def run_admin(daemon: FakeDaemon, admin: Address) -> Iterator[None]:
+    """Serve the administration API of `daemon` at `admin` in a thread while the block runs."""
+    stop = threading.Event()
+    started = threading.Event()
+
+    async def serve() -> None:
+        meter = RequestMeter()
+        service = AdminService(build_settings(admin), daemon.build_ports(meter), meter)
+        async with anyio.create_task_group() as tasks:
+            await service.start(tasks)
+            started.set()
+            await anyio.to_thread.run_sync(stop.wait)
+            await service.stop()
+
+    thread = threading.Thread(target=anyio.run, args=(serve,))
+    thread.start()
+    try:
+        assert started.wait(START_LIMIT_S), "the administration API did not start"
+        yield
+    finally:
+        stop.set()
+        thread.join()
