--- a/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -1,8 +1,12 @@
 """The composition root: wires the services of one daemon."""
 
-from godwitpass_daemon.admin_thin import AdminService
-from godwitpass_daemon.edge_thin import EdgeService
+from godwitpass.internal.calls.dispatcher import Place
+from godwitpass_daemon.admin.service import build_admin
+from godwitpass_daemon.edge.service import EdgeService
+from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.kernel import Kernel
+from godwitpass_daemon.metrics import collect_services
+from godwitpass_daemon.peers import PeerTransport
 from godwitpass_daemon.services.acceptance import AcceptanceService
 from godwitpass_daemon.services.distribution import DistributionService
 from godwitpass_daemon.services.membership import MembershipService
@@ -13,7 +17,16 @@
 def build_kernel(settings: Settings) -> Kernel:
     """Build the kernel of one daemon with all its services, none started."""
     kernel = Kernel()
+    kernel.register("events", lambda _: EventLog(settings))
     kernel.register("store", lambda _: StoreClient(settings.store))
+    kernel.register(
+        "peers",
+        lambda found: PeerTransport(
+            settings.listen.peer,
+            (settings.peer_key.encode(),),
+            found.find("events", EventLog).emit,
+        ),
+    )
     kernel.register(
         "membership",
         lambda found: MembershipService(settings, found.find("store", StoreClient)),
@@ -25,17 +38,13 @@
     kernel.register(
         "edge",
         lambda found: EdgeService(
+            found,
             settings.listen.outer,
-            found.find("distribution", DistributionService),
-            found.find("membership", MembershipService),
+            settings.listen.inner,
+            Place(settings.instance, settings.zone, settings.region),
         ),
     )
     kernel.register(
-        "admin",
-        lambda found: AdminService(
-            settings,
-            found.find("acceptance", AcceptanceService),
-            found.find("distribution", DistributionService),
-        ),
+        "admin", lambda found: build_admin(found, settings, [lambda: collect_services(found)])
     )
     return kernel
