--- /dev/null
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -0,0 +1,47 @@
+"""The composition root: wires the services of one daemon."""
+
+from godwitpass.internal.calls.dispatcher import Place
+from godwitpass_daemon.admin.service import build_admin
+from godwitpass_daemon.edge.service import EdgeService
+from godwitpass_daemon.eventlog.service import EventLog
+from godwitpass_daemon.kernel import Kernel
+from godwitpass_daemon.peers import PeerTransport
+from godwitpass_daemon.services.acceptance import AcceptanceService
+from godwitpass_daemon.services.distribution import DistributionService
+from godwitpass_daemon.services.membership import MembershipService
+from godwitpass_daemon.services.store import StoreClient
+from godwitpass_daemon.settings import Settings
+
+
+def build_kernel(settings: Settings) -> Kernel:
+    """Build the kernel of one daemon with all its services, none started."""
+    kernel = Kernel()
+    kernel.register("events", lambda _: EventLog(settings))
+    kernel.register("store", lambda _: StoreClient(settings.store))
+    kernel.register(
+        "peers",
+        lambda found: PeerTransport(
+            settings.listen.peer,
+            (settings.peer_key.encode(),),
+            found.find("events", EventLog).emit,
+        ),
+    )
+    kernel.register(
+        "membership",
+        lambda found: MembershipService(settings, found.find("store", StoreClient)),
+    )
+    kernel.register("acceptance", lambda found: AcceptanceService(found.find("store", StoreClient)))
+    kernel.register(
+        "distribution", lambda found: DistributionService(found.find("store", StoreClient))
+    )
+    kernel.register(
+        "edge",
+        lambda found: EdgeService(
+            found,
+            settings.listen.outer,
+            settings.listen.inner,
+            Place(settings.instance, settings.zone, settings.region),
+        ),
+    )
+    kernel.register("admin", lambda found: build_admin(found, settings))
+    return kernel
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/__init__.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/__init__.py
@@ -1,1 +1,1 @@
-"""Services of the daemon: thin shells around the decisions of the `godwitpass` package."""
+"""Kernel services: thin shells around the decisions of the `godwitpass` package."""
--- a/testkit/src/godwitpass_testkit/experiments/__init__.py
+++ b/testkit/src/godwitpass_testkit/experiments/__init__.py
@@ -1,1 +1,1 @@
-"""Experiments: measurements that write their rows to a file."""
+"""Experiments: each writes rows of figures as JSON."""
