Serve claims in the daemon

Cause: the edge asks the service 'claims' before it sends a call on an at-most-once route. Change: a thin shell runs the claims node on the real clock, store and peer transport; it is registered in the composition root.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -7,6 +7,7 @@
 from godwitpass_daemon.kernel import Kernel
 from godwitpass_daemon.peers import PeerTransport
 from godwitpass_daemon.services.acceptance import AcceptanceService
+from godwitpass_daemon.services.claims import ClaimsService
 from godwitpass_daemon.services.distribution import DistributionService
 from godwitpass_daemon.services.membership import MembershipService
 from godwitpass_daemon.services.store import StoreClient
@@ -34,6 +35,15 @@
     kernel.register(
         "distribution", lambda found: DistributionService(found.find("store", StoreClient))
     )
+    kernel.register(
+        "claims",
+        lambda found: ClaimsService(
+            found.find("store", StoreClient),
+            found.find("peers", PeerTransport),
+            found.find("membership", MembershipService),
+            found.find("events", EventLog),
+        ),
+    )
     kernel.register(
         "edge",
         lambda found: EdgeService(
--- a/packages/godwitpass/src/godwitpass/internal/claims/batch.py
+++ b/packages/godwitpass/src/godwitpass/internal/claims/batch.py
@@ -4,7 +4,7 @@
 
 from godwitpass.internal.claims.keys import KEY_LIFETIME_S, MAX_SKEW_S, ClaimKey
 from godwitpass.internal.claims.messages import (
-    FIRST_HTTP_STATUS,
+    ANSWERED,
     RELEASED,
     UNMARKED,
     ClaimOutcome,
@@ -42,7 +42,7 @@
         if found.token == request.token:
             return Decision(ClaimOutcome.UNAVAILABLE)
         return _grant(table, request, wall)
-    if found.status >= FIRST_HTTP_STATUS:
+    if found.status >= ANSWERED:
         return Decision(ClaimOutcome.RAN, found.status)
     if found.token == request.token:
         return Decision(ClaimOutcome.GRANTED)
@@ -62,7 +62,7 @@
         return True
     if mark.status == RELEASED:
         return _release(table, found, mark)
-    if found.status >= FIRST_HTTP_STATUS:
+    if found.status >= ANSWERED:
         return False
     table.record(_build(mark, wall))
     return True
--- a/packages/godwitpass/src/godwitpass/internal/claims/messages.py
+++ b/packages/godwitpass/src/godwitpass/internal/claims/messages.py
@@ -10,8 +10,10 @@
 RELEASED = 1
 """Status of a claim whose call was not sent; 0 is a claim without a mark."""
 
+ANSWERED = 2
+"""Status of a call that was answered, where the HTTP status is not told; higher ones are that."""
+
 UNMARKED = 0
-FIRST_HTTP_STATUS = 100
 LAST_HTTP_STATUS = 599
 
 
