--- a/packages/godwitpass/src/godwitpass/errors.py
+++ b/packages/godwitpass/src/godwitpass/errors.py
@@ -65,6 +65,18 @@
     """The store refused or could not be reached; the request did not take effect."""
 
 
+class StoreWentBack(StoreUnavailable):
+    """The store shows an older state than this daemon holds; nothing was accepted."""
+
+    def __init__(self, held: Version, stored: Version) -> None:
+        self.held = held
+        self.stored = stored
+        super().__init__(
+            f"the store shows version {stored}, but version {held} is in force; "
+            f"to go on from it, send the change again as built on version {held}"
+        )
+
+
 class StoreOutcomeUnknown(StoreError):
     """The answer was lost; a write may or may not have taken effect."""
 
--- a/packages/godwitpass/src/godwitpass/internal/distribution/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/events.py
@@ -9,6 +9,9 @@
 ACCEPTANCE_UNKNOWN = EventKind(
     202, "acceptance-unknown", "The outcome of a change could not be learned.", Level.ERROR
 )
+VERSION_NOT_ACCEPTED = EventKind(
+    204, "version-not-accepted", "A change was not accepted: no answer of the store.", Level.WARNING
+)
 CONTENT_COLLECTED = EventKind(
     203, "content-collected", "Contents that no version refers to were deleted.", Level.DEBUG
 )
