--- a/testkit/src/godwitpass_testkit/demo/__main__.py
+++ b/testkit/src/godwitpass_testkit/demo/__main__.py
@@ -66,7 +66,7 @@
 
 
 def _build_ctl(*nodes: Settings) -> list[str]:
-    addresses = [part for node in nodes for part in ("--address", node.listen.admin)]
+    addresses = [part for node in nodes for part in ("--daemon", node.listen.admin)]
     return [sys.executable, "-m", "godwitpass_cli", *addresses, "--token", ADMIN_TOKEN]
 
 
