--- /dev/null
+++ b/testkit/src/godwitpass_testkit/bench/__init__.py
@@ -0,0 +1,1 @@
+"""One command that runs every experiment, compares with bounds, plots and derives capacity."""
--- /dev/null
+++ b/testkit/src/godwitpass_testkit/bench/__main__.py
@@ -0,0 +1,80 @@
+"""The bench: `python -m godwitpass_testkit.bench COMMAND`."""
+
+import subprocess
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import typer
+
+from godwitpass_testkit.bench.bounds import find_breaches
+from godwitpass_testkit.bench.capacity import BOUNDS, derive_page
+from godwitpass_testkit.bench.catalogue import EXPERIMENTS, find_experiment
+from godwitpass_testkit.bench.plots import draw_plots
+from godwitpass_testkit.measurements import Row, read_rows
+
+ROOT = Path(__file__).parents[4]
+RECORDED = ROOT / "docs" / "measurements"
+CAPACITY_PAGE = ROOT / "docs" / "CAPACITY.md"
+EXIT_BREACHED = 1
+
+app = typer.Typer(help=__doc__, no_args_is_help=True, add_completion=False)
+
+Folder = Annotated[Path, typer.Option(help="Folder of the results, one JSON file an experiment.")]
+
+
+@app.command()
+def run(
+    folder: Folder = RECORDED,
+    only: Annotated[list[str] | None, typer.Option(help="Run just this experiment.")] = None,
+    quick: Annotated[bool, typer.Option(help="Small sizes, about a minute in all.")] = False,
+) -> None:
+    """Run the experiments, each beside its naive version, and write their rows."""
+    folder.mkdir(parents=True, exist_ok=True)
+    chosen = [find_experiment(name) for name in only] if only else EXPERIMENTS
+    for experiment in chosen:
+        module = f"godwitpass_testkit.experiments.{experiment.module}"
+        arguments = experiment.quick if quick else experiment.arguments
+        output = folder / f"{experiment.module}.json"
+        print(f"== {experiment.module}", flush=True)
+        subprocess.run(
+            [sys.executable, "-m", module, *arguments, "--output", str(output)], check=True
+        )
+
+
+@app.command()
+def check(folder: Folder = RECORDED) -> None:
+    """Compare the results with the bounds; exit code 1 when one is breached."""
+    breaches = find_breaches(read_folder(folder), BOUNDS)
+    for breach in breaches:
+        print(breach.render())
+    print(f"{len(BOUNDS)} bounds, {len(breaches)} breaches")
+    if breaches:
+        raise typer.Exit(EXIT_BREACHED)
+
+
+@app.command()
+def plot(folder: Folder = RECORDED) -> None:
+    """Draw the plots beside the results."""
+    for path in draw_plots(read_folder(folder), folder):
+        print(path)
+
+
+@app.command()
+def capacity(folder: Folder = RECORDED, page: Path = CAPACITY_PAGE) -> None:
+    """Derive the capacity page from the results."""
+    page.write_text(derive_page(read_folder(folder)), encoding="utf-8")
+
+
+def read_folder(folder: Path) -> list[Row]:
+    """Return the rows of every result file in `folder`, named `experiment.row`."""
+    return [
+        msgspec.structs.replace(row, name=f"{path.stem}.{row.name}")
+        for path in sorted(folder.glob("*.json"))
+        for row in read_rows(path)
+    ]
+
+
+if __name__ == "__main__":
+    app()
--- a/testkit/src/godwitpass_testkit/experiments/processes.py
+++ b/testkit/src/godwitpass_testkit/experiments/processes.py
@@ -77,7 +77,7 @@
     _apply(nodes[0], build_document(services, 0))
     deployment.wait_until("all hold the first", lambda: count_holders(nodes, 1) == count)
     start_s = time.monotonic() - started_at
-    rows = [Row("process_start_to_first_version", {"daemons": count}, start_s, "s")]
+    rows = [Row("start_to_first_version", {"daemons": count}, start_s, "s")]
     rows += _measure_usage(deployment, nodes, "idle", lambda: time.sleep(idle_seconds))
     spreads: list[list[float]] = []
     rows += _measure_usage(
@@ -86,13 +86,13 @@
         "changing",
         lambda: spreads.extend(_apply_changes(deployment, nodes, changes, services)),
     )
-    rows += _summarize("process_convergence", {"daemons": count, "killed": 0}, spreads)
+    rows += _summarize("convergence", {"daemons": count, "killed": 0}, spreads)
     killed = int(count * KILLED_SHARE)
     spreads = [
         _spread_under_kills(deployment, nodes, killed, round_number, services)
         for round_number in range(max(1, changes // 4))
     ]
-    rows += _summarize("process_convergence", {"daemons": count, "killed": killed}, spreads)
+    rows += _summarize("convergence", {"daemons": count, "killed": killed}, spreads)
     return rows
 
 
@@ -202,9 +202,9 @@
     params: dict[str, Param] = {"daemons": len(nodes), "phase": phase}
     rows = []
     for name, values, unit in (
-        ("process_cpu", cpu, "% of a core"),
-        ("process_peer_bytes", sent, "B/s"),
-        ("process_resident", resident, "MB"),
+        ("cpu", cpu, "% of a core"),
+        ("peer_bytes", sent, "B/s"),
+        ("resident", resident, "MB"),
     ):
         rows.append(Row(name, {**params, "of": "mean"}, sum(values) / len(values), unit))
         rows.append(Row(name, {**params, "of": "max"}, max(values), unit))
