--- a/packages/godwitpass-cli/src/godwitpass_cli/client.py
+++ b/packages/godwitpass-cli/src/godwitpass_cli/client.py
@@ -47,20 +47,20 @@
         self._pool.close()
 
     @property
-    def daemons(self) -> tuple[Address, ...]:
+    def addresses(self) -> tuple[Address, ...]:
         """Return the addresses of the daemons; raises `CommandError` without any."""
-        if not self._configuration.daemons:
+        if not self._configuration.addresses:
             raise CommandError(
                 ExitCode.USAGE,
-                "no daemon is given",
-                "use --daemon IP:PORT, GODWITCTL_DAEMONS or the configuration file",
+                "no address is given",
+                "use --address IP:PORT, GODWITCTL_ADDRESSES or the configuration file",
             )
-        return self._configuration.daemons
+        return self._configuration.addresses
 
     def call(self, call: Call, kind: type[T]) -> T:
         """Return the answer of the first daemon that gives one."""
         failure: RequestRefused | CommandError | None = None
-        for address in self.daemons:
+        for address in self.addresses:
             try:
                 return self.call_daemon(address, call, kind)
             except RequestRefused as error:
@@ -101,7 +101,7 @@
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             message = f"daemon {address} can't be reached: {error}"
             raise CommandError(
-                ExitCode.UNAVAILABLE, message, "check the address or give another --daemon"
+                ExitCode.UNAVAILABLE, message, "check the address or give another --address"
             ) from error
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
             is_read = call.method == "GET"
--- a/packages/godwitpass-cli/src/godwitpass_cli/configuration.py
+++ b/packages/godwitpass-cli/src/godwitpass_cli/configuration.py
@@ -1,4 +1,4 @@
-"""Where the daemons are and how to be let in: from flags, environment or a file."""
+"""Where the addresses are and how to be let in: from flags, environment or a file."""
 
 from pathlib import Path
 from typing import Annotated
@@ -18,7 +18,7 @@
 class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How to reach the administration API."""
 
-    daemons: Annotated[
+    addresses: Annotated[
         tuple[Address, ...], Meta(description="Administration addresses, tried in this order.")
     ] = ()
     token: Annotated[str, Meta(description="Token of operators.")] = ""
@@ -28,17 +28,17 @@
 
     def __repr__(self) -> str:
         """Return a text without the token."""
-        return f"Configuration(daemons={self.daemons!r})"
+        return f"Configuration(addresses={self.addresses!r})"
 
 
 def load_configuration(
-    path: Path | None, daemons: list[str], token: str | None, token_file: Path | None
+    path: Path | None, addresses: list[str], token: str | None, token_file: Path | None
 ) -> Configuration:
     """Return the configuration of the file at `path` with what is given besides in its place."""
     configuration = _read_file(path)
-    if daemons:
-        given = tuple(Address(part) for item in daemons for part in item.split(",") if part)
-        configuration = msgspec.structs.replace(configuration, daemons=given)
+    if addresses:
+        given = tuple(Address(part) for item in addresses for part in item.split(",") if part)
+        configuration = msgspec.structs.replace(configuration, addresses=given)
     if token is None and token_file is None and not configuration.token:
         token_file = Path(configuration.token_file) if configuration.token_file else None
     if token_file is not None:
--- a/packages/godwitpass-cli/src/godwitpass_cli/main.py
+++ b/packages/godwitpass-cli/src/godwitpass_cli/main.py
@@ -35,11 +35,11 @@
 @app.callback()
 def configure(
     context: typer.Context,
-    daemon: Annotated[
+    address: Annotated[
         list[str] | None,
         typer.Option(
-            envvar="GODWITCTL_DAEMONS",
-            help="Administration address; given several times, they are tried in order.",
+            envvar="GODWITCTL_ADDRESSES",
+            help="Administration address of a daemon; several are tried in order.",
         ),
     ] = None,
     token: Annotated[
@@ -58,7 +58,7 @@
 ) -> None:
     """Operate a godwitpass deployment through its administration API."""
     session = find_session(context)
-    session.configuration = load_configuration(config, daemon or [], token, token_file)
+    session.configuration = load_configuration(config, address or [], token, token_file)
 
 
 def main() -> None:
--- a/packages/godwitpass-cli/src/godwitpass_cli/observation.py
+++ b/packages/godwitpass-cli/src/godwitpass_cli/observation.py
@@ -88,7 +88,7 @@
     """Return the events of each daemon that answers; fail only if none does."""
     client, sources = session.connect(), []
     failure: CommandError | None = None
-    for address in client.daemons:
+    for address in client.addresses:
         try:
             found = client.call_daemon(address, Call("GET", "/v1/timeline"), Timeline)
             sources.append(list(found.events))
--- a/packages/godwitpass-cli/src/godwitpass_cli/session.py
+++ b/packages/godwitpass-cli/src/godwitpass_cli/session.py
@@ -72,7 +72,11 @@
         for row in rows:
             table.add_row(*(str(cell) for cell in row))
         width = None if sys.stdout.isatty() else PIPE_WIDTH_CHARS
-        Console(file=sys.stdout, width=width, markup=False, highlight=False).print(table)
+        console = Console(width=width, markup=False, highlight=False)
+        with console.capture() as captured:
+            console.print(table)
+        lines = [line.rstrip() for line in captured.get().splitlines()]
+        self.print_text("\n".join(lines).rstrip())
 
     def print_error(self, error: GodwitpassError) -> None:
         """Print `error` in the form of the output, on standard error."""
--- a/packages/godwitpass-cli/tests/test_commands.py
+++ b/packages/godwitpass-cli/tests/test_commands.py
@@ -44,8 +44,8 @@
         return str(path)
 
     def run(self, *arguments: str, token: str = ADMIN_TOKEN) -> tuple[int, str, str]:
-        daemons = [part for address in self.addresses for part in ("--daemon", address)]
-        code = run([*daemons, "--token", token, *arguments])
+        given = [part for address in self.addresses for part in ("--address", address)]
+        code = run([*given, "--token", token, *arguments])
         captured = self._capture.readouterr()
         return code, captured.out, captured.err
 
@@ -166,11 +166,11 @@
         self, operator: Operator, tmp_path: Path, capsys: pytest.CaptureFixture[str]
     ) -> None:
         (tmp_path / "token").write_text(ADMIN_TOKEN)
-        content = {"daemons": ["127.0.0.1:1"], "token_file": str(tmp_path / "token")}
+        content = {"addresses": ["127.0.0.1:1"], "token_file": str(tmp_path / "token")}
         path = operator.write(content, "ctl.json")
         assert run(["--config", path, "history"]) == ExitCode.UNAVAILABLE
         address = operator.addresses[1]
-        assert run(["--config", path, "--daemon", address, "history"]) == ExitCode.DONE
-        broken = operator.write({"daemon": 1}, "broken.json")
+        assert run(["--config", path, "--address", address, "history"]) == ExitCode.DONE
+        broken = operator.write({"address": 1}, "broken.json")
         assert run(["--config", broken, "history"]) == ExitCode.INVALID_INPUT
-        assert "/daemon" in capsys.readouterr().err
+        assert "/address" in capsys.readouterr().err
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/eventlog/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/eventlog/service.py
@@ -12,7 +12,8 @@
 from loguru import logger
 
 from godwitpass.events import EventKind, Field, TimelineEvent
-from godwitpass.ids import NO_VERSION, Version
+from godwitpass.ids import NO_VERSION
+from godwitpass.snapshot import Snapshot
 from godwitpass_daemon.eventlog.events import STARTED, STOPPING, SUPPRESSED
 from godwitpass_daemon.eventlog.limiter import EventLimiter
 from godwitpass_daemon.settings import LogFormat, Settings
@@ -66,9 +67,9 @@
             self._record(SUPPRESSED, now, {"number": kind.number, "count": admission.suppressed})
         self._record(kind, now, fields)
 
-    def set_version(self, version: Version) -> None:
-        """Make `version` the one that events carry."""
-        self._version = version
+    def follow(self, snapshot: Snapshot) -> None:
+        """Make the version of `snapshot` the one that events carry; subscribe it to versions."""
+        self._version = snapshot.version
 
     def list_events(self, after: int = 0) -> Sequence[TimelineEvent]:
         """Return the kept events with a sequence later than `after`, oldest first."""
--- a/packages/godwitpass-daemon/tests/eventlog/test_eventlog.py
+++ b/packages/godwitpass-daemon/tests/eventlog/test_eventlog.py
@@ -5,8 +5,10 @@
 import msgspec
 import pytest
 
+from godwitpass.document import Document
 from godwitpass.events import EventKind, Level, TimelineEvent
-from godwitpass.ids import Address, InstanceId, RegionId, Version, ZoneId
+from godwitpass.ids import Address, ChangeId, ContentHash, InstanceId, RegionId, Version, ZoneId
+from godwitpass.snapshot import Snapshot
 from godwitpass.timeline import InvalidTimeline, merge_timelines, parse_timeline
 from godwitpass_daemon.eventlog.limiter import MAX_EVENTS_PER_WINDOW
 from godwitpass_daemon.eventlog.service import EventLog
@@ -39,7 +41,7 @@
             async with anyio.create_task_group() as tasks:
                 await one.start(tasks)
                 await two.start(tasks)
-            one.set_version(Version(7))
+            one.follow(Snapshot(Version(7), ChangeId("c"), ContentHash("00"), Document(1)))
             one.emit(APPLIED, service="{maal}\n<red>")
             two.emit(APPLIED)
             await one.stop()
