Measure claims and look sealed ones up by their first byte

Cause: a lookup by bisection cost 328 us in a shard of 225,000 claims, and seals and deletions were not counted against the shard's writes (130 writes/s at 3,000 claims/s against 100). Change: segments index the first byte and search the rest in one call; deletions take from the pacing; heads seal at 256 claims instead of 128.

--- a/packages/godwitpass/src/godwitpass/internal/claims/holder.py
+++ b/packages/godwitpass/src/godwitpass/internal/claims/holder.py
@@ -155,6 +155,8 @@
         # Only what the head just written doesn't refer to: no other head can refer to it either.
         obsolete = (self._obsolete | set(self._segments)) - table.segment_names
         self._segments, self._obsolete = table.segments, set()
+        for _ in obsolete:
+            self._pacing.take(now)
         deletions: Actions = [StoreDelete(f"{self._prefix}{name}") for name in sorted(obsolete)]
         return deletions + self._answer_batch(now, wall)
 
--- a/packages/godwitpass/src/godwitpass/internal/claims/segment.py
+++ b/packages/godwitpass/src/godwitpass/internal/claims/segment.py
@@ -32,16 +32,20 @@
         if len(packed) % ROW_BYTES:
             raise ValueError(f"a segment of {len(packed)} bytes is not made of whole rows")
         self.packed = packed
+        first_bytes = packed[::ROW_BYTES]
+        self._starts = [bisect_left(first_bytes, byte) * ROW_BYTES for byte in range(256)]
+        self._starts.append(len(packed))
 
     def __len__(self) -> int:
         return len(self.packed) // ROW_BYTES
 
     def find(self, digest: Digest) -> int | None:
         """Return the status recorded for `digest`."""
-        index = bisect_left(range(len(self)), digest, key=self._digest_at)
-        if index == len(self) or self._digest_at(index) != digest:
-            return None
-        return self._status_at(index)
+        start, end = self._starts[digest[0]], self._starts[digest[0] + 1]
+        found = self.packed.find(digest, start, end)
+        while found % ROW_BYTES and found != -1:
+            found = self.packed.find(digest, found + 1, end)
+        return None if found == -1 else self._status_at(found // ROW_BYTES)
 
     def rows(self) -> Iterable[Row]:
         """Yield all rows in order."""
--- a/packages/godwitpass/src/godwitpass/internal/claims/table.py
+++ b/packages/godwitpass/src/godwitpass/internal/claims/table.py
@@ -16,7 +16,7 @@
 )
 
 HEAD_FORMAT = 1
-MAX_HEAD_CLAIMS = 128
+MAX_HEAD_CLAIMS = 256
 KEPT_HEAD_CLAIMS = 32
 MAX_SEGMENT_ROWS = 4096
 RETENTION_S = KEY_LIFETIME_S + MAX_SKEW_S
--- a/testkit/src/godwitpass_testkit/experiments/claims_world.py
+++ b/testkit/src/godwitpass_testkit/experiments/claims_world.py
@@ -61,6 +61,8 @@
     lost_requests: float = 0.0
     late_requests: float = 0.0
     lost_answers: float = 0.0
+    cancelled_calls: float = 0.1
+    unanswered_calls: float = 0.2
 
 
 class Sending(msgspec.Struct):
@@ -213,11 +215,12 @@
         if machine.incarnation != incarnation:
             return
         fate = self.random.random()
-        if fate < 0.1:
+        if fate < self.weather.cancelled_calls:
             self.deliver(address, Cancel(token))
             return
         self.runs[self.sendings[token].key.digest] += 1
-        self.deliver(address, Complete(token, 201) if fate < 0.8 else Abandon(token))
+        answered = fate < 1 - self.weather.unanswered_calls
+        self.deliver(address, Complete(token, 201) if answered else Abandon(token))
 
     def _call_store(self, address: Address, call: StoreCall) -> None:
         incarnation = self.machines[address].incarnation
