Run acceptance and distribution in the daemon

Cause: the daemon had thin stand-ins, in which each daemon watched the store. Change: services around the acceptor and the distributor over the store, peers, membership and events; new readers begin after a short random delay, so that a herd learns of its members first; messages are bounded in number and size as they are decoded; declared sizes of compressed content are checked before memory is taken. Conclusion: the store now sees two watches an availability zone.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -31,9 +31,23 @@
         "membership",
         lambda found: MembershipService(settings, found.find("store", StoreClient)),
     )
-    kernel.register("acceptance", lambda found: AcceptanceService(found.find("store", StoreClient)))
     kernel.register(
-        "distribution", lambda found: DistributionService(found.find("store", StoreClient))
+        "acceptance",
+        lambda found: AcceptanceService(
+            found.find("store", StoreClient),
+            found.find("events", EventLog),
+            lambda: found.find("distribution", DistributionService).snapshot(),
+        ),
+    )
+    kernel.register(
+        "distribution",
+        lambda found: DistributionService(
+            settings,
+            found.find("store", StoreClient),
+            found.find("peers", PeerTransport),
+            found.find("membership", MembershipService),
+            found.find("events", EventLog),
+        ),
     )
     kernel.register(
         "edge",
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/acceptance.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/acceptance.py
@@ -1,86 +1,167 @@
-"""Accepts documents: one compare-and-swap of the root record."""
+"""Accepts documents on behalf of operators; the decisions are `acceptance.acceptor`'s."""
 
-from collections.abc import Sequence
+import random
+import time
+from collections.abc import Callable, Sequence
+from typing import assert_never
 
-import msgspec
+import anyio
 from anyio.abc import TaskGroup
+from anyio.streams.memory import MemoryObjectSendStream
 
 from godwitpass.document import Document
-from godwitpass.errors import VersionConflict
-from godwitpass.ids import NO_REVISION, NO_VERSION, ChangeId, ContentHash, Revision, Version
-from godwitpass.internal.codec import compress, decompress, encode_canonical, hash_content
-from godwitpass.store import Entry, Store
-
-ROOT_KEY = "config/root"
-CONTENT_PREFIX = "config/content/"
-
-
-class Root(msgspec.Struct, frozen=True, array_like=True):
-    """The record whose compare-and-swap accepts a version."""
-
-    version: Version
-    change: ChangeId
-    content_hash: ContentHash
-
-
-class Accepted(msgspec.Struct, frozen=True):
-    """A version that the store has."""
-
-    version: Version
-    change: ChangeId
-    content_hash: ContentHash
+from godwitpass.errors import (
+    AcceptanceUnknown,
+    StoreUnavailable,
+    StoreWentBack,
+    VersionConflict,
+)
+from godwitpass.ids import ChangeId, Version
+from godwitpass.internal.acceptance.acceptor import (
+    Acceptor,
+    Action,
+    Conflict,
+    Finished,
+    NotAccepted,
+    Outcome,
+    Proposal,
+    Unknown,
+    WentBack,
+)
+from godwitpass.internal.acceptance.collector import Collector
+from godwitpass.internal.acceptance.record import (
+    ROOT_KEY,
+    Accepted,
+    content_key,
+    decode_part,
+    decode_root,
+)
+from godwitpass.internal.actions import Report, Wake, Woken
+from godwitpass.internal.distribution.delta import decode_full
+from godwitpass.internal.requests import Answer, Delete, Get, List, Put
+from godwitpass.snapshot import Snapshot
+from godwitpass.store import Store
+from godwitpass_daemon.eventlog.service import EventLog
+from godwitpass_daemon.services.store_requests import perform_request
+
+TIMER_SLACK_S = 0.001
+"""Timers may fire slightly early; an acceptor ignores those."""
+
+Events = MemoryObjectSendStream[Answer | Woken]
 
 
 class AcceptanceService:
-    """Accepts documents on behalf of operators."""
+    """Makes documents versions, and reads versions that were accepted.
+
+    `held` gives the version in force on this daemon.
+    """
 
-    def __init__(self, store: Store) -> None:
+    def __init__(self, store: Store, events: EventLog, held: Callable[[], Snapshot | None]) -> None:
         self._store = store
+        self._events = events
+        self._held = held
+        self._random = random.Random()
+        self._tasks: TaskGroup | None = None
 
     async def start(self, tasks: TaskGroup) -> None:
-        """Nothing to prepare."""
+        """Let unused contents be deleted in the background."""
+        self._tasks = tasks
 
     async def stop(self) -> None:
-        """Nothing to release."""
+        """Begin no further deletions."""
+        self._tasks = None
 
     async def accept(
         self, document: Document, change: ChangeId, if_version: Version | None
     ) -> Accepted:
-        """Make `document` the next version; raises `VersionConflict` when another came first."""
-        content = encode_canonical(document)
-        digest = hash_content(content)
-        await self._store.put(CONTENT_PREFIX + digest, compress(content), None)
-        entry = await self._store.get(ROOT_KEY)
-        root = decode_root(entry)
-        if root.change == change:
-            return Accepted(root.version, root.change, root.content_hash)
-        if if_version is not None and if_version != root.version:
-            raise VersionConflict(root.version, root.change)
-        following = Root(Version(root.version + 1), change, digest)
-        expected = entry.revision if entry.value is not None else Revision(0)
-        result = await self._store.put(ROOT_KEY, msgspec.msgpack.encode(following), expected)
-        if not result.written:
-            winner = decode_root(result.entry)
-            raise VersionConflict(winner.version, winner.change)
-        return Accepted(following.version, following.change, following.content_hash)
+        """Make `document` the next version.
+
+        Raises `VersionConflict` when another change came first, `StoreUnavailable` when nothing
+        was accepted, and `AcceptanceUnknown` when that can't be known; the same `change` may be
+        sent again at any time.
+        """
+        proposal = Proposal(document, change, if_version, self._held(), time.time())
+        outcome = await self._drive(Acceptor(proposal, self._random), proposal)
+        match outcome:
+            case Accepted():
+                if self._tasks is not None:
+                    self._tasks.start_soon(self._collect, outcome.version)
+                return outcome
+            case Conflict():
+                raise VersionConflict(outcome.current, outcome.winner)
+            case WentBack():
+                raise StoreWentBack(outcome.held, outcome.stored)
+            case NotAccepted():
+                raise StoreUnavailable("not accepted: the store did not answer in time")
+            case Unknown():
+                raise AcceptanceUnknown(change)
+        assert_never(outcome)
 
     async def history(self) -> Sequence[Accepted]:
-        """Return the newest version; older ones are not kept."""
-        root = decode_root(await self._store.get(ROOT_KEY))
-        return (Accepted(root.version, root.change, root.content_hash),) if root.version else ()
+        """Return the latest accepted versions, the oldest first."""
+        return decode_root(await self._store.get(ROOT_KEY)).history
 
     async def content(self, version: Version) -> Document | None:
-        """Return the content of `version` if it is the newest."""
-        root = decode_root(await self._store.get(ROOT_KEY))
-        entry = await self._store.get(CONTENT_PREFIX + root.content_hash)
-        if root.version != version or entry.value is None:
+        """Return the content of `version`, or None when it is not in the history."""
+        record = decode_root(await self._store.get(ROOT_KEY)).find_version(version)
+        if record is None:
             return None
-        return msgspec.json.decode(decompress(entry.value), type=Document)
-
-
-def decode_root(entry: Entry) -> Root:
-    """Decode the root record; an absent one is version 0."""
-    if entry.value is None:
-        assert entry.revision >= NO_REVISION
-        return Root(NO_VERSION, ChangeId(""), ContentHash(""))
-    return msgspec.msgpack.decode(entry.value, type=Root)
+        body = bytearray()
+        part, count = 0, 1
+        while part < count:
+            entry = await self._store.get(content_key(record.content_hash, part))
+            if entry.value is None:
+                return None
+            stored = decode_part(entry.value)
+            body += stored.body
+            part, count = part + 1, stored.count
+        return decode_full(bytes(body), record.content_hash)
+
+    async def _drive(self, acceptor: Acceptor, proposal: Proposal) -> Outcome:
+        send, receive = anyio.create_memory_object_stream[Answer | Woken](16)
+        with send, receive:
+            async with anyio.create_task_group() as tasks:
+                actions = acceptor.handle(proposal, anyio.current_time())
+                while True:
+                    outcome = self._perform(actions, tasks, send)
+                    if outcome is not None:
+                        tasks.cancel_scope.cancel()
+                        return outcome
+                    event = await receive.receive()
+                    actions = acceptor.handle(event, anyio.current_time())
+        raise AssertionError("an acceptor ends with an outcome")
+
+    def _perform(
+        self, actions: Sequence[Action], tasks: TaskGroup, events: Events
+    ) -> Outcome | None:
+        for action in actions:
+            match action:
+                case Finished():
+                    return action.outcome
+                case Report():
+                    self._events.emit(action.kind, **action.fields)
+                case Wake():
+                    tasks.start_soon(_wake, action.at, events)
+                case _:
+                    tasks.start_soon(self._request, action, events)
+        return None
+
+    async def _request(self, action: Get | Put, events: Events) -> None:
+        await events.send(await perform_request(self._store, action))
+
+    async def _collect(self, version: Version) -> None:
+        """Delete one share of the contents that no version uses."""
+        collector = Collector()
+        pending = list[object](collector.start(version))
+        while pending:
+            action = pending.pop(0)
+            if isinstance(action, Report):
+                self._events.emit(action.kind, **action.fields)
+            elif isinstance(action, Get | Delete | List):
+                answer = await perform_request(self._store, action)
+                pending += collector.handle(answer, anyio.current_time())
+
+
+async def _wake(at: float, events: Events) -> None:
+    await anyio.sleep_until(at + TIMER_SLACK_S)
+    await events.send(Woken())
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
@@ -1,38 +1,90 @@
-"""Holds the configuration: every daemon watches the root record in the store."""
+"""Holds the configuration; the decisions are `distribution.distributor`'s."""
 
-from collections.abc import Callable
+import math
+import random
+from collections.abc import Callable, Sequence
+from typing import Protocol, runtime_checkable
 
 import anyio
-import msgspec
 from anyio.abc import TaskGroup
 
-from godwitpass.administration import Spread
-from godwitpass.document import Document
-from godwitpass.errors import StoreError
-from godwitpass.ids import NO_REVISION, NO_VERSION
-from godwitpass.internal.codec import decompress, hash_content
+from godwitpass.administration import Lag, Spread, ZoneSpread
+from godwitpass.ids import NO_VERSION, Address, RegionId, ZoneId
+from godwitpass.internal.actions import Received, Report, Send, Wake, Woken
+from godwitpass.internal.distribution.distributor import (
+    Activate,
+    ConvergenceWanted,
+    Distributor,
+    Event,
+    ViewChanged,
+)
+from godwitpass.internal.distribution.holdings import Convergence
+from godwitpass.internal.distribution.messages import (
+    ZoneHoldings,
+    decode_message,
+    encode_message,
+)
+from godwitpass.internal.distribution.view import build_view
+from godwitpass.internal.requests import Get, Watch
+from godwitpass.mesh import Member, MemberState
 from godwitpass.snapshot import Snapshot
-from godwitpass.store import Entry, Store
-from godwitpass_daemon.services.acceptance import CONTENT_PREFIX, ROOT_KEY, decode_root
+from godwitpass.store import Store
+from godwitpass_daemon.eventlog.service import EventLog
+from godwitpass_daemon.peers import Channel, PeerTransport
+from godwitpass_daemon.services.store_requests import perform_request
+from godwitpass_daemon.settings import Settings
 
-WATCH_S = 10.0
-RETRY_S = 0.5
+LAG_REASON = "has not acknowledged the version"
+
+
+@runtime_checkable
+class Membership(Protocol):
+    """Knows the other daemons."""
+
+    def members(self) -> Sequence[Member]:
+        """Return the daemons believed alive."""
+        ...
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call `callback` after each change."""
+        ...
 
 
 class DistributionService:
-    """Keeps the newest accepted version."""
+    """Keeps the newest accepted version and passes it on."""
 
-    def __init__(self, store: Store) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        store: Store,
+        peers: PeerTransport,
+        membership: Membership,
+        events: EventLog,
+    ) -> None:
+        self._settings = settings
         self._store = store
+        self._peers = peers
+        self._membership = membership
+        self._events = events
+        self._distributor = Distributor(settings.listen.peer, random.Random())
         self._snapshot: Snapshot | None = None
         self._callbacks: list[Callable[[Snapshot], None]] = []
+        self._regions: dict[ZoneId, RegionId] = {}
+        self._tasks: TaskGroup | None = None
+        self._wake_at = math.inf
+        self._woken = anyio.Event()
 
     async def start(self, tasks: TaskGroup) -> None:
-        """Watch in the background."""
-        tasks.start_soon(self._watch)
+        """Begin to learn versions."""
+        self._tasks = tasks
+        self._peers.subscribe(Channel.DISTRIBUTION, self._receive)
+        self._membership.subscribe(self._change_view)
+        self._change_view()
+        tasks.start_soon(self._run_timer)
 
     async def stop(self) -> None:
-        """Nothing to release."""
+        """Learn no more versions."""
+        self._tasks = None
 
     def snapshot(self) -> Snapshot | None:
         """Return the version in force, if any is held."""
@@ -43,33 +95,94 @@
         self._callbacks.append(callback)
 
     def status(self) -> Spread:
-        """Return what this daemon alone holds."""
-        version = NO_VERSION if self._snapshot is None else self._snapshot.version
-        return Spread(version, 1, 1)
+        """Return how far the newest version has spread, as far as this daemon knows.
 
-    async def _watch(self) -> None:
-        after = NO_REVISION
-        while True:
-            try:
-                result = await self._store.watch(ROOT_KEY, after, WATCH_S)
-                for entry in result.entries:
-                    await self._load(entry)
-            except StoreError:
-                await anyio.sleep(RETRY_S)
-                continue
-            after = result.revision
-
-    async def _load(self, entry: Entry) -> None:
-        root = decode_root(entry)
-        if self._snapshot is not None and root.version <= self._snapshot.version:
-            return
-        stored = await self._store.get(CONTENT_PREFIX + root.content_hash)
-        if stored.value is None:
-            return
-        content = decompress(stored.value)
-        if hash_content(content) != root.content_hash:
+        It also asks the root of the tree, so that the next answer is up to date.
+        """
+        self._handle(ConvergenceWanted())
+        known = self._distributor.convergence()
+        if known.version == NO_VERSION:
+            version = self._snapshot.version if self._snapshot else NO_VERSION
+            return Spread(version, min(version, 1), len(self._list_members()))
+        zones = self._distributor.zone_holdings()
+        return Spread(
+            known.version,
+            known.holders,
+            known.daemons,
+            tuple(self._describe_zone(held, known) for held in zones),
+            tuple(
+                Lag(instance, held.zone, NO_VERSION, LAG_REASON)
+                for held in zones
+                for instance in held.laggards
+            ),
+        )
+
+    def _describe_zone(self, held: ZoneHoldings, known: Convergence) -> ZoneSpread:
+        holders = held.holders if held.version == known.version else 0
+        region = self._regions.get(held.zone, RegionId(""))
+        return ZoneSpread(held.zone, region, holders, held.daemons)
+
+    def _list_members(self) -> list[Member]:
+        """Return all known daemons, this one included even if membership lacks it."""
+        settings = self._settings
+        own = Member(
+            settings.instance,
+            settings.zone,
+            settings.region,
+            settings.listen.peer,
+            0,
+            0,
+            MemberState.ALIVE,
+        )
+        others = (item for item in self._membership.members() if item.instance != own.instance)
+        return [own, *others]
+
+    def _change_view(self) -> None:
+        members = self._list_members()
+        self._regions = {member.zone: member.region for member in members}
+        self._handle(ViewChanged(build_view(members, self._settings.zone)))
+
+    def _receive(self, sender: Address, payload: bytes) -> None:
+        self._handle(Received(sender, decode_message(payload)))
+
+    def _handle(self, event: Event, not_before: float = 0.0) -> None:
+        if self._tasks is None:
             return
-        document = msgspec.json.decode(content, type=Document)
-        self._snapshot = Snapshot(root.version, root.change, root.content_hash, document)
+        now = max(anyio.current_time(), not_before)
+        for action in self._distributor.handle(event, now):
+            match action:
+                case Send():
+                    payload = encode_message(action.message)
+                    self._peers.send(Channel.DISTRIBUTION, action.to, payload)
+                case Wake():
+                    self._set_timer(action.at)
+                case Report():
+                    self._events.emit(action.kind, **action.fields)
+                case Activate():
+                    self._activate(action.snapshot)
+                case _:
+                    self._tasks.start_soon(self._request, action)
+
+    def _activate(self, snapshot: Snapshot) -> None:
+        assert self._snapshot is None or snapshot.version > self._snapshot.version
+        self._snapshot = snapshot
+        self._events.set_version(snapshot.version)
         for callback in self._callbacks:
-            callback(self._snapshot)
+            callback(snapshot)
+
+    async def _request(self, request: Get | Watch) -> None:
+        self._handle(await perform_request(self._store, request))
+
+    def _set_timer(self, at: float) -> None:
+        if at < self._wake_at:
+            self._wake_at = at
+            self._woken.set()
+
+    async def _run_timer(self) -> None:
+        while True:
+            with anyio.move_on_after(max(0.0, self._wake_at - anyio.current_time())):
+                await self._woken.wait()
+            self._woken = anyio.Event()
+            if anyio.current_time() >= self._wake_at:
+                due, self._wake_at = self._wake_at, math.inf
+                self._handle(Woken(), due)
--- /dev/null
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/store_requests.py
@@ -0,0 +1,44 @@
+"""Performs the store requests of decision objects."""
+
+import msgspec
+
+from godwitpass.errors import StoreOutcomeUnknown, StoreUnavailable
+from godwitpass.internal.requests import (
+    Answer,
+    Delete,
+    Get,
+    GotEntry,
+    List,
+    Listed,
+    Put,
+    PutDone,
+    Request,
+    RequestFailed,
+)
+from godwitpass.store import Store
+
+
+async def perform_request(store: Store, request: Request) -> Answer:
+    """Perform `request` and return its answer; a failure is an answer too."""
+    try:
+        return await _call(store, request)
+    except StoreUnavailable:
+        return RequestFailed(request.tag)
+    except (StoreOutcomeUnknown, msgspec.MsgspecError):
+        return RequestFailed(request.tag, unknown=isinstance(request, Put | Delete))
+
+
+async def _call(store: Store, request: Request) -> Answer:
+    match request:
+        case Get():
+            return GotEntry(request.tag, await store.get(request.key))
+        case Put():
+            result = await store.put(request.key, request.value, request.expected)
+            return PutDone(request.tag, result)
+        case Delete():
+            return PutDone(request.tag, await store.delete(request.key, request.expected))
+        case List():
+            return Listed(request.tag, await store.list(request.prefix))
+        case _:
+            found = await store.watch(request.prefix, request.after, request.timeout)
+            return Listed(request.tag, found)
--- a/packages/godwitpass/src/godwitpass/internal/codec.py
+++ b/packages/godwitpass/src/godwitpass/internal/codec.py
@@ -42,4 +42,7 @@
 
 def decompress(content: bytes) -> bytes:
     """Decompress `content`; raises `zstandard.ZstdError` when it is corrupt or too large."""
+    # The library allocates whatever size the frame declares.
+    if zstandard.frame_content_size(content) > MAX_DECOMPRESSED_BYTES:
+        raise zstandard.ZstdError("the content is too large")
     return zstandard.ZstdDecompressor().decompress(content, max_output_size=MAX_DECOMPRESSED_BYTES)
--- a/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
@@ -28,7 +28,12 @@
 from godwitpass.internal.distribution.pusher import Pusher
 from godwitpass.internal.distribution.reader import Learned, ReaderAction, StoreReader
 from godwitpass.internal.distribution.reporting import Reporter
-from godwitpass.internal.distribution.tuning import REMOTE_DIGEST_SHARE, Tuning, choose_tuning
+from godwitpass.internal.distribution.tuning import (
+    READER_DELAY_S,
+    REMOTE_DIGEST_SHARE,
+    Tuning,
+    choose_tuning,
+)
 from godwitpass.internal.distribution.view import View, parent_position
 from godwitpass.internal.requests import Answer, Get, GotEntry, Listed, RequestFailed, Watch
 from godwitpass.snapshot import Snapshot
@@ -80,6 +85,7 @@
         self._reporter = Reporter(own, self._contents, self._pusher, generator)
         self._view: View | None = None
         self._digest_at = math.inf
+        self._read_at = math.inf
         self._wake_at = math.inf
 
     @property
@@ -96,6 +102,10 @@
         """Return what is known of the convergence of the newest version."""
         return self._reporter.zones.sum_up()
 
+    def zone_holdings(self) -> tuple[ZoneHoldings, ...]:
+        """Return what is known of each availability zone."""
+        return self._reporter.zones.zones()
+
     def handle(self, event: Event, now: float) -> list[Action]:
         """Decide on `event`."""
         actions = self._dispatch(event, now)
@@ -124,6 +134,9 @@
         if now >= self._reader.deadline:
             actions += self._perform_reader(self._reader.run(now), now)
             actions += [] if self._reader.reachable else self._send_digest(remote=True)
+        if now >= self._read_at:
+            self._read_at = math.inf
+            actions += self._perform_reader(self._reader.start(now), now)
         if now >= self._digest_at:
             self._digest_at = now + self._draw_digest_period()
             actions += self._reporter.repeat()
@@ -136,6 +149,7 @@
             self._fetcher.deadline,
             self._reader.deadline,
             self._digest_at,
+            self._read_at,
             self._reporter.deadline,
         )
         if due >= self._wake_at:
@@ -148,15 +162,21 @@
         self._pusher.change_view(view)
         self._reporter.change_view(view, self._tree_parent())
         actions: list[Action] = []
-        if view.is_reader(self._own):
-            actions += self._perform_reader(self._reader.start(now), now)
-        else:
-            self._reader.stop()
+        self._choose_reading(view, now)
         if first:
             self._digest_at = now + self._draw_digest_period() * self._random.random()
+        if self.current is None and not self._fetcher.has_asked and len(view.positions) > 1:
             actions += self._fetcher.start(view, now)
         return actions
 
+    def _choose_reading(self, view: View, now: float) -> None:
+        """Read the store from a random moment on, if the others don't turn up until then."""
+        if not view.is_reader(self._own):
+            self._reader.stop()
+            self._read_at = math.inf
+        elif not self._reader.is_reading and self._read_at == math.inf:
+            self._read_at = now + self._random.random() * READER_DELAY_S
+
     def _draw_digest_period(self) -> float:
         return self._tuning.digest_s * self._random.uniform(0.75, 1.25)
 
--- a/packages/godwitpass/src/godwitpass/internal/distribution/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/events.py
@@ -42,6 +42,3 @@
 ZONE_CONVERGED = EventKind(
     220, "zone-converged", "All daemons of the availability zone hold the version."
 )
-MESSAGE_INVALID = EventKind(
-    221, "message-invalid", "A peer's message could not be decoded; dropped.", Level.WARNING
-)
--- a/packages/godwitpass/src/godwitpass/internal/distribution/fetcher.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/fetcher.py
@@ -39,6 +39,11 @@
         self._backoff_s = BOOTSTRAP_S
         self._whole = False
 
+    @property
+    def has_asked(self) -> bool:
+        """Tell whether peers were asked and the decision is still to come."""
+        return self._ask_at < math.inf
+
     @property
     def deadline(self) -> float:
         """Return the time of the next step."""
--- a/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
@@ -69,6 +69,11 @@
         self.reachable = True
         self.deadline = math.inf
 
+    @property
+    def is_reading(self) -> bool:
+        """Tell whether the reader was started."""
+        return self._step is not Step.NOTHING
+
     def start(self, now: float) -> list[ReaderAction]:
         """Begin to read, unless this already happens."""
         return self._read_root(now) if self._step is Step.NOTHING else []
--- a/packages/godwitpass/src/godwitpass/internal/distribution/tuning.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/tuning.py
@@ -6,6 +6,9 @@
 
 FAN_OUT = 8
 READERS_PER_ZONE = 2
+READER_DELAY_S = 1.0
+"""Longest time before a new reader begins, so that a herd learns of its members first."""
+
 ZONE_LINKS = 2
 """Other availability zones that the root of a tree tells of a new version."""
 
--- a/packages/godwitpass/tests/distribution/test_parts.py
+++ b/packages/godwitpass/tests/distribution/test_parts.py
@@ -1,3 +1,4 @@
+import msgspec
 import pytest
 
 from godwitpass.document import Document, Policy, Route, Service
@@ -24,7 +25,7 @@
     encode_delta,
     encode_full,
 )
-from godwitpass.internal.distribution.messages import InvalidMessage, decode_message
+from godwitpass.internal.distribution.messages import decode_message
 from godwitpass.internal.distribution.tuning import SNAPSHOTS_BURST
 from godwitpass.internal.distribution.view import build_view, child_positions, parent_position
 from godwitpass.internal.invariants import ConfigurationInvariants, InvariantBroken
@@ -114,9 +115,11 @@
 
 
 class TestMessages:
-    @pytest.mark.parametrize("payload", [b"", b"\xff" * 40, b"\x93\x02\x01", b"\x92\x63\x01"])
+    @pytest.mark.parametrize(
+        "payload", [b"", b"\xff" * 40, b"\x93\x02\x01", b"\x92\x63\x01", b"\x93\x01\xff\xc4\x00"]
+    )
     def test_garbage_is_refused(self, payload: bytes) -> None:
-        with pytest.raises(InvalidMessage):
+        with pytest.raises(msgspec.MsgspecError):
             decode_message(payload)
 
 
