--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
@@ -166,7 +166,7 @@
     def _activate(self, snapshot: Snapshot) -> None:
         assert self._snapshot is None or snapshot.version > self._snapshot.version
         self._snapshot = snapshot
-        self._events.set_version(snapshot.version)
+        self._events.follow(snapshot)
         for callback in self._callbacks:
             callback(snapshot)
 
--- a/testkit/src/godwitpass_testkit/demo/__main__.py
+++ b/testkit/src/godwitpass_testkit/demo/__main__.py
@@ -19,7 +19,7 @@
 CALLS_A_ROUND = 60
 ROUND_S = 1.0
 TIMELINE_LINES = 25
-READ_PATHS = ("/status/42", "/status/43", "/grants/7")
+READ_PATHS = ("/status/42", "/histories/7", "/grants/7")
 
 
 def main(
@@ -66,7 +66,7 @@
 
 
 def _build_ctl(*nodes: Settings) -> list[str]:
-    addresses = [part for node in nodes for part in ("--daemon", node.listen.admin)]
+    addresses = [part for node in nodes for part in ("--address", node.listen.admin)]
     return [sys.executable, "-m", "godwitpass_cli", *addresses, "--token", ADMIN_TOKEN]
 
 
