Pace the changes of the process experiment and kill before and after acceptance

Cause: back-to-back changes and polled status counted the harness into the daemons' CPU, and kills after acceptance came when the spread had ended (12 ms), so they tested nothing. Change: a change a second, no polling meanwhile; half of the victims die just before acceptance.

--- a/testkit/src/godwitpass_testkit/experiments/processes.py
+++ b/testkit/src/godwitpass_testkit/experiments/processes.py
@@ -35,6 +35,7 @@
 ACCEPTED_EVENT = "document-written"
 ACTIVATED_EVENT = "version-activated"
 KILLED_SHARE = 1 / 3
+CHANGE_INTERVAL_S = 1.0
 BYTES_PER_MB = 1_000_000
 PEER_BYTES = re.compile(r"godwitpass_peer_bytes_total\{[^}]*\} (\d+)")
 
@@ -119,27 +120,30 @@
 def _apply_changes(
     deployment: Deployment, nodes: list[Settings], changes: int, services: int
 ) -> list[list[float]]:
-    spreads = []
+    """Apply a change a second, and look at the daemons only when all are applied."""
+    applied = []
     for mark in range(1, changes + 1):
         accepting = nodes[mark % len(nodes)]
         version = _apply(accepting, build_document(services, mark))
-        deployment.wait_until(
-            f"all hold {version}",
-            lambda version=version: count_holders(nodes, version) == len(nodes),  # type: ignore[misc]
-        )
-        spreads.append(_read_spread(accepting, nodes, version))
-    return spreads
+        applied.append((accepting, version))
+        time.sleep(CHANGE_INTERVAL_S)
+    _, last = applied[-1]
+    deployment.wait_until(f"all hold {last}", lambda: count_holders(nodes, last) == len(nodes))
+    return [_read_spread(accepting, nodes, version) for accepting, version in applied]
 
 
 def _spread_under_kills(
     deployment: Deployment, nodes: list[Settings], killed: int, seed: int, services: int
 ) -> list[float]:
+    """Kill half of the victims, which nobody noticed yet, then accept, then kill the rest."""
     chooser = random.Random(seed)
     accepting, *others = nodes
     victims = chooser.sample(others, killed)
     survivors = [node for node in nodes if node not in victims]
+    for node in victims[: killed // 2]:
+        deployment.kill(f"daemon-{node.instance}")
     version = _apply(accepting, build_document(services, 40 + seed))
-    for node in victims:
+    for node in victims[killed // 2 :]:
         deployment.kill(f"daemon-{node.instance}")
     deployment.wait_until(
         f"survivors hold {version}",
