Generate the reference pages and run the operators' pages

Cause: pages written by hand drift from the code. Change: scripts/generate-docs writes the references of document, settings, events and godwitctl, and the OpenAPI description, from the types; a test holds the committed ones against them. Examples are checked against the sizes of both deployments. Conclusion: a new event, field or option needs scripts/generate-docs before it passes.

--- /dev/null
+++ b/testkit/src/godwitpass_testkit/reference/commands.py
@@ -0,0 +1,36 @@
+"""The reference of `godwitctl`, from its own help."""
+
+import contextlib
+import io
+import os
+
+import typer
+
+from godwitpass_cli.exits import MEANINGS
+from godwitpass_cli.main import app, run
+
+WIDTH_CHARS = "80"
+
+
+def render_commands() -> str:
+    """Return the help of each command, and the exit codes."""
+    command = typer.main.get_command(app)
+    names = list(getattr(command, "commands", {}))
+    assert names, "the command has subcommands"
+    sections = [_render_help("godwitctl", [])]
+    sections += [_render_help(f"godwitctl {name}", [name]) for name in names]
+    return "\n".join([*sections, _render_exit_codes()])
+
+
+def _render_help(title: str, arguments: list[str]) -> str:
+    os.environ["COLUMNS"] = WIDTH_CHARS
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output):
+        run([*arguments, "--help"])
+    lines = [line.rstrip() for line in output.getvalue().strip().splitlines()]
+    return "\n".join([f"## {title}", "", "```text", *lines, "```", ""])
+
+
+def _render_exit_codes() -> str:
+    rows = [f"| {code.value} | {meaning} |" for code, meaning in MEANINGS.items()]
+    return "\n".join(["## Exit codes", "", "| Code | Meaning |", "| --- | --- |", *rows, ""])
--- /dev/null
+++ b/testkit/tests/reference/test_reference.py
@@ -0,0 +1,78 @@
+import re
+import shlex
+from collections import Counter
+from pathlib import Path
+
+import pytest
+
+from godwitpass.document import read_document
+from godwitpass.ids import Address
+from godwitpass.timeline import parse_timeline
+from godwitpass_cli.main import run
+from godwitpass_daemon.settings import read_settings, report_settings
+from godwitpass_testkit.administration import ADMIN_TOKEN, FakeDaemon, run_admin
+from godwitpass_testkit.demo.fleet import EXAMPLES, GUILD, LAKESHORE, FleetPlan
+from godwitpass_testkit.ports import PortAllocator
+from godwitpass_testkit.reference.catalogue import list_events
+from godwitpass_testkit.reference.pages import PAGES
+
+DOCS = EXAMPLES.parent / "docs"
+COMMAND = re.compile(r"^\$ (godwitctl|godwitd) (.*?)(?: # exits with (\d))?$", re.MULTILINE)
+ADMIN_ADDRESS = re.compile(r"127\.\d+\.\d+\.\d+:7003")
+
+
+class TestPages:
+    @pytest.mark.parametrize("name", PAGES)
+    def test_a_committed_page_is_what_the_types_say(self, name: str) -> None:
+        committed = (DOCS / name).read_text(encoding="utf-8")
+        assert committed == PAGES[name](), "run scripts/generate-docs"
+
+    def test_events_of_every_area_have_numbers_of_their_own(self) -> None:
+        numbers = [kind.number for kind in list_events()]
+        assert numbers == sorted(set(numbers)) and {100, 600} <= set(numbers)
+
+
+class TestExamples:
+    @pytest.mark.parametrize(("folder", "plan"), [("lakeshore", LAKESHORE), ("guild", GUILD)])
+    def test_settings_and_document_are_valid_and_of_the_size_of_the_deployment(
+        self, folder: str, plan: FleetPlan
+    ) -> None:
+        document = read_document((EXAMPLES / folder / "document.json").read_bytes())
+        settings = [read_settings(path) for path in (EXAMPLES / folder / "settings").iterdir()]
+        counts = Counter(item.upstream.service for item in settings if item.upstream is not None)
+        assert counts == {service.name: service.upstreams for service in plan.services}
+        assert counts.keys() == {service.name for service in document.services}
+        assert {(item.region, item.zone) for item in settings} == {
+            (plan.region, zone) for zone in plan.zones
+        }
+        addresses = [address for item in settings for address in (item.listen.admin, item.instance)]
+        assert len(set(addresses)) == 2 * len(settings)
+
+
+class TestOperatorsPages:
+    @pytest.mark.parametrize("page", ["first-day", "status", "timeline"])
+    def test_every_command_of_a_page_ends_as_the_page_says(
+        self,
+        page: str,
+        tmp_path: Path,
+        monkeypatch: pytest.MonkeyPatch,
+        capsys: pytest.CaptureFixture[str],
+    ) -> None:
+        commands = COMMAND.findall((DOCS / "operators" / f"{page}.md").read_text())
+        assert commands
+        admin = Address(f"127.0.0.1:{PortAllocator().allocate()}")
+        monkeypatch.setenv("GODWITCTL_ADDRESSES", admin)
+        monkeypatch.setenv("GODWITCTL_TOKEN", ADMIN_TOKEN)
+        monkeypatch.chdir(tmp_path)
+        (tmp_path / "examples").symlink_to(EXAMPLES)
+        for log in ("status-desk-1.log", "status-desk-2.log"):
+            (tmp_path / log).touch()
+            assert not parse_timeline(b"", log)
+        with run_admin(FakeDaemon(), admin):
+            for program, line, code in commands:
+                arguments = shlex.split(ADMIN_ADDRESS.sub(admin, line))
+                if program == "godwitctl":
+                    given = run(arguments)
+                    assert given == int(code or 0), (line, capsys.readouterr().err)
+                else:
+                    assert report_settings(Path(arguments[1])), line
