--- a/packages/godwitpass-daemon/src/godwitpass_daemon/admin/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/admin/service.py
@@ -12,8 +12,7 @@
 from godwitpass_daemon.admin.handlers import Api
 from godwitpass_daemon.admin.meter import RequestMeter, collect_process
 from godwitpass_daemon.admin.metrics import Metric
-from godwitpass_daemon.admin.ports import Acceptance, Ports
-from godwitpass_daemon.eventlog.service import EventLog
+from godwitpass_daemon.admin.ports import Acceptance, Events, Ports
 from godwitpass_daemon.kernel import Kernel
 from godwitpass_daemon.listeners import Listener
 from godwitpass_daemon.settings import Settings
@@ -33,10 +32,6 @@
         """Return how far the newest known version has spread."""
         ...
 
-    def subscribe(self, callback: Callable[[Snapshot], None]) -> None:
-        """Call `callback` after each new version."""
-        ...
-
 
 @runtime_checkable
 class Membership(Protocol):
@@ -72,9 +67,6 @@
     """Build the service from those registered; `sources` give further metrics."""
     distribution = kernel.find("distribution", Distribution)  # type: ignore[type-abstract]
     membership = kernel.find("membership", Membership)  # type: ignore[type-abstract]
-    events = kernel.find("events", EventLog)
-    # Services subscribe when they start, so the log learns of a version before their events.
-    distribution.subscribe(events.follow)
     meter = RequestMeter()
 
     def collect_metrics() -> list[Metric]:
@@ -85,7 +77,7 @@
 
     ports = Ports(
         kernel.find("acceptance", Acceptance),  # type: ignore[type-abstract]
-        events,
+        kernel.find("events", Events),  # type: ignore[type-abstract]
         distribution.snapshot,
         distribution.status,
         membership.announce,
