--- a/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -8,6 +8,7 @@
 from godwitpass_daemon.peers import PeerTransport
 from godwitpass_daemon.services.acceptance import AcceptanceService
 from godwitpass_daemon.services.claims import ClaimsService
+from godwitpass_daemon.services.crashes import CrashesService
 from godwitpass_daemon.services.distribution import DistributionService
 from godwitpass_daemon.services.membership import MembershipService
 from godwitpass_daemon.services.store import StoreClient
@@ -44,6 +45,14 @@
             found.find("events", EventLog),
         ),
     )
+    kernel.register(
+        "crashes",
+        lambda found: CrashesService(
+            found.find("peers", PeerTransport),
+            found.find("membership", MembershipService),
+            found.find("events", EventLog),
+        ),
+    )
     kernel.register(
         "edge",
         lambda found: EdgeService(
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/claims.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/claims.py
@@ -3,15 +3,12 @@
 import random
 import secrets
 import time
-from collections.abc import Callable, Sequence
-from typing import Protocol, runtime_checkable
 
 import anyio
 import msgspec
 from anyio.abc import TaskGroup
 
 from godwitpass.errors import StoreError, StoreOutcomeUnknown
-from godwitpass.events import EventKind, Field
 from godwitpass.ids import Address
 from godwitpass.internal.actions import Report, Send, Wake
 from godwitpass.internal.calls.outcomes import Outcome
@@ -45,10 +42,11 @@
     StoreList,
     StorePut,
 )
-from godwitpass.mesh import Member, MemberState
+from godwitpass.mesh import MemberState
 from godwitpass.store import Entry, PutResult, Store, WatchResult
 from godwitpass_daemon.edge.guards import CallFacts, Verdict
-from godwitpass_daemon.peers.channels import Channel, Handler
+from godwitpass_daemon.peers.channels import Channel
+from godwitpass_daemon.services.ports import Events, Membership, Peers
 
 CLAIM_PATIENCE_S = 1.0
 HOUSEKEEPING_INTERVAL_S = 1.0
@@ -60,43 +58,6 @@
 """All other outcomes mean that the key was, or may have been, sent before."""
 
 
-@runtime_checkable
-class Peers(Protocol):
-    """What this service needs of the service "peers"."""
-
-    address: Address
-
-    def send(self, channel: Channel, to: Address, payload: bytes) -> None:
-        """Send without waiting."""
-        ...
-
-    def subscribe(self, channel: Channel, handler: Handler) -> None:
-        """Hand what arrives on `channel` to `handler`."""
-        ...
-
-
-@runtime_checkable
-class Membership(Protocol):
-    """What this service needs of the service "membership"."""
-
-    def members(self) -> Sequence[Member]:
-        """Return the daemons known."""
-        ...
-
-    def subscribe(self, callback: Callable[..., None]) -> None:
-        """Call `callback` after each change."""
-        ...
-
-
-@runtime_checkable
-class Events(Protocol):
-    """What this service needs of the service "events"."""
-
-    def emit(self, kind: EventKind, /, **fields: Field) -> None:
-        """Add an event."""
-        ...
-
-
 class _Waiter:
     def __init__(self) -> None:
         self.done = anyio.Event()
--- /dev/null
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/ports.py
@@ -0,0 +1,46 @@
+"""What the services of claims and crashes need of other services."""
+
+from collections.abc import Callable, Sequence
+from typing import Protocol, runtime_checkable
+
+from godwitpass.events import EventKind, Field
+from godwitpass.ids import Address
+from godwitpass.mesh import Member
+from godwitpass_daemon.peers.channels import Channel, Handler
+
+
+@runtime_checkable
+class Peers(Protocol):
+    """Part of the service "peers"."""
+
+    address: Address
+
+    def send(self, channel: Channel, to: Address, payload: bytes) -> None:
+        """Send without waiting."""
+        ...
+
+    def subscribe(self, channel: Channel, handler: Handler) -> None:
+        """Hand what arrives on `channel` to `handler`."""
+        ...
+
+
+@runtime_checkable
+class Membership(Protocol):
+    """Part of the service "membership"."""
+
+    def members(self) -> Sequence[Member]:
+        """Return the daemons known."""
+        ...
+
+    def subscribe(self, callback: Callable[..., None]) -> None:
+        """Call `callback` after each change."""
+        ...
+
+
+@runtime_checkable
+class Events(Protocol):
+    """Part of the service "events"."""
+
+    def emit(self, kind: EventKind, /, **fields: Field) -> None:
+        """Add an event."""
+        ...
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash upstreams: recognised by fingerprint, refused for a time, forgotten."""
