--- a/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -5,6 +5,7 @@
 from godwitpass_daemon.edge.service import EdgeService
 from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.kernel import Kernel
+from godwitpass_daemon.metrics import collect_services
 from godwitpass_daemon.peers import PeerTransport
 from godwitpass_daemon.services.acceptance import AcceptanceService
 from godwitpass_daemon.services.claims import ClaimsService
@@ -32,9 +33,23 @@
         "membership",
         lambda found: MembershipService(settings, found.find("store", StoreClient)),
     )
-    kernel.register("acceptance", lambda found: AcceptanceService(found.find("store", StoreClient)))
     kernel.register(
-        "distribution", lambda found: DistributionService(found.find("store", StoreClient))
+        "acceptance",
+        lambda found: AcceptanceService(
+            found.find("store", StoreClient),
+            found.find("events", EventLog),
+            lambda: found.find("distribution", DistributionService).snapshot(),
+        ),
+    )
+    kernel.register(
+        "distribution",
+        lambda found: DistributionService(
+            settings,
+            found.find("store", StoreClient),
+            found.find("peers", PeerTransport),
+            found.find("membership", MembershipService),
+            found.find("events", EventLog),
+        ),
     )
     kernel.register(
         "claims",
@@ -62,5 +77,7 @@
             Place(settings.instance, settings.zone, settings.region),
         ),
     )
-    kernel.register("admin", lambda found: build_admin(found, settings))
+    kernel.register(
+        "admin", lambda found: build_admin(found, settings, [lambda: collect_services(found)])
+    )
     return kernel
