--- a/packages/godwitpass-daemon/src/godwitpass_daemon/metrics.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/metrics.py
@@ -82,6 +82,12 @@
             for outcome, count in sorted(statistics.counts.items())
         ),
     )
+    yield Metric(
+        "godwitpass_calls_in_progress",
+        "Calls that were begun and not ended.",
+        MetricKind.GAUGE,
+        (Sample(edge.core.calls_in_progress),),
+    )
     yield summarize(
         "godwitpass_call_seconds",
         "Time from a request's head to the end of its answer.",
--- a/testkit/src/godwitpass_testkit/upstream.py
+++ b/testkit/src/godwitpass_testkit/upstream.py
@@ -21,6 +21,8 @@
 IDLE_TIMEOUT_S = 5.0
 LATE_S = 0.2
 BIG_ANSWER_BYTES = 4 * 1024 * 1024
+RUNS_PATH = b"/runs"
+"""Asked directly, an upstream answers how often it ran each `x-request`, as JSON."""
 
 
 class Fault(Enum):
@@ -123,6 +125,10 @@
         if self.url in (b"/health", b"/load"):
             self.answer(200, b"0")
             return
+        if self.url == RUNS_PATH:
+            runs = {request.decode("latin-1"): count for request, count in upstream.runs.items()}
+            self.answer(200, msgspec.json.encode(runs))
+            return
         if upstream.in_use >= upstream.options.slots and upstream.options.sheds:
             upstream.counts["shed"] += 1
             self.answer(503, b"", not_run=True)
