Bound the memory and time that a hostile document can take

Cause: a body of 4 MB of small values (authorized) took 732 MB and 15-28 s of the daemon's only loop, and a refused document of target size 27 MB. Calls share that loop. Change: a text has at most 100,000 values, counted before parsing; looking for findings stops past the bound; lines are found level by level, only for the findings, with the C scanner; rules use the converted entries; content that fits uncompressed is not compressed to be checked.

--- a/packages/godwitpass/src/godwitpass/internal/validation/findings.py
+++ b/packages/godwitpass/src/godwitpass/internal/validation/findings.py
@@ -1,5 +1,7 @@
 """A collector of findings, bounded so that a hostile input can't fill the memory."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from godwitpass.errors import Finding
@@ -8,43 +10,44 @@
 
 
 class Findings:
-    """Gathers findings of one input; those past `MAX_FINDINGS` are only counted."""
+    """Gathers the findings of one input, up to `MAX_FINDINGS`."""
 
     def __init__(self) -> None:
         self._items: list[Finding] = []
-        self._omitted = 0
+        self._has_more = False
 
     def __bool__(self) -> bool:
         return bool(self._items)
 
-    def __len__(self) -> int:
-        return len(self._items) + self._omitted
+    @property
+    def is_full(self) -> bool:
+        """Tell whether looking for further findings is of no use."""
+        return self._has_more
 
     def add(self, pointer: str, message: str, remedy: str, line: int = 0) -> None:
-        """Add one finding."""
+        """Add one finding, unless there are too many."""
         assert not pointer or pointer.startswith("/")
         if len(self._items) < MAX_FINDINGS:
             self._items.append(Finding(pointer, message, remedy, line))
         else:
-            self._omitted += 1
+            self._has_more = True
 
-    def place(self, lines: dict[str, int], source: str) -> list[Finding]:
+    def place(self, find_line: Callable[[str], int], source: str) -> list[Finding]:
         """Return the findings in the order of the text, with their lines and `source`."""
         placed = [
-            msgspec.structs.replace(
-                item, line=item.line or lines.get(item.pointer, 0), source=source
-            )
+            msgspec.structs.replace(item, line=item.line or find_line(item.pointer), source=source)
             for item in self._items
         ]
         placed.sort(key=lambda item: item.line)
-        if self._omitted:
-            message = f"{self._omitted} further findings"
+        if self._has_more:
+            message = f"more than {MAX_FINDINGS} findings; the rest is left out"
             placed.append(Finding("", message, "mend those above first", source=source))
         return placed
 
-    def list_pointers(self) -> list[str]:
-        """Return the pointers of all findings that have no line yet."""
-        return [item.pointer for item in self._items if not item.line]
+
+def find_no_line(pointer: str) -> int:
+    """Return 0, the line of a value whose place is not known."""
+    return 0
 
 
 def join_pointer(pointer: str, key: str | int) -> str:
--- a/packages/godwitpass/src/godwitpass/internal/validation/reader.py
+++ b/packages/godwitpass/src/godwitpass/internal/validation/reader.py
@@ -8,7 +8,7 @@
 from godwitpass.document import Document
 from godwitpass.errors import Finding, InvalidDocument
 from godwitpass.internal.codec import compress, encode_canonical
-from godwitpass.internal.validation.findings import Findings
+from godwitpass.internal.validation.findings import Findings, find_no_line
 from godwitpass.internal.validation.places import Places
 from godwitpass.internal.validation.rules import check_document
 from godwitpass.internal.validation.structure import convert_value
@@ -33,19 +33,25 @@
     findings = Findings()
     text = decode_text(content, findings)
     if text is None:
-        return None, findings.place({}, source)
+        return None, findings.place(find_no_line, source)
     parsed = parse_text(text, findings)
     if parsed is None:
-        return None, findings.place({}, source)
+        return None, findings.place(find_no_line, source)
     converted = convert_value(parsed.value, kind, findings)
     check(parsed.value, converted, findings)
     if not findings and not parsed.has_duplicate_keys:
         return converted, []
-    # Places cost more than all checks together, so only a refused input pays for them.
     places = Places(parsed.plain)
-    for pointer, line in places.duplicates:
+    if parsed.has_duplicate_keys:
+        _add_duplicates(places, findings)
+    return None, findings.place(places.find_line, source)
+
+
+def _add_duplicates(places: Places, findings: Findings) -> None:
+    for pointer, line in places.list_duplicates():
         findings.add(pointer, "the key stands twice in its object", "remove one of the two", line)
-    return None, findings.place(places.lines, source)
+        if findings.is_full:
+            return
 
 
 def read_checked_document(content: bytes | str, source: str) -> Document:
@@ -57,8 +63,8 @@
 
 
 def _check(value: Any, document: Document | None, findings: Findings) -> None:
-    if isinstance(value, dict):
-        check_document(value, findings)
+    if isinstance(value, dict) and not findings.is_full:
+        check_document(value, document, findings)
     if document is not None and not findings:
         _check_size(document, findings)
 
@@ -73,6 +79,9 @@
         message = f"{len(content)} bytes in canonical form, over {MAX_CANONICAL_BYTES}"
         findings.add("", message, "remove services, routes or policies")
         return
+    if len(content) <= MAX_VALUE_BYTES:
+        # Compression takes much memory and makes nothing of this size larger than the bound.
+        return
     stored = len(compress(content))
     if stored > MAX_VALUE_BYTES:
         message = f"{stored} bytes as stored, over {MAX_VALUE_BYTES}"
--- a/packages/godwitpass/src/godwitpass/internal/validation/rules.py
+++ b/packages/godwitpass/src/godwitpass/internal/validation/rules.py
@@ -1,7 +1,7 @@
 """Rules of a document that span several of its fields."""
 
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Any, Generic, TypeVar
 
 import msgspec
@@ -21,11 +21,16 @@
     entry: T
 
 
-def check_document(value: dict[str, Any], findings: Findings) -> None:
-    """Check the entries that fit their types, also when others do not."""
-    services = _collect(value, "services", Service)
-    routes = _collect(value, "routes", Route)
-    policies = _collect(value, "policies", Policy)
+def check_document(value: dict[str, Any], document: Document | None, findings: Findings) -> None:
+    """Check the entries that fit their types, also when others do not and there is no document."""
+    if document is None:
+        services = _collect(value, "services", Service)
+        routes = _collect(value, "routes", Route)
+        policies = _collect(value, "policies", Policy)
+    else:
+        services = _place("services", document.services)
+        routes = _place("routes", document.routes)
+        policies = _place("policies", document.policies)
     _check_format(value, findings)
     for section in ("services", "routes", "policies"):
         _check_unique_names(value, section, findings)
@@ -47,6 +52,10 @@
     return placed
 
 
+def _place(section: str, entries: Sequence[T]) -> list[Placed[T]]:
+    return [Placed(f"/{section}/{index}", entry) for index, entry in enumerate(entries)]
+
+
 def _list_members(value: dict[str, Any], section: str) -> Iterator[tuple[int, Any]]:
     members = value.get(section)
     return enumerate(members if isinstance(members, list) else [])
--- a/packages/godwitpass/src/godwitpass/internal/validation/structure.py
+++ b/packages/godwitpass/src/godwitpass/internal/validation/structure.py
@@ -59,6 +59,8 @@
         return
     fields = {field.encode_name: field for field in msgspec.structs.fields(kind)}
     for key in value:
+        if findings.is_full:
+            return
         if key not in fields:
             _add_unknown_field(key, list(fields), pointer, findings)
     for name, field in fields.items():
@@ -73,6 +75,8 @@
         findings.add(pointer, f"expected an array, got {show_value(value)}", "write [...]")
         return
     for index, member in enumerate(value):
+        if findings.is_full:
+            return
         _explain_misfits(member, item, join_pointer(pointer, index), findings)
 
 
--- a/packages/godwitpass/src/godwitpass/internal/validation/text.py
+++ b/packages/godwitpass/src/godwitpass/internal/validation/text.py
@@ -17,6 +17,8 @@
 MAX_DEPTH = 32
 """Deepest nesting of objects and arrays that is read."""
 MAX_DIGITS = 30
+MAX_VALUES = 100_000
+"""Bound on the values of a text; each takes many times its length in memory."""
 
 # An unclosed string or comment matches up to the end: each character is looked at once.
 _STRING = r'"(?:\\.|[^"\\])*(?:"|\Z)'
@@ -36,12 +38,21 @@
 def decode_text(content: bytes | str, findings: Findings) -> str | None:
     """Return `content` as text, or None with a finding."""
     if len(content) > MAX_TEXT_BYTES:
-        findings.add(
-            "", f"{len(content)} bytes, over the bound of {MAX_TEXT_BYTES}", "remove parts of it"
-        )
+        message = f"{len(content)} bytes, over the bound of {MAX_TEXT_BYTES}"
+        findings.add("", message, "remove parts of it")
         return None
-    if isinstance(content, str):
-        return content
+    text = content if isinstance(content, str) else _decode_bytes(content, findings)
+    if text is None:
+        return None
+    # Every value but the first of its object or array follows a comma.
+    values = sum(text.count(mark) for mark in ",[{")
+    if values > MAX_VALUES:
+        findings.add("", f"about {values} values, over {MAX_VALUES}", "remove parts of it")
+        return None
+    return text
+
+
+def _decode_bytes(content: bytes, findings: Findings) -> str | None:
     try:
         return content.decode("utf-8-sig")
     except UnicodeDecodeError as error:
--- a/testkit/src/godwitpass_testkit/reference/pages.py
+++ b/testkit/src/godwitpass_testkit/reference/pages.py
@@ -6,7 +6,7 @@
 
 from godwitpass.document import Document
 from godwitpass.internal.validation.reader import MAX_CANONICAL_BYTES
-from godwitpass.internal.validation.text import MAX_DEPTH, MAX_TEXT_BYTES
+from godwitpass.internal.validation.text import MAX_DEPTH, MAX_TEXT_BYTES, MAX_VALUES
 from godwitpass.policy import (
     DEFAULT_ATTEMPTS,
     DEFAULT_IDEMPOTENT_ATTEMPTS,
@@ -39,9 +39,9 @@
 - two routes have the same host and path prefix and share a method;
 - no route leads to a service;
 - an `at-most-once` policy has more than one attempt;
-- it is not UTF-8, nested deeper than {MAX_DEPTH} levels, larger than {MAX_TEXT_BYTES:,} bytes as
-  text or {MAX_CANONICAL_BYTES:,} bytes in canonical form, or its compressed form larger than
-  {MAX_VALUE_BYTES:,} bytes.
+- it is not UTF-8, nested deeper than {MAX_DEPTH} levels, larger than {MAX_TEXT_BYTES:,} bytes or
+  {MAX_VALUES:,} values as text, {MAX_CANONICAL_BYTES:,} bytes in canonical form, or
+  {MAX_VALUE_BYTES:,} bytes compressed.
 
 A field that neither a policy nor those it extends set has this default: `execution` `unsafe`,
 `timeout_ms` {DEFAULT_TIMEOUT_MS}, `stall_timeout_ms` {DEFAULT_STALL_TIMEOUT_MS}, `attempts`
