--- a/packages/godwitpass-daemon/src/godwitpass_daemon/eventlog/limiter.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/eventlog/limiter.py
@@ -1,8 +1,15 @@
-"""Bound on the events of one kind, so that a storm does not cost the daemon its budget."""
+"""Bounds on events, so that a storm does not cost the daemon its budget."""
+
+from collections import Counter
 
 import msgspec
 
 MAX_EVENTS_PER_WINDOW = 50
+"""Events of one kind."""
+
+MAX_EVENTS_IN_ALL = 150
+"""Events of all kinds in a window."""
+
 WINDOW_S = 1.0
 
 
@@ -14,7 +21,7 @@
 
 
 class EventLimiter:
-    """Admits `MAX_EVENTS_PER_WINDOW` events of each kind in each window.
+    """Admits so many events of each kind, and of all, in each window.
 
     >>> limiter = EventLimiter()
     >>> sum(limiter.admit(201, now=0.5).admitted for _ in range(80))
@@ -24,18 +31,19 @@
     """
 
     def __init__(self) -> None:
-        self._window: dict[int, int] = {}
-        self._passed: dict[int, int] = {}
-        self._suppressed: dict[int, int] = {}
+        self._window = 0
+        self._passed: Counter[int] = Counter()
+        self._suppressed: Counter[int] = Counter()
 
     def admit(self, number: int, now: float) -> Admission:
         """Decide about one event of kind `number` at time `now`, in seconds."""
         window = int(now / WINDOW_S)
-        if self._window.get(number) != window:
-            self._window[number] = window
-            self._passed[number] = 0
-        if self._passed[number] >= MAX_EVENTS_PER_WINDOW:
-            self._suppressed[number] = self._suppressed.get(number, 0) + 1
+        if window != self._window:
+            self._window = window
+            self._passed.clear()
+        full = self._passed.total() >= MAX_EVENTS_IN_ALL
+        if full or self._passed[number] >= MAX_EVENTS_PER_WINDOW:
+            self._suppressed[number] += 1
             return Admission(admitted=False)
         self._passed[number] += 1
         return Admission(True, self._suppressed.pop(number, 0))
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/eventlog/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/eventlog/service.py
@@ -11,7 +11,7 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 
-from godwitpass.events import EventKind, Field, TimelineEvent
+from godwitpass.events import EventKind, Field, Level, TimelineEvent
 from godwitpass.ids import NO_VERSION
 from godwitpass.snapshot import Snapshot
 from godwitpass_daemon.eventlog.events import STARTED, STOPPING, SUPPRESSED
@@ -38,16 +38,15 @@
         self._limiter = EventLimiter()
         self._logger = logger.bind(event_log=id(self))
         self._sinks: list[int] = []
+        levels = list(Level)
+        self._logged = frozenset(levels[levels.index(settings.log_level) :])
 
     async def start(self, tasks: TaskGroup) -> None:
         """Open the log."""
-        with contextlib.suppress(ValueError):
-            # The library's own sink; another event log may have removed it.
-            logger.remove(0)
         as_json = self._settings.log_format is LogFormat.JSON
         self._add_sink(sys.stderr, as_json)
         if self._settings.log_file is not None:
-            self._add_sink(self._settings.log_file, as_json=True)
+            self.open_file(self._settings.log_file)
         self.emit(STARTED)
 
     async def stop(self) -> None:
@@ -57,6 +56,10 @@
             logger.remove(sink)
         self._sinks.clear()
 
+    def open_file(self, path: str) -> None:
+        """Write all further events to the file at `path` too, as JSON lines."""
+        self._add_sink(path, as_json=True)
+
     def emit(self, kind: EventKind, /, **fields: Field) -> None:
         """Add an event; past a bound of events of one kind a second it is only counted."""
         now = self._clock()
@@ -90,7 +93,7 @@
             fields,
         )
         self._ring.append(event)
-        if self._sinks:
+        if self._sinks and kind.level in self._logged:
             self._logger.bind(event=event).log(kind.level.value, render_event(event))
 
     def _add_sink(self, target: object, as_json: bool) -> None:
@@ -101,6 +104,9 @@
             record["extra"]["line"] = msgspec.json.encode(record["extra"]["event"]).decode()
             return "{extra[line]}\n"
 
+        with contextlib.suppress(ValueError):
+            # The library's own sink; another event log may have removed it.
+            logger.remove(0)
         # The library would otherwise print local variables, secrets among them.
         options = {"filter": accept, "level": 0, "diagnose": False, "backtrace": False}
         form = format_json if as_json else TEXT_FORMAT
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/settings.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/settings.py
@@ -11,6 +11,7 @@
 
 from godwitpass.document import NAME_PATTERN
 from godwitpass.errors import Finding, InvalidSettings
+from godwitpass.events import Level
 from godwitpass.ids import Address, InstanceId, RegionId, ServiceName, ZoneId
 from godwitpass.internal.validation.findings import Findings
 from godwitpass.internal.validation.reader import read_struct
@@ -100,6 +101,9 @@
     log_format: Annotated[LogFormat, Meta(description="Form of the log on standard error.")] = (
         LogFormat.TEXT
     )
+    log_level: Annotated[
+        Level, Meta(description="Least severity in the log; the time line has all events.")
+    ] = Level.INFO
     profile: Annotated[Profile, Meta(description="Size of the deployment; chooses defaults.")] = (
         Profile.SMALL
     )
--- a/packages/godwitpass-daemon/tests/eventlog/test_eventlog.py
+++ b/packages/godwitpass-daemon/tests/eventlog/test_eventlog.py
@@ -10,7 +10,7 @@
 from godwitpass.ids import Address, ChangeId, ContentHash, InstanceId, RegionId, Version, ZoneId
 from godwitpass.snapshot import Snapshot
 from godwitpass.timeline import InvalidTimeline, merge_timelines, parse_timeline
-from godwitpass_daemon.eventlog.limiter import MAX_EVENTS_PER_WINDOW
+from godwitpass_daemon.eventlog.limiter import MAX_EVENTS_IN_ALL, MAX_EVENTS_PER_WINDOW
 from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.settings import ListenSettings, LogFormat, Settings
 
@@ -78,6 +78,28 @@
         log.emit(APPLIED)
         assert log.list_events()[-2].fields == {"number": 201, "count": 30}
 
+    def test_many_kinds_together_stay_within_the_bound_of_all(self) -> None:
+        log = EventLog(build_settings("one"), clock=lambda: 10.0)
+        for number in range(400):
+            log.emit(EventKind(number, f"kind-{number}", "One of many."))
+        assert len(log.list_events()) == MAX_EVENTS_IN_ALL
+
+    def test_events_below_the_level_are_kept_and_not_logged(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        log = EventLog(build_settings("one", log_level=Level.WARNING))
+
+        async def run() -> None:
+            async with anyio.create_task_group() as tasks:
+                await log.start(tasks)
+            log.emit(APPLIED)
+            await log.stop()
+
+        anyio.run(run)
+        assert len(log.list_events()) == 3
+        (line,) = capsys.readouterr().err.splitlines()
+        assert "201 version-applied" in line
+
     def test_events_after_a_sequence_are_the_later_ones(self) -> None:
         log = EventLog(build_settings("one"))
         log.emit(APPLIED)
--- a/packages/godwitpass/src/godwitpass/events.py
+++ b/packages/godwitpass/src/godwitpass/events.py
@@ -15,7 +15,7 @@
 
 
 class Level(Enum):
-    """Severity of an event, named as in the log library."""
+    """Severity of an event, named as in the log library, the least first."""
 
     DEBUG = "DEBUG"
     INFO = "INFO"
--- a/testkit/src/godwitpass_testkit/reference/pages.py
+++ b/testkit/src/godwitpass_testkit/reference/pages.py
@@ -17,6 +17,7 @@
 )
 from godwitpass.store import MAX_VALUE_BYTES
 from godwitpass_daemon.admin.openapi import describe_api
+from godwitpass_daemon.eventlog.limiter import MAX_EVENTS_IN_ALL, MAX_EVENTS_PER_WINDOW
 from godwitpass_daemon.settings import PROFILES, Settings
 from godwitpass_testkit.reference.catalogue import render_catalogue
 from godwitpass_testkit.reference.commands import render_commands
@@ -58,12 +59,13 @@
 a port. Secrets have at least 16 characters and are better kept in files of their own.
 """
 
-EVENTS_INTRODUCTION = """\
+EVENTS_INTRODUCTION = f"""\
 # Events
 
 Every event has a number that never changes its meaning, and carries time, sequence, instance,
 availability zone, region and the version in force. `godwitctl timeline` merges the events of many
-daemons. Past 50 events of one kind in a second a daemon counts them only (number 102).
+daemons. Past {MAX_EVENTS_PER_WINDOW} events of one kind or {MAX_EVENTS_IN_ALL} of all kinds in a
+second a daemon only counts them (number 102).
 """
 
 COMMANDS_INTRODUCTION = """\
