Give each shard of claims one region and pass claims on to it

Cause: a daemon knows its own region in full and a few contacts of the others, so each region chose its own holder of a shard: nine holders would write nine times the shard's share. Change: placement ranks regions first, then the daemons of that region; a claim for another region goes to a contact there, which passes it on once; the holder answers the asker directly. Figures: 15 daemons in 3 regions asking at once: 1 holder, no conflict. When each region sees only itself there are 3 holders, and still 1 grant of a key. Conclusion: the store's writes follow the shards, not the regions.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -54,6 +54,7 @@
     kernel.register(
         "claims",
         lambda found: ClaimsService(
+            settings.region,
             found.find("store", StoreClient),
             found.find("peers", PeerTransport),
             found.find("membership", MembershipService),
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/claims.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/claims.py
@@ -9,7 +9,7 @@
 from anyio.abc import TaskGroup
 
 from godwitpass.errors import StoreError, StoreOutcomeUnknown
-from godwitpass.ids import Address
+from godwitpass.ids import Address, RegionId
 from godwitpass.internal.actions import Report, Send, Wake
 from godwitpass.internal.calls.outcomes import Outcome
 from godwitpass.internal.claims.claimant import Resolve
@@ -33,6 +33,7 @@
     Receive,
     Tick,
 )
+from godwitpass.internal.claims.placement import Peer
 from godwitpass.internal.claims.steps import (
     Failure,
     StoreAnswered,
@@ -67,7 +68,14 @@
 class ClaimsService:
     """Runs a `ClaimsNode` on the real clock, store and peer transport."""
 
-    def __init__(self, store: Store, peers: Peers, membership: Membership, events: Events) -> None:
+    def __init__(
+        self,
+        region: RegionId,
+        store: Store,
+        peers: Peers,
+        membership: Membership,
+        events: Events,
+    ) -> None:
         self._store = store
         self._peers = peers
         self._membership = membership
@@ -76,11 +84,12 @@
         self._tasks: TaskGroup | None = None
         self._waiters: dict[int, _Waiter] = {}
         self._sent: dict[Digest, int] = {}
-        self._known: frozenset[Address] = frozenset()
+        self._known: frozenset[Peer] = frozenset()
         self._members_changed = True
         self._wake_at = float("inf")
         self._woken = anyio.Event()
-        self._node = ClaimsNode(peers.address, self._random, time.time() - time.monotonic())
+        own = Peer(peers.address, region)
+        self._node = ClaimsNode(own, self._random, time.time() - time.monotonic())
 
     async def start(self, tasks: TaskGroup) -> None:
         """Listen to peers; claims are answered from now on."""
@@ -140,7 +149,7 @@
         assert self._tasks is not None, "the service is started before it is used"
         match action:
             case Send(to, message) if to == self._peers.address:
-                self._tasks.start_soon(self._receive_own, Receive(to, message))
+                self._tasks.start_soon(self._receive_own, Receive(message))
             case Send(to, message):
                 self._peers.send(Channel.CLAIMS, to, encode_message(message))
             case Wake(at):
@@ -165,7 +174,7 @@
             message = decode_message(payload)
         except msgspec.DecodeError:
             return
-        self._handle(Receive(sender, message))
+        self._handle(Receive(message))
 
     async def _receive_own(self, event: Receive) -> None:
         self._handle(event)
@@ -215,7 +224,7 @@
 
     def _update_members(self) -> None:
         members = frozenset(
-            member.address
+            Peer(member.address, member.region)
             for member in self._membership.members()
             if member.state in (MemberState.ALIVE, MemberState.SUSPECT)
         )
--- a/packages/godwitpass-daemon/tests/claims/test_service.py
+++ b/packages/godwitpass-daemon/tests/claims/test_service.py
@@ -64,7 +64,13 @@
         store = FakeStore(state, time.monotonic)
         network: dict[Address, Handler] = {}
         services = [
-            ClaimsService(store, MemoryPeers(address, network), FixedMembership(), NoEvents())
+            ClaimsService(
+                RegionId("great-lakes"),
+                store,
+                MemoryPeers(address, network),
+                FixedMembership(),
+                NoEvents(),
+            )
             for address in ADDRESSES
         ]
         with anyio.fail_after(LIMIT_S):
--- a/packages/godwitpass/src/godwitpass/internal/claims/claimant.py
+++ b/packages/godwitpass/src/godwitpass/internal/claims/claimant.py
@@ -42,7 +42,6 @@
     deadline: float
     ask_at: float
     asks: int = 0
-    asked: tuple[Address, ...] = ()
 
 
 class _OpenMark(msgspec.Struct):
@@ -58,7 +57,8 @@
 class Claimant:
     """Asks the holders of shards; a call may be sent only after `GRANTED`."""
 
-    def __init__(self, placement: Placement, generations: Generations) -> None:
+    def __init__(self, own: Address, placement: Placement, generations: Generations) -> None:
+        self._own = own
         self._placement = placement
         self._generations = generations
         self._questions: dict[int, _Question] = {}
@@ -130,14 +130,14 @@
         question.asks += 1
         question.ask_at = now + ASK_AGAIN_S
         generation = self._generations.highest(question.key.shard)
-        request = ClaimRequest(token, question.key, generation)
         holder = self._placement.holder(question.key.shard, rank)
-        return [Send(holder, request), Wake(question.ask_at)]
+        request = ClaimRequest(token, question.key, generation, self._own, rank, holder.is_contact)
+        return [Send(holder.address, request), Wake(question.ask_at)]
 
     def _open_mark(self, token: int, key: ClaimKey, status: int, now: float) -> Actions:
         if len(self._marks) >= MAX_MARKS:
             return []
-        opened = _OpenMark(Mark(token, key, status), now)
+        opened = _OpenMark(Mark(token, key, status, self._own), now)
         self._marks[token] = opened
         return self._send_mark(token, opened, now)
 
@@ -148,4 +148,5 @@
         holder = self._placement.holder(opened.mark.key.shard, 0)
         opened.send_at = now + MARK_AGAIN_S * 2.0**opened.attempts
         opened.attempts += 1
-        return [Send(holder, opened.mark), Wake(opened.send_at)]
+        mark = msgspec.structs.replace(opened.mark, pass_on=holder.is_contact)
+        return [Send(holder.address, mark), Wake(opened.send_at)]
--- a/packages/godwitpass/src/godwitpass/internal/claims/holder.py
+++ b/packages/godwitpass/src/godwitpass/internal/claims/holder.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from godwitpass.ids import Address, Revision
+from godwitpass.ids import Revision
 from godwitpass.internal.actions import Report, Send, Wake
 from godwitpass.internal.claims import events
 from godwitpass.internal.claims.generations import Generations
@@ -74,23 +74,23 @@
         """Whether the shard is in memory."""
         return self._table is not None
 
-    def ask(self, asker: Address, request: ClaimRequest, now: float, wall: float) -> Actions:
+    def ask(self, request: ClaimRequest, now: float, wall: float) -> Actions:
         """Take a claim; it is answered once it is written."""
         self._used_at = now
         known = self._generations.record(self.shard, request.generation)
         if now < self._backoff.until:
-            return [*self._inbox.refuse(asker, request.token)]
+            return [*self._inbox.refuse(request)]
         if self._phase is Phase.READY and self._table and self._table.generation < known:
             self._phase = Phase.EMPTY
-        refusals = self._inbox.add_claim(asker, request, now)
+        refusals = self._inbox.add_claim(request, now)
         return [*refusals, Wake(now + PATIENCE_S), *self._proceed(now, wall)]
 
-    def mark(self, asker: Address, mark: Mark, now: float, wall: float) -> Actions:
+    def mark(self, mark: Mark, now: float, wall: float) -> Actions:
         """Take what became of a claim; it is written along with the next claims."""
         self._used_at = now
         if now < self._backoff.until:
             return []
-        self._inbox.add_mark(asker, mark, now)
+        self._inbox.add_mark(mark, now)
         return [Wake(now + MARK_DELAY_S), *self._proceed(now, wall)]
 
     def tick(self, now: float, wall: float) -> Actions:
--- a/packages/godwitpass/src/godwitpass/internal/claims/inbox.py
+++ b/packages/godwitpass/src/godwitpass/internal/claims/inbox.py
@@ -2,7 +2,6 @@
 
 import msgspec
 
-from godwitpass.ids import Address
 from godwitpass.internal.actions import Send
 from godwitpass.internal.claims.batch import Decision, apply_claim, apply_mark
 from godwitpass.internal.claims.generations import Generations
@@ -29,14 +28,12 @@
 
 class _PendingClaim(msgspec.Struct):
     request: ClaimRequest
-    asker: Address
     expires_at: float
     is_unsettled: bool = False
 
 
 class _PendingMark(msgspec.Struct):
     mark: Mark
-    asker: Address
     due_at: float
 
 
@@ -56,19 +53,19 @@
         """Whether nothing waits."""
         return not (self._claims or self._marks)
 
-    def add_claim(self, asker: Address, request: ClaimRequest, now: float) -> Replies:
+    def add_claim(self, request: ClaimRequest, now: float) -> Replies:
         """Keep a claim; refused when there are too many."""
         if request.token in self._claims:
             return []
         if len(self._claims) >= MAX_PENDING:
-            return self.refuse(asker, request.token)
-        self._claims[request.token] = _PendingClaim(request, asker, now + PATIENCE_S)
+            return self.refuse(request)
+        self._claims[request.token] = _PendingClaim(request, now + PATIENCE_S)
         return []
 
-    def add_mark(self, asker: Address, mark: Mark, now: float) -> None:
+    def add_mark(self, mark: Mark, now: float) -> None:
         """Keep a mark; one too many is dropped, and its sender repeats it."""
         if len(self._marks) < MAX_PENDING:
-            self._marks.setdefault(mark.token, _PendingMark(mark, asker, now + MARK_DELAY_S))
+            self._marks.setdefault(mark.token, _PendingMark(mark, now + MARK_DELAY_S))
 
     def is_due(self, now: float) -> bool:
         """Tell whether a claim waits, or a mark has waited long enough."""
@@ -88,10 +85,10 @@
         """Answer what was decided, now that the table is stored."""
         replies: Replies = []
         for token, decision in self._decisions.items():
-            asker = self._claims.pop(token).asker
-            replies.append(self._reply(asker, token, decision.outcome, decision.status))
+            request = self._claims.pop(token).request
+            replies.append(self._reply(request, decision.outcome, decision.status))
         for token in self._applied_marks:
-            replies.append(Send(self._marks.pop(token).asker, MarkReply(token)))
+            replies.append(Send(self._marks.pop(token).mark.asker, MarkReply(token)))
         self._decisions, self._applied_marks = {}, ()
         return replies
 
@@ -107,30 +104,30 @@
             if pending.expires_at > now:
                 continue
             pending.is_unsettled |= is_writing
-            replies.append(self._give_up(token, pending))
+            replies.append(self._give_up(pending))
             del self._claims[token]
             self._decisions.pop(token, None)
         return replies
 
     def refuse_all(self) -> Replies:
         """Answer all claims and drop the marks, whose senders repeat them."""
-        replies = [self._give_up(token, pending) for token, pending in self._claims.items()]
+        replies = [self._give_up(pending) for pending in self._claims.values()]
         self._claims.clear()
         self._marks.clear()
         self._decisions, self._applied_marks = {}, ()
         return replies
 
-    def refuse(self, asker: Address, token: int) -> Replies:
+    def refuse(self, request: ClaimRequest) -> Replies:
         """Answer a claim that is not even kept."""
-        return [self._reply(asker, token, ClaimOutcome.UNAVAILABLE)]
+        return [self._reply(request, ClaimOutcome.UNAVAILABLE)]
 
-    def _give_up(self, token: int, pending: _PendingClaim) -> Send[ClaimMessage]:
+    def _give_up(self, pending: _PendingClaim) -> Send[ClaimMessage]:
         unsettled = pending.is_unsettled
         outcome = ClaimOutcome.UNSETTLED if unsettled else ClaimOutcome.UNAVAILABLE
-        return self._reply(pending.asker, token, outcome)
+        return self._reply(pending.request, outcome)
 
     def _reply(
-        self, asker: Address, token: int, outcome: ClaimOutcome, status: int = 0
+        self, request: ClaimRequest, outcome: ClaimOutcome, status: int = 0
     ) -> Send[ClaimMessage]:
         generation = self._generations.highest(self._shard)
-        return Send(asker, ClaimReply(token, outcome, status, generation))
+        return Send(request.asker, ClaimReply(request.token, outcome, status, generation))
--- a/packages/godwitpass/src/godwitpass/internal/claims/messages.py
+++ b/packages/godwitpass/src/godwitpass/internal/claims/messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from godwitpass.ids import Address
 from godwitpass.internal.claims.keys import SHARDS, ClaimKey, ShardId
 
 RELEASED = 1
@@ -36,12 +37,16 @@
 class ClaimRequest(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Asks for the right to run a call; `token` is unique to one sending by a caller.
 
-    `generation` is the highest that the asker has seen of the shard.
+    `generation` is the highest that the asker has seen of the shard. A daemon of another region
+    that gets it with `pass_on` sends it on to the holder of that rank.
     """
 
     token: int
     key: ClaimKey
     generation: int
+    asker: Address
+    rank: int = 0
+    pass_on: bool = False
 
 
 class ClaimReply(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -59,6 +64,8 @@
     token: int
     key: ClaimKey
     status: int
+    asker: Address
+    pass_on: bool = False
 
 
 class MarkReply(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/packages/godwitpass/src/godwitpass/internal/claims/node.py
+++ b/packages/godwitpass/src/godwitpass/internal/claims/node.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from godwitpass.ids import Address
 from godwitpass.internal.actions import Report, Send, Wake
 from godwitpass.internal.claims.claimant import Claimant, Resolve
 from godwitpass.internal.claims.generations import Generations
@@ -20,7 +19,7 @@
     MarkReply,
 )
 from godwitpass.internal.claims.pacing import SHARD_WRITES_PER_S, Pacing
-from godwitpass.internal.claims.placement import Placement
+from godwitpass.internal.claims.placement import Peer, Placement
 from godwitpass.internal.claims.steps import (
     StoreAnswered,
     StoreDelete,
@@ -61,7 +60,6 @@
 class Receive(msgspec.Struct, frozen=True):
     """A message of another daemon, or of this one to itself."""
 
-    sender: Address
     message: ClaimMessage
 
 
@@ -70,10 +68,10 @@
 
 
 class MembersChanged(msgspec.Struct, frozen=True):
-    """Peer addresses of daemons that came alive or died."""
+    """Daemons that came alive or died."""
 
-    joined: tuple[Address, ...] = ()
-    left: tuple[Address, ...] = ()
+    joined: tuple[Peer, ...] = ()
+    left: tuple[Peer, ...] = ()
 
 
 class ClockChanged(msgspec.Struct, frozen=True):
@@ -103,7 +101,7 @@
 
     def __init__(
         self,
-        own: Address,
+        own: Peer,
         rng: random.Random,
         wall_offset: float = 0.0,
         writes_per_s: float = SHARD_WRITES_PER_S,
@@ -112,7 +110,7 @@
         self._timers = Timers()
         self._placement = Placement(own)
         self._generations = generations = Generations()
-        self._claimant = Claimant(self._placement, generations)
+        self._claimant = Claimant(own.address, self._placement, generations)
         self._holders = tuple(
             ShardHolder(ShardId(shard), generations, rng, Pacing(writes_per_s))
             for shard in range(SHARDS)
@@ -139,8 +137,8 @@
         match event:
             case Ask(token, key, deadline):
                 return self._claimant.ask(token, key, now, wall, deadline)
-            case Receive(sender, message):
-                return self._receive(sender, message, now, wall)
+            case Receive(message):
+                return self._receive(message, now, wall)
             case StoreAnswered(shard):
                 actions = self._holders[shard].receive(event, now, wall)
                 return [*actions, *self._spread_generation(shard, now)]
@@ -158,20 +156,27 @@
                 self._wall_offset = wall_offset
         return []
 
-    def _receive(
-        self, sender: Address, message: ClaimMessage, now: float, wall: float
-    ) -> Iterable[ClaimsAction]:
+    def _receive(self, message: ClaimMessage, now: float, wall: float) -> Iterable[ClaimsAction]:
         match message:
             case ClaimRequest():
-                return self._holders[message.key.shard].ask(sender, message, now, wall)
+                if message.pass_on:
+                    return self._pass_on(message, message.rank)
+                return self._holders[message.key.shard].ask(message, now, wall)
             case Mark():
-                return self._holders[message.key.shard].mark(sender, message, now, wall)
+                if message.pass_on:
+                    return self._pass_on(message, 0)
+                return self._holders[message.key.shard].mark(message, now, wall)
             case ClaimReply() | MarkReply():
                 return self._claimant.receive(message, now)
             case GenerationSeen(shard, generation):
                 self._generations.record(shard, generation)
                 return ()
 
+    def _pass_on(self, message: ClaimRequest | Mark, rank: int) -> Iterable[ClaimsAction]:
+        """Send on what came from another region; no further, whatever this daemon believes."""
+        holder = self._placement.holder(message.key.shard, rank)
+        yield Send(holder.address, msgspec.structs.replace(message, pass_on=False))
+
     def _spread_generation(self, shard: ShardId, now: float) -> Iterable[ClaimsAction]:
         generation = self._generations.take_spread(shard, now)
         if generation is not None:
--- a/packages/godwitpass/tests/claims/test_failures.py
+++ b/packages/godwitpass/tests/claims/test_failures.py
@@ -1,10 +1,20 @@
+import random
+
 import pytest
 
-from godwitpass.ids import Address, Revision
+from godwitpass.ids import Address, RegionId, Revision
 from godwitpass.internal.claims import events, table
-from godwitpass.internal.claims.keys import KEY_LIFETIME_S, MAX_SKEW_S, InvalidKey, parse_key
+from godwitpass.internal.claims.keys import (
+    KEY_LIFETIME_S,
+    MAX_SKEW_S,
+    SHARDS,
+    InvalidKey,
+    ShardId,
+    parse_key,
+)
 from godwitpass.internal.claims.messages import ClaimOutcome
 from godwitpass.internal.claims.node import Cancel, Complete
+from godwitpass.internal.claims.placement import Peer, Placement
 from godwitpass.store import MAX_VALUE_BYTES
 from godwitpass_testkit.experiments.claims_world import World
 from godwitpass_testkit.store import Faults
@@ -209,6 +219,55 @@
         assert world.reports[events.SEGMENT_MISSING] == 1
 
 
+class TestRegions:
+    def build_world(self) -> tuple[World, dict[RegionId, list[Address]]]:
+        regions: dict[RegionId, list[Address]] = {RegionId(f"region-{n}"): [] for n in range(3)}
+        for number, members in enumerate(regions.values()):
+            members += [Address(f"10.{number}.0.{host}:7000") for host in range(5)]
+        homes = {a: region for region, members in regions.items() for a in members}
+        return World(1, homes, regions=homes), regions
+
+    def test_one_daemon_of_all_regions_serves_a_shard(self) -> None:
+        world, _ = self.build_world()
+        tokens = [
+            world.send(world.wall_key(bytes([n])), address)
+            for n, address in enumerate(world.machines)
+        ]
+        world.run(3)
+        holders = [a for a, machine in world.machines.items() if machine.node.loaded_shards]
+        assert len(holders) == 1
+        assert all(world.outcome(token) is ClaimOutcome.GRANTED for token in tokens)
+        assert world.reports[events.SHARD_CONFLICT] == 0
+
+    def test_regions_that_lose_each_other_still_run_a_key_once(self) -> None:
+        world, regions = self.build_world()
+        for members in regions.values():
+            for address in members:
+                world.show_members(address, members)
+        tokens = [world.send(world.wall_key(b"k"), address) for address in world.machines]
+        world.run(3)
+        outcomes = [world.outcome(token) for token in tokens]
+        assert outcomes.count(ClaimOutcome.GRANTED) == 1
+        assert sum(bool(m.node.loaded_shards) for m in world.machines.values()) == 3
+
+    def test_the_holders_are_the_same_whatever_came_and_went_before(self) -> None:
+        rng = random.Random(1)
+        region, other = RegionId("vest"), RegionId("great-lakes")
+        peers = [Peer(Address(f"10.0.0.{n}:7"), rng.choice((region, other))) for n in range(40)]
+        own = Peer(Address("10.0.1.1:7"), region)
+        placement, alive = Placement(own), {own}
+        for _ in range(400):
+            peer = rng.choice(peers)
+            joins = peer not in alive
+            placement.update([peer] if joins else [], [] if joins else [peer])
+            alive ^= {peer}
+            shard = ShardId(rng.randrange(SHARDS))
+            fresh = Placement(own)
+            fresh.update(alive, [])
+            for rank in range(3):
+                assert placement.holder(shard, rank) == fresh.holder(shard, rank)
+
+
 class TestWriteBudget:
     def test_a_shard_stays_within_its_writes_whatever_is_asked(self) -> None:
         world = build_world()
--- a/testkit/src/godwitpass_testkit/experiments/claims_world.py
+++ b/testkit/src/godwitpass_testkit/experiments/claims_world.py
@@ -4,14 +4,14 @@
 import itertools
 import random
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from functools import partial
 
 import msgspec
 
 from godwitpass.errors import StoreOutcomeUnknown, StoreUnavailable
 from godwitpass.events import EventKind
-from godwitpass.ids import Address
+from godwitpass.ids import Address, RegionId
 from godwitpass.internal.actions import Report, Send, Wake
 from godwitpass.internal.claims.claimant import Resolve
 from godwitpass.internal.claims.keys import ClaimKey
@@ -33,6 +33,7 @@
     Receive,
     Tick,
 )
+from godwitpass.internal.claims.placement import Peer
 from godwitpass.internal.claims.steps import (
     Failure,
     StoreAnswered,
@@ -47,6 +48,9 @@
 
 WALL_OFFSET_S = 1_700_000_000.0
 STORE_TIMEOUT_S = 2.0
+ONE_REGION = RegionId("great-lakes")
+NO_REGIONS: Mapping[Address, RegionId] = {}
+CONTACTS = 2
 Answer = Entry | WatchResult | PutResult | Failure
 
 
@@ -85,7 +89,13 @@
 class World:
     """Runs claims nodes; `runs` counts how often the call of each key ran."""
 
-    def __init__(self, seed: int, addresses: Iterable[Address], writes_per_s: float = 6.25) -> None:
+    def __init__(
+        self,
+        seed: int,
+        addresses: Iterable[Address],
+        writes_per_s: float = 6.25,
+        regions: Mapping[Address, RegionId] = NO_REGIONS,
+    ) -> None:
         self.now = 0.0
         self.weather = Weather()
         self.store = StoreState(seed)
@@ -96,6 +106,7 @@
         self.peer_bytes = 0
         self.random = random.Random(seed)
         self._writes_per_s = writes_per_s
+        self._regions = regions
         self._order = itertools.count()
         self._queue: list[tuple[float, int, Callable[[], object]]] = []
         self.machines = {address: _Machine(self._build_node(address)) for address in addresses}
@@ -104,7 +115,8 @@
 
     def _build_node(self, address: Address) -> ClaimsNode:
         seed = self.random.getrandbits(64)
-        return ClaimsNode(address, random.Random(seed), WALL_OFFSET_S, self._writes_per_s)
+        own = self._peer(address)
+        return ClaimsNode(own, random.Random(seed), WALL_OFFSET_S, self._writes_per_s)
 
     def at(self, time: float, callback: Callable[[], object]) -> None:
         """Call `callback` at `time`."""
@@ -123,11 +135,28 @@
         return msgspec.convert((padded, int(WALL_OFFSET_S + self.now - age)), ClaimKey)
 
     def show_members(self, address: Address, members: Iterable[Address]) -> None:
-        """Let one daemon believe that just `members` are alive."""
-        joined = tuple(members)
-        left = tuple(member for member in self.machines if member not in joined)
+        """Let one daemon believe that of those it may know just `members` are alive."""
+        known = self._list_known(address)
+        alive = set(members)
+        joined = tuple(self._peer(member) for member in known if member in alive)
+        left = tuple(self._peer(member) for member in known if member not in alive)
         self.deliver(address, MembersChanged(joined, left))
 
+    def _peer(self, address: Address) -> Peer:
+        return Peer(address, self._regions.get(address, ONE_REGION))
+
+    def _list_known(self, address: Address) -> list[Address]:
+        """Return the daemons of one daemon's region and a few contacts of each other region."""
+        known: dict[RegionId, list[Address]] = {}
+        for member in self.machines:
+            known.setdefault(self._peer(member).region, []).append(member)
+        own = self._peer(address).region
+        return [
+            member
+            for region, members in known.items()
+            for member in (members if region == own else members[:CONTACTS])
+        ]
+
     def pause(self, address: Address, seconds: float) -> None:
         """Stop one daemon for a while; what arrives meanwhile is handled afterwards."""
         self.machines[address].paused_until = self.now + seconds
@@ -195,7 +224,7 @@
             delay = 0.0
             if sender != to:
                 delay = self.weather.peer_delay + self.random.random() * self.weather.peer_jitter
-            event = Receive(sender, decoded)
+            event = Receive(decoded)
             self.at(self.now + delay, partial(self.deliver, to, event))
 
     def _resolve(self, address: Address, resolve: Resolve) -> None:
