--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/membership/delegate.py
@@ -0,0 +1,198 @@
+"""What a few daemons do for their region: publish its sums and talk to other regions."""
+
+import heapq
+from collections.abc import Sequence
+from itertools import zip_longest
+
+import msgspec
+
+from godwitpass.ids import RegionId, ServiceName, ZoneId
+from godwitpass.internal.actions import Report, Send
+from godwitpass.internal.membership.events import REGION_FOUND, REGION_LOST
+from godwitpass.internal.membership.messages import (
+    DAEMONS,
+    BeatUpdate,
+    Contact,
+    Gossip,
+    Message,
+    SumUpdate,
+    Update,
+)
+from godwitpass.internal.membership.state import State
+from godwitpass.mesh import Member, UpstreamState
+
+SETTLE_S = 10.0
+"""A daemon that has just joined publishes nothing, since it may not know all members yet."""
+
+DAEMON_SUM_DELAY_S = 10.0
+
+Action = Send[Message] | Report
+
+
+class Delegate:
+    """Acts while this daemon has one of the lowest keys of its region.
+
+    Which daemons those are needs no agreement: two that act at once publish equal sums, and the
+    higher version wins everywhere.
+    """
+
+    def __init__(self, state: State) -> None:
+        self._state = state
+        self._rank: int | None = None
+        self._ranked_generation = -1
+        self._counted_generation = -1
+        self._due: dict[ServiceName, float] = {}
+        self._settled_at = float("inf")
+        self._cross_at = 0.0
+
+    def settle(self, now: float) -> None:
+        """Note that this daemon has just joined."""
+        self._settled_at = now + SETTLE_S
+
+    def advance(self, now: float) -> list[Action]:
+        """Publish what has changed; called about once a second."""
+        state = self._state
+        actions = self._find_lost_regions(now)
+        changed, state.table.changed_services = state.table.changed_services, set()
+        self._update_rank()
+        if self._rank is None or now < self._settled_at:
+            self._due.clear()
+            return actions
+        self._schedule(changed, now)
+        actions += self._publish(now)
+        actions += self._beat(now)
+        return actions + self._probe_region(now)
+
+    def _find_lost_regions(self, now: float) -> list[Action]:
+        before = now - self._state.tuning.region_lost_s
+        lost = self._state.regions.find_newly_lost(before)
+        return [Report(REGION_LOST, {"lost": region}) for region in lost]
+
+    def _update_rank(self) -> None:
+        table, own = self._state.table, self._state.own.key
+        if self._ranked_generation == table.generation:
+            return
+        self._ranked_generation = table.generation
+        keys = (record.key for record in table.living())
+        lowest = heapq.nsmallest(self._state.tuning.delegates, keys)
+        rank = lowest.index(own) if own in lowest else None
+        if rank is not None and self._rank is None:
+            self._mark_all()
+        self._rank = rank
+
+    def _mark_all(self) -> None:
+        """Compare all sums, since the delegates before may have left some undone."""
+        state = self._state
+        state.table.changed_services.update(state.table.services())
+        state.table.changed_services.update(state.regions.services_of(state.regions.own))
+
+    def _schedule(self, changed: set[ServiceName], now: float) -> None:
+        tuning, rank = self._state.tuning, self._rank
+        assert rank is not None
+        marked, self._state.table.changed_services = self._state.table.changed_services, set()
+        due = now + tuning.sum_delay_s + rank * tuning.delegate_stagger_s
+        for service in (changed | marked) - {DAEMONS}:
+            self._due.setdefault(service, due)
+        if self._counted_generation != self._state.table.generation:
+            self._counted_generation = self._state.table.generation
+            self._due.setdefault(DAEMONS, due + DAEMON_SUM_DELAY_S)
+
+    def _publish(self, now: float) -> list[Action]:
+        due = [service for service, at in self._due.items() if at <= now]
+        updates: list[Update] = []
+        for service in due[: self._state.tuning.max_sums_per_s]:
+            del self._due[service]
+            update = self._sum_up(service)
+            if update is not None:
+                self._state.merge(update, now)
+                updates.append(update)
+        return self._push(updates)
+
+    def _sum_up(self, service: ServiceName) -> SumUpdate | None:
+        """Return the sum of `service`, None when the one held is right."""
+        regions = self._state.regions
+        held = regions.get(regions.own, service)
+        version = 0 if held is None else held.version
+        build = self._sum_up_daemons if service == DAEMONS else self._sum_up_upstreams
+        update = build(service, version)
+        if held is None:
+            return update if update.ready else None
+        if update == held:
+            return None
+        return msgspec.structs.replace(update, version=version + 1)
+
+    def _sum_up_upstreams(self, service: ServiceName, version: int) -> SumUpdate:
+        ready = [
+            upstream
+            for upstream in self._state.table.upstreams(service)
+            if upstream.state is UpstreamState.READY
+        ]
+        count = self._state.tuning.contacts_per_sum
+        sample = heapq.nsmallest(count, ready, key=lambda upstream: upstream.instance)
+        contacts = tuple(
+            Contact(upstream.instance, upstream.zone, upstream.address, upstream.slots)
+            for upstream in sample
+        )
+        slots = sum(upstream.slots for upstream in ready)
+        return SumUpdate(self._state.regions.own, service, version, len(ready), slots, contacts)
+
+    def _sum_up_daemons(self, service: ServiceName, version: int) -> SumUpdate:
+        members = self._state.table.members()
+        contacts = tuple(
+            Contact(member.instance, member.zone, member.address)
+            for member in _choose_across_zones(members, self._state.tuning.contacts_per_region)
+        )
+        return SumUpdate(self._state.regions.own, service, version, len(members), 0, contacts)
+
+    def _beat(self, now: float) -> list[Action]:
+        """Show that the region lives, unless another delegate did so lately."""
+        state, rank = self._state, self._rank
+        assert rank is not None
+        held = state.regions.beats.get(state.regions.own)
+        interval_s = state.tuning.beat_s * (1 + rank / 2)
+        if held is not None and now - held.heard_at < interval_s:
+            return []
+        # A restarted region must exceed the beats that others remember: its clock does.
+        number = 1 + (held.beat if held is not None else state.identity.started_s)
+        update = BeatUpdate(state.regions.own, number)
+        state.merge(update, now)
+        return self._push([update])
+
+    def _push(self, updates: list[Update]) -> list[Action]:
+        """Send `updates` to one contact of every other region."""
+        if not updates:
+            return []
+        message = Gossip(tuple(updates))
+        state = self._state
+        return [
+            Send(state.rng.choice(state.regions.contacts(region)).address, message)
+            for region in state.regions.others()
+        ]
+
+    def _probe_region(self, now: float) -> list[Action]:
+        """Compare sums with one other region."""
+        state = self._state
+        regions: list[RegionId] = state.regions.others()
+        if now < self._cross_at or not regions:
+            return []
+        self._cross_at = now + state.tuning.cross_probe_s
+        contact = state.rng.choice(state.regions.contacts(state.rng.choice(regions)))
+        return [state.build_cross_ping(contact.address)]
+
+
+def report_found(region: RegionId) -> Report:
+    """Report that `region` was heard of for the first time or again."""
+    return Report(REGION_FOUND, {"found": region})
+
+
+def _choose_across_zones(members: Sequence[Member], count: int) -> list[Member]:
+    """Return the first members of every zone in turn, a choice that seldom changes."""
+    by_zone: dict[ZoneId, list[Member]] = {}
+    for member in members:
+        by_zone.setdefault(member.zone, []).append(member)
+    share = -(-count // max(1, len(by_zone)))
+    firsts = [
+        heapq.nsmallest(share, zone, key=lambda member: member.instance)
+        for _, zone in sorted(by_zone.items())
+    ]
+    return [member for turn in zip_longest(*firsts) for member in turn if member][:count]
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/membership/digest.py
@@ -0,0 +1,80 @@
+"""Digests of a set of records in buckets, kept up to date with each change."""
+
+import struct
+from collections.abc import Iterator
+
+import xxhash
+
+BUCKETS = 256
+HASH_BYTES = 4
+DIGEST_BYTES = BUCKETS * HASH_BYTES
+_ITEM = struct.Struct("!QI")
+_NUMBERS = struct.Struct("!QQQ")
+_HASHES = struct.Struct(f"!{BUCKETS}I")
+
+
+class Buckets:
+    """Holds a 32-bit hash for each key; a bucket's hash is the XOR of those in it."""
+
+    def __init__(self) -> None:
+        self._items: list[dict[int, int]] = [{} for _ in range(BUCKETS)]
+        self._hashes = [0] * BUCKETS
+        self.root = 0
+
+    def put(self, key: int, value: int) -> None:
+        """Set the hash of `key`."""
+        self.remove(key)
+        bucket = key % BUCKETS
+        self._items[bucket][key] = value
+        self._change(bucket, value)
+
+    def remove(self, key: int) -> None:
+        """Remove `key` if present."""
+        bucket = key % BUCKETS
+        value = self._items[bucket].pop(key, None)
+        if value is not None:
+            self._change(bucket, value)
+
+    def encode(self) -> bytes:
+        """Return the hashes of all buckets."""
+        return _HASHES.pack(*self._hashes)
+
+    def find_differing(self, hashes: bytes) -> bytes:
+        """Return the numbers of the buckets that differ from `hashes`, one byte each."""
+        if len(hashes) != DIGEST_BYTES:
+            raise ValueError(f"a digest has {DIGEST_BYTES} bytes, not {len(hashes)}")
+        theirs = _HASHES.unpack(hashes)
+        return bytes(
+            bucket
+            for bucket, (mine, other) in enumerate(zip(self._hashes, theirs, strict=True))
+            if mine != other
+        )
+
+    def encode_items(self, buckets: bytes) -> bytes:
+        """Return keys and hashes of `buckets`."""
+        return b"".join(
+            _ITEM.pack(key, value)
+            for bucket in buckets
+            for key, value in self._items[bucket].items()
+        )
+
+    def items(self, buckets: bytes) -> dict[int, int]:
+        """Return keys and hashes of `buckets`."""
+        return {key: value for bucket in buckets for key, value in self._items[bucket].items()}
+
+    def _change(self, bucket: int, value: int) -> None:
+        self._hashes[bucket] ^= value
+        # Weighted by the bucket, so that equal changes in two buckets don't cancel out.
+        self.root ^= value * (2 * bucket + 1) & 0xFFFFFFFF
+
+
+def decode_items(data: bytes) -> Iterator[tuple[int, int]]:
+    """Yield keys and hashes; raises ValueError when truncated."""
+    if len(data) % _ITEM.size:
+        raise ValueError("truncated items")
+    yield from _ITEM.iter_unpack(data)
+
+
+def hash_numbers(key: int, first: int, second: int) -> int:
+    """Return the 32-bit hash of a record with these numbers."""
+    return xxhash.xxh3_64_intdigest(_NUMBERS.pack(key, first, second)) & 0xFFFFFFFF
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/membership/messages.py
@@ -0,0 +1,188 @@
+"""Messages between daemons, and the updates that they carry.
+
+A member is named by a 64-bit key, the hash of its instance id; see `hash_instance`.
+"""
+
+from enum import Enum
+
+import msgspec
+import xxhash
+
+from godwitpass.ids import Address, InstanceId, RegionId, ServiceName, ZoneId
+from godwitpass.mesh import MemberState, UpstreamState
+
+ANY_MEMBER = 0
+"""Key that stands for whichever member receives or sent the message."""
+
+DAEMONS = ServiceName("")
+"""The service name under which a region sums up its daemons."""
+
+
+class Scope(Enum):
+    """Which records a digest covers."""
+
+    MEMBERS = 0
+    SUMS = 1
+
+
+class AnnouncedUpstream(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What a daemon says of the upstream beside it."""
+
+    service: ServiceName
+    address: Address
+    state: UpstreamState
+    slots: int
+
+
+class Content(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """What a daemon says of itself; only the daemon itself changes it."""
+
+    instance: InstanceId
+    zone: ZoneId
+    region: RegionId
+    address: Address
+    upstream: AnnouncedUpstream | None = None
+
+
+class MemberUpdate(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Two independent registers of a member, each won by its highest value.
+
+    (`incarnation`, `state`) says whether it lives, `sequence` orders its contents. The content is
+    left out where the receiver most likely holds it. A dead member travels as a suspected one, so
+    that each daemon grants it time to refute.
+    """
+
+    key: int
+    incarnation: int
+    state: MemberState
+    sequence: int
+    content: Content | None = None
+
+
+class Contact(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One upstream of another region, or one daemon in a sum of daemons."""
+
+    instance: InstanceId
+    zone: ZoneId
+    address: Address
+    slots: int = 0
+
+
+class SumUpdate(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Ready upstreams and their slots of one service in one region, with a few of them.
+
+    The highest (`version`, encoding) wins.
+    """
+
+    region: RegionId
+    service: ServiceName
+    version: int
+    ready: int
+    slots: int
+    contacts: tuple[Contact, ...] = ()
+
+
+class BeatUpdate(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Shows that a region lives; the highest `beat` wins."""
+
+    region: RegionId
+    beat: int
+
+
+Update = MemberUpdate | SumUpdate | BeatUpdate
+
+
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Asks the member with key `target` for an `Ack`.
+
+    A ping between regions has no `member_root`.
+    """
+
+    nonce: int
+    target: int
+    member_root: int | None
+    sum_root: int
+    updates: tuple[Update, ...] = ()
+
+
+class Ack(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Answers a `Ping`."""
+
+    nonce: int
+    member_root: int | None
+    sum_root: int
+    updates: tuple[Update, ...] = ()
+
+
+class PingRequest(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Asks a helper to ping `target` at `address`; answered by `Relayed` if it lives."""
+
+    nonce: int
+    target: int
+    address: Address
+
+
+class Relayed(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Tells that the target of a `PingRequest` has answered."""
+
+    nonce: int
+
+
+class Gossip(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Carries updates that the sender has learnt lately."""
+
+    updates: tuple[Update, ...]
+
+
+class Digest(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Begins a repair: one hash for every bucket of the sender's records."""
+
+    scope: Scope
+    hashes: bytes
+
+
+class Items(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Keys and hashes of the sender's records in the buckets that differ."""
+
+    scope: Scope
+    buckets: bytes
+    items: bytes
+
+
+class Records(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Carries whole records and the keys of those that the sender lacks.
+
+    Where `reply` is set the receiver also returns records of which it holds a newer value.
+    """
+
+    scope: Scope
+    updates: tuple[Update, ...]
+    wanted: tuple[int, ...] = ()
+    reply: bool = False
+
+
+Message = Ping | Ack | PingRequest | Relayed | Gossip | Digest | Items | Records
+
+
+class SeedRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Value of `seeds/<zone>` in the store: a few daemons to make first contact with."""
+
+    region: RegionId
+    addresses: tuple[Address, ...] = ()
+
+
+def hash_instance(instance: InstanceId) -> int:
+    """Return the key of the member `instance`; never `ANY_MEMBER`."""
+    return xxhash.xxh3_64_intdigest(instance.encode()) or 1
+
+
+def hash_sum(region: RegionId, service: ServiceName) -> int:
+    """Return the key of the sum of `service` in `region`."""
+    return xxhash.xxh3_64_intdigest(f"{region}\0{service}".encode())
+
+
+def find_key(update: MemberUpdate | SumUpdate) -> int:
+    """Return the key under which digests list the subject of `update`."""
+    if isinstance(update, MemberUpdate):
+        return update.key
+    return hash_sum(update.region, update.service)
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/membership/regions.py
@@ -0,0 +1,147 @@
+"""Sums of all regions: ready upstreams by service, daemons, and a few contacts of each."""
+
+import sys
+from collections.abc import Iterable
+
+import msgspec
+
+from godwitpass.ids import RegionId, ServiceName
+from godwitpass.internal.membership.digest import Buckets, hash_numbers
+from godwitpass.internal.membership.messages import (
+    DAEMONS,
+    BeatUpdate,
+    Contact,
+    SumUpdate,
+    hash_sum,
+)
+from godwitpass.mesh import Upstream, UpstreamState
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+class Beat(msgspec.Struct):
+    """The highest beat heard of a region; `reachable` until none came for too long."""
+
+    beat: int
+    heard_at: float
+    reachable: bool = True
+
+
+class Regions:
+    """Holds the sums of every region and knows which other regions are reachable."""
+
+    def __init__(self, own: RegionId) -> None:
+        self.own = own
+        self.buckets = Buckets()
+        self.beats: dict[RegionId, Beat] = {}
+        self._sums: dict[int, SumUpdate] = {}
+        self._keys: dict[ServiceName, dict[RegionId, int]] = {}
+        self._cached: dict[ServiceName, tuple[Upstream, ...]] = {}
+
+    def merge_sum(self, update: SumUpdate) -> bool:
+        """Keep `update` if it is newer than what is held; tell whether it was."""
+        key = hash_sum(update.region, update.service)
+        held = self._sums.get(key)
+        if held is not None and not _is_newer(update, held):
+            return False
+        self._store(key, intern_sum(update))
+        return True
+
+    def merge_beat(self, update: BeatUpdate, now: float) -> bool:
+        """Keep `update` if it is newer than what is held; tell whether it was."""
+        held = self.beats.get(update.region)
+        if held is not None and update.beat <= held.beat:
+            return False
+        self.beats[update.region] = Beat(update.beat, now)
+        self._cached.clear()
+        return True
+
+    def find_newly_lost(self, heard_before: float) -> list[RegionId]:
+        """Mark the other regions not heard of since a time as unreachable and return them."""
+        lost = [
+            region
+            for region, beat in self.beats.items()
+            if beat.reachable and beat.heard_at < heard_before and region != self.own
+        ]
+        for region in lost:
+            self.beats[region].reachable = False
+            self._cached.clear()
+        return lost
+
+    def is_reachable(self, region: RegionId) -> bool:
+        """Tell whether `region` was heard of lately."""
+        beat = self.beats.get(region)
+        return beat is None or beat.reachable
+
+    def get(self, region: RegionId, service: ServiceName) -> SumUpdate | None:
+        """Return the sum of `service` in `region`."""
+        return self._sums.get(hash_sum(region, service))
+
+    def contacts(self, region: RegionId) -> tuple[Contact, ...]:
+        """Return a few daemons of `region`."""
+        held = self.get(region, DAEMONS)
+        return () if held is None else held.contacts
+
+    def others(self) -> list[RegionId]:
+        """Return the other regions of which contacts are known."""
+        regions = self._keys.get(DAEMONS, {})
+        return [region for region in regions if region != self.own and self.contacts(region)]
+
+    def sums(self, service: ServiceName) -> list[SumUpdate]:
+        """Return the sums of `service` in all regions where it was ever seen."""
+        return [self._sums[key] for key in self._keys.get(service, {}).values()]
+
+    def services_of(self, region: RegionId) -> list[ServiceName]:
+        """Return the services that have a sum in `region`."""
+        return [service for service, regions in self._keys.items() if region in regions]
+
+    def upstreams(self, service: ServiceName) -> tuple[Upstream, ...]:
+        """Return the known upstreams of `service` in other, reachable regions."""
+        cached = self._cached.get(service)
+        if cached is None:
+            cached = tuple(
+                build_remote_upstream(held, contact)
+                for held in self.sums(service)
+                if held.region != self.own and self.is_reachable(held.region)
+                for contact in held.contacts
+            )
+            self._cached[service] = cached
+        return cached
+
+    def build_updates(self, keys: Iterable[int]) -> list[SumUpdate]:
+        """Return the sums with these keys."""
+        return [self._sums[key] for key in keys if key in self._sums]
+
+    def _store(self, key: int, update: SumUpdate) -> None:
+        self._sums[key] = update
+        self._keys.setdefault(update.service, {})[update.region] = key
+        self._cached.pop(update.service, None)
+        self.buckets.put(key, hash_numbers(key, update.version, update.ready))
+
+
+def build_remote_upstream(held: SumUpdate, contact: Contact) -> Upstream:
+    """Build the public view of one contact of a sum."""
+    return Upstream(
+        contact.instance,
+        held.service,
+        contact.address,
+        contact.zone,
+        held.region,
+        UpstreamState.READY,
+        contact.slots,
+    )
+
+
+def intern_sum(update: SumUpdate) -> SumUpdate:
+    """Return `update` with shared service and region strings."""
+    return msgspec.structs.replace(
+        update,
+        region=RegionId(sys.intern(update.region)),
+        service=ServiceName(sys.intern(update.service)),
+    )
+
+
+def _is_newer(update: SumUpdate, held: SumUpdate) -> bool:
+    if update.version != held.version:
+        return update.version > held.version
+    return update != held and _encoder.encode(update) > _encoder.encode(held)
