--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/__init__.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/__init__.py
@@ -1,1 +1,1 @@
-"""Services of the daemon: thin shells around decision objects."""
+"""Kernel services: thin shells around the decisions of the `godwitpass` package."""
--- a/testkit/src/godwitpass_testkit/experiments/__init__.py
+++ b/testkit/src/godwitpass_testkit/experiments/__init__.py
@@ -1,1 +1,1 @@
-"""Experiments; each prints or writes rows of name, parameters, value and unit."""
+"""Experiments: each writes rows of figures as JSON."""
