--- a/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -30,7 +30,12 @@
     )
     kernel.register(
         "membership",
-        lambda found: MembershipService(settings, found.find("store", StoreClient)),
+        lambda found: MembershipService(
+            settings,
+            found.find("store", StoreClient),
+            found.find("peers", PeerTransport),
+            found.find("events", EventLog),
+        ),
     )
     kernel.register(
         "acceptance",
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/membership.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/membership.py
@@ -1,116 +1,135 @@
-"""Who is in the mesh: each daemon writes a leased record and watches the others'."""
+"""Knows the daemons and upstreams; the decisions are `internal.membership`'s."""
 
+import math
+import random
+import time
 from collections.abc import Callable, Sequence
 
 import anyio
 import msgspec
 from anyio.abc import TaskGroup
 
-from godwitpass.errors import StoreError
-from godwitpass.ids import NO_REVISION, InstanceId, LeaseId, Revision, ServiceName
-from godwitpass.mesh import Member, MemberState, Upstream, UpstreamState
+from godwitpass.ids import Address, ServiceName
+from godwitpass.internal.actions import Received, Report, Send, Wake, Woken
+from godwitpass.internal.membership import Announce, Identity, Leave, Membership, Start, Tuning
+from godwitpass.internal.membership.core import Event
+from godwitpass.internal.membership.tuning import DEFAULT_TUNING
+from godwitpass.internal.membership.wire import decode_message, encode_message
+from godwitpass.internal.requests import Request
+from godwitpass.mesh import Member, Upstream, UpstreamState
 from godwitpass.store import Store
-from godwitpass_daemon.settings import Settings
+from godwitpass_daemon.eventlog.service import EventLog
+from godwitpass_daemon.peers import Channel, PeerTransport
+from godwitpass_daemon.services.store_requests import perform_request
+from godwitpass_daemon.settings import Profile, Settings
 
-PREFIX = "members/"
-LEASE_S = 10.0
-WATCH_S = 10.0
-RETRY_S = 0.5
+FAREWELL_S = 0.5
+"""Time in which the news that this daemon leaves is passed on before it stops."""
+
+TUNINGS = {
+    Profile.SMALL: msgspec.structs.replace(DEFAULT_TUNING, join_spread_s=0.5),
+    Profile.LARGE: DEFAULT_TUNING,
+}
 
 
 class MembershipService:
-    """Announces this daemon and knows the others."""
+    """Tells the others of this daemon and its upstream, and knows theirs."""
 
-    def __init__(self, settings: Settings, store: Store) -> None:
-        self._settings = settings
+    def __init__(
+        self, settings: Settings, store: Store, peers: PeerTransport, events: EventLog
+    ) -> None:
         self._store = store
-        self._members: dict[InstanceId, Member] = {}
+        self._peers = peers
+        self._events = events
+        tuning: Tuning = TUNINGS[settings.profile]
+        self._membership = Membership(_identify(settings), random.Random(), tuning)
+        self._has_upstream = settings.upstream is not None
         self._callbacks: list[Callable[[], None]] = []
-        self._lease: LeaseId | None = None
-        self._state = UpstreamState.READY
+        self._generation = self._membership.generation
+        self._tasks: TaskGroup | None = None
+        self._wake_at = math.inf
+        self._woken = anyio.Event()
 
     async def start(self, tasks: TaskGroup) -> None:
-        """Announce and watch in the background."""
-        tasks.start_soon(self._renew)
-        tasks.start_soon(self._watch)
+        """Look for other daemons in the background."""
+        self._tasks = tasks
+        self._peers.subscribe(Channel.MEMBERSHIP, self._receive)
+        self._handle(Start())
+        if self._has_upstream:
+            self._handle(Announce(UpstreamState.READY))
+        tasks.start_soon(self._run_timer)
 
     async def stop(self) -> None:
-        """Withdraw the announcement."""
-        if self._lease is None:
-            return
-        try:
-            await self._store.revoke_lease(self._lease)
-        except StoreError:
-            return
+        """Tell the others that this daemon leaves."""
+        self._handle(Leave())
+        await anyio.sleep(FAREWELL_S)
+        self._tasks = None
 
     def members(self) -> Sequence[Member]:
-        """Return the daemons believed alive."""
-        return tuple(self._members.values())
+        """Return the daemons not known to be gone: all of this region, a few of the others."""
+        return self._membership.members()
 
     def upstreams(self, service: ServiceName) -> Sequence[Upstream]:
-        """Return the upstreams of `service`."""
-        found = (member.upstream for member in self._members.values())
-        return tuple(item for item in found if item is not None and item.service == service)
+        """Return the upstreams of `service` in any state: all of this region, a few of others."""
+        return self._membership.upstreams(service)
 
     def subscribe(self, callback: Callable[[], None]) -> None:
-        """Call `callback` after each change."""
+        """Call `callback` after each change of members or upstreams."""
         self._callbacks.append(callback)
 
     def announce(self, state: UpstreamState) -> None:
-        """Change the announced state of the local upstream."""
-        self._state = state
-
-    def _describe(self) -> Member:
-        settings = self._settings
-        upstream = None
-        if settings.upstream is not None:
-            upstream = Upstream(
-                settings.instance,
-                settings.upstream.service,
-                settings.upstream.address,
-                settings.zone,
-                settings.region,
-                self._state,
-                12,
-            )
-        return Member(
-            settings.instance,
-            settings.zone,
-            settings.region,
-            settings.listen.peer,
-            0,
-            0,
-            MemberState.ALIVE,
-            upstream,
-        )
-
-    async def _renew(self) -> None:
-        while True:
-            try:
-                if self._lease is None or not await self._store.renew_lease(self._lease):
-                    self._lease = await self._store.grant_lease(LEASE_S)
-                record = msgspec.msgpack.encode(self._describe())
-                key = PREFIX + self._settings.instance
-                await self._store.put(key, record, None, self._lease)
-            except StoreError:
-                await anyio.sleep(RETRY_S)
-                continue
-            await anyio.sleep(LEASE_S / 3)
-
-    async def _watch(self) -> None:
-        after: Revision = NO_REVISION
-        while True:
-            try:
-                result = await self._store.watch(PREFIX, after, WATCH_S)
-            except StoreError:
-                await anyio.sleep(RETRY_S)
-                continue
-            for entry in result.entries:
-                instance = InstanceId(entry.key.removeprefix(PREFIX))
-                if entry.value is None:
-                    self._members.pop(instance, None)
-                else:
-                    self._members[instance] = msgspec.msgpack.decode(entry.value, type=Member)
-            after = result.revision
+        """Tell all daemons that the upstream beside this one is in `state`."""
+        if self._has_upstream:
+            self._handle(Announce(state))
+
+    def _receive(self, sender: Address, payload: bytes) -> None:
+        self._handle(Received(sender, decode_message(payload)))
+
+    def _handle(self, event: Event) -> None:
+        if self._tasks is None:
+            return
+        for action in self._membership.handle(event, anyio.current_time()):
+            match action:
+                case Send():
+                    payload = encode_message(action.message)
+                    self._peers.send(Channel.MEMBERSHIP, action.to, payload)
+                case Wake():
+                    self._set_timer(action.at)
+                case Report():
+                    self._events.emit(action.kind, **action.fields)
+                case _:
+                    self._tasks.start_soon(self._request, action)
+        if self._generation != self._membership.generation:
+            self._generation = self._membership.generation
             for callback in self._callbacks:
                 callback()
+
+    async def _request(self, request: Request) -> None:
+        self._handle(await perform_request(self._store, request))
+
+    def _set_timer(self, at: float) -> None:
+        if at < self._wake_at:
+            self._wake_at = at
+            self._woken.set()
+
+    async def _run_timer(self) -> None:
+        while True:
+            with anyio.move_on_after(max(0.0, self._wake_at - anyio.current_time())):
+                await self._woken.wait()
+            self._woken = anyio.Event()
+            if anyio.current_time() >= self._wake_at:
+                self._wake_at = math.inf
+                self._handle(Woken())
+
+
+def _identify(settings: Settings) -> Identity:
+    upstream = settings.upstream
+    return Identity(
+        settings.instance,
+        settings.zone,
+        settings.region,
+        settings.listen.peer,
+        int(time.time()),
+        None if upstream is None else upstream.service,
+        None if upstream is None else upstream.address,
+    )
--- a/packages/godwitpass/src/godwitpass/internal/membership/core.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/core.py
@@ -57,6 +57,8 @@
         self._isolation = Isolation(tuning.isolation_s, tuning.isolation_grace_s)
         self._gossip_budget = TokenBucket(tuning.gossip_bytes_per_s, tuning.gossip_burst_bytes)
         self._joined_at: float | None = None
+        self._members: tuple[Member, ...] = ()
+        self._members_generation = -1
         self._probe_at = 0.0
         self._gossip_at = 0.0
         self._wake_at = float("inf")
@@ -68,12 +70,18 @@
 
     @property
     def generation(self) -> int:
-        """Return a number that grows with each change of what `members` returns."""
-        return self._state.table.generation
+        """Return a number that grows with each change of members or upstreams."""
+        return self._state.table.generation + self._state.regions.generation
 
     def members(self) -> Sequence[Member]:
-        """Return all daemons of the own region that are not known to be gone, oneself included."""
-        return self._state.table.members()
+        """Return the daemons that are not known to be gone, oneself included.
+
+        All of the own region, and a few of each availability zone of the others.
+        """
+        if self._members_generation != self.generation:
+            self._members_generation = self.generation
+            self._members = (*self._state.table.members(), *self._state.regions.members())
+        return self._members
 
     def upstreams(self, service: ServiceName) -> Sequence[Upstream]:
         """Return the upstreams of `service` in every state: all here, a few of other regions."""
--- a/packages/godwitpass/src/godwitpass/internal/membership/delegate.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/delegate.py
@@ -17,6 +17,7 @@
     Message,
     SumUpdate,
     Update,
+    hash_instance,
 )
 from godwitpass.internal.membership.state import State
 from godwitpass.mesh import Member, UpstreamState
@@ -186,13 +187,13 @@
 
 
 def _choose_across_zones(members: Sequence[Member], count: int) -> list[Member]:
-    """Return the first members of every zone in turn, a choice that seldom changes."""
+    """Return the lowest keys of every zone in turn, a choice that seldom changes."""
     by_zone: dict[ZoneId, list[Member]] = {}
     for member in members:
         by_zone.setdefault(member.zone, []).append(member)
     share = -(-count // max(1, len(by_zone)))
     firsts = [
-        heapq.nsmallest(share, zone, key=lambda member: member.instance)
+        heapq.nsmallest(share, zone, key=lambda member: hash_instance(member.instance))
         for _, zone in sorted(by_zone.items())
     ]
     return [member for turn in zip_longest(*firsts) for member in turn if member][:count]
--- a/packages/godwitpass/src/godwitpass/internal/membership/digest.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/digest.py
@@ -9,6 +9,7 @@
 HASH_BYTES = 4
 DIGEST_BYTES = BUCKETS * HASH_BYTES
 _ITEM = struct.Struct("!QI")
+ITEM_BYTES = _ITEM.size
 _NUMBERS = struct.Struct("!QQQ")
 _HASHES = struct.Struct(f"!{BUCKETS}I")
 
@@ -41,8 +42,7 @@
 
     def find_differing(self, hashes: bytes) -> bytes:
         """Return the numbers of the buckets that differ from `hashes`, one byte each."""
-        if len(hashes) != DIGEST_BYTES:
-            raise ValueError(f"a digest has {DIGEST_BYTES} bytes, not {len(hashes)}")
+        assert len(hashes) == DIGEST_BYTES, "checked on arrival"
         theirs = _HASHES.unpack(hashes)
         return bytes(
             bucket
@@ -69,9 +69,8 @@
 
 
 def decode_items(data: bytes) -> Iterator[tuple[int, int]]:
-    """Yield keys and hashes; raises ValueError when truncated."""
-    if len(data) % _ITEM.size:
-        raise ValueError("truncated items")
+    """Yield keys and hashes."""
+    assert len(data) % ITEM_BYTES == 0, "checked on arrival"
     yield from _ITEM.iter_unpack(data)
 
 
--- a/packages/godwitpass/src/godwitpass/internal/membership/discovery.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/discovery.py
@@ -71,7 +71,7 @@
         if answer.tag != self._tag:
             return []
         if isinstance(answer, GotEntry):
-            return self._meet_zone(answer.entry)
+            return self._meet_zone(answer.entry, now)
         if isinstance(answer, Listed):
             return self._meet_all(answer.result.entries)
         return []
@@ -87,10 +87,12 @@
         self._failing = True
         return [Report(SEEDS_UNAVAILABLE)]
 
-    def _meet_zone(self, entry: Entry) -> list[Action]:
+    def _meet_zone(self, entry: Entry, now: float) -> list[Action]:
         record, actions = self._decode(entry)
-        actions += self._greet(record.addresses)
-        return actions + self._add_own(entry, record)
+        greetings = self._greet(record.addresses)
+        if not greetings:
+            self._read_at = now
+        return actions + greetings + self._add_own(entry, record)
 
     def _add_own(self, entry: Entry, record: SeedRecord) -> list[Action]:
         own = self._state.identity.address
--- a/packages/godwitpass/src/godwitpass/internal/membership/messages.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/messages.py
@@ -1,9 +1,10 @@
 """Messages between daemons, and the updates that they carry.
 
-A member is named by a 64-bit key, the hash of its instance id; see `hash_instance`.
+A member is named by a 62-bit key, the hash of its instance id; see `hash_instance`.
 """
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 import xxhash
@@ -11,6 +12,11 @@
 from godwitpass.ids import Address, InstanceId, RegionId, ServiceName, ZoneId
 from godwitpass.mesh import MemberState, UpstreamState
 
+Number = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+"""A key or counter; the bound leaves room to exceed any received value."""
+
+Nonce = Annotated[int, msgspec.Meta(ge=0, le=2**32)]
+
 ANY_MEMBER = 0
 """Key that stands for whichever member receives or sent the message."""
 
@@ -52,10 +58,10 @@
     that each daemon grants it time to refute.
     """
 
-    key: int
-    incarnation: int
+    key: Number
+    incarnation: Number
     state: MemberState
-    sequence: int
+    sequence: Number
     content: Content | None = None
 
 
@@ -76,9 +82,9 @@
 
     region: RegionId
     service: ServiceName
-    version: int
-    ready: int
-    slots: int
+    version: Number
+    ready: Number
+    slots: Number
     contacts: tuple[Contact, ...] = ()
 
 
@@ -86,7 +92,7 @@
     """Shows that a region lives; the highest `beat` wins."""
 
     region: RegionId
-    beat: int
+    beat: Number
 
 
 Update = MemberUpdate | SumUpdate | BeatUpdate
@@ -98,8 +104,8 @@
     A ping between regions has no `member_root`.
     """
 
-    nonce: int
-    target: int
+    nonce: Nonce
+    target: Number
     member_root: int | None
     sum_root: int
     updates: tuple[Update, ...] = ()
@@ -108,7 +114,7 @@
 class Ack(msgspec.Struct, frozen=True, array_like=True, tag=2):
     """Answers a `Ping`."""
 
-    nonce: int
+    nonce: Nonce
     member_root: int | None
     sum_root: int
     updates: tuple[Update, ...] = ()
@@ -117,15 +123,15 @@
 class PingRequest(msgspec.Struct, frozen=True, array_like=True, tag=3):
     """Asks a helper to ping `target` at `address`; answered by `Relayed` if it lives."""
 
-    nonce: int
-    target: int
+    nonce: Nonce
+    target: Number
     address: Address
 
 
 class Relayed(msgspec.Struct, frozen=True, array_like=True, tag=4):
     """Tells that the target of a `PingRequest` has answered."""
 
-    nonce: int
+    nonce: Nonce
 
 
 class Gossip(msgspec.Struct, frozen=True, array_like=True, tag=5):
@@ -157,7 +163,7 @@
 
     scope: Scope
     updates: tuple[Update, ...]
-    wanted: tuple[int, ...] = ()
+    wanted: tuple[Number, ...] = ()
     reply: bool = False
 
 
@@ -172,13 +178,16 @@
 
 
 def hash_instance(instance: InstanceId) -> int:
-    """Return the key of the member `instance`; never `ANY_MEMBER`."""
-    return xxhash.xxh3_64_intdigest(instance.encode()) or 1
+    """Return the key of the member `instance`; never `ANY_MEMBER`.
+
+    Its order is the one in which `distribution` ranks the daemons of an availability zone.
+    """
+    return xxhash.xxh64_intdigest(instance.encode()) >> 2 or 1
 
 
 def hash_sum(region: RegionId, service: ServiceName) -> int:
     """Return the key of the sum of `service` in `region`."""
-    return xxhash.xxh3_64_intdigest(f"{region}\0{service}".encode())
+    return xxhash.xxh64_intdigest(f"{region}\0{service}".encode()) >> 2
 
 
 def find_key(update: MemberUpdate | SumUpdate) -> int:
--- a/packages/godwitpass/src/godwitpass/internal/membership/regions.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/regions.py
@@ -14,10 +14,13 @@
     SumUpdate,
     hash_sum,
 )
-from godwitpass.mesh import Upstream, UpstreamState
+from godwitpass.mesh import Member, MemberState, Upstream, UpstreamState
 
 _encoder = msgspec.msgpack.Encoder()
 
+MAX_SUMS = 100_000
+"""Bounds what a faulty daemon can make others hold: 2,500 services in nine regions, four times."""
+
 
 class Beat(msgspec.Struct):
     """The highest beat heard of a region; `reachable` until none came for too long."""
@@ -34,6 +37,7 @@
         self.own = own
         self.buckets = Buckets()
         self.beats: dict[RegionId, Beat] = {}
+        self.generation = 0
         self._sums: dict[int, SumUpdate] = {}
         self._keys: dict[ServiceName, dict[RegionId, int]] = {}
         self._cached: dict[ServiceName, tuple[Upstream, ...]] = {}
@@ -52,8 +56,10 @@
         held = self.beats.get(update.region)
         if held is not None and update.beat <= held.beat:
             return False
+        if held is None or not held.reachable:
+            self.generation += 1
+            self._cached.clear()
         self.beats[update.region] = Beat(update.beat, now)
-        self._cached.clear()
         return True
 
     def find_newly_lost(self, heard_before: float) -> list[RegionId]:
@@ -65,6 +71,7 @@
         ]
         for region in lost:
             self.beats[region].reachable = False
+            self.generation += 1
             self._cached.clear()
         return lost
 
@@ -82,6 +89,15 @@
         held = self.get(region, DAEMONS)
         return () if held is None else held.contacts
 
+    def members(self) -> tuple[Member, ...]:
+        """Return the known daemons of other, reachable regions."""
+        return tuple(
+            build_remote_member(held, contact)
+            for held in self.sums(DAEMONS)
+            if held.region != self.own and self.is_reachable(held.region)
+            for contact in held.contacts
+        )
+
     def others(self) -> list[RegionId]:
         """Return the other regions of which contacts are known."""
         regions = self._keys.get(DAEMONS, {})
@@ -113,12 +129,22 @@
         return [self._sums[key] for key in keys if key in self._sums]
 
     def _store(self, key: int, update: SumUpdate) -> None:
+        if key not in self._sums and len(self._sums) >= MAX_SUMS:
+            return
+        self.generation += 1
         self._sums[key] = update
         self._keys.setdefault(update.service, {})[update.region] = key
         self._cached.pop(update.service, None)
         self.buckets.put(key, hash_numbers(key, update.version, update.ready))
 
 
+def build_remote_member(held: SumUpdate, contact: Contact) -> Member:
+    """Build the public view of a daemon of another region; its numbers aren't known."""
+    return Member(
+        contact.instance, contact.zone, held.region, contact.address, 0, 0, MemberState.ALIVE
+    )
+
+
 def build_remote_upstream(held: SumUpdate, contact: Contact) -> Upstream:
     """Build the public view of one contact of a sum."""
     return Upstream(
