Find daemons and their failures by probes and gossip

Cause: a leased record for each daemon in the store grows with the fleet: 13,000 renewals every few seconds do not fit several hundred writes a second. Change: membership as a pure object (probes with incarnations and suspicion, bounded gossip, repair by digests, sums between regions, first contacts in bounded store records) and a thin service. Conclusion: store calls follow the availability zones.

--- a/packages/godwitpass/src/godwitpass/internal/membership/broadcasts.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/broadcasts.py
@@ -12,6 +12,8 @@
 CROWDED_SENDS = 4
 MIN_UPDATE_BYTES = 12
 MAX_MISFITS = 8
+MAX_WAITING = 256
+"""Beyond it the updates sent most often are dropped; digests repair what that misses."""
 
 
 class Broadcasts:
@@ -32,6 +34,9 @@
     def add(self, subject: Hashable, update: Update) -> None:
         """Pass on `update` about `subject`."""
         self.discard(subject)
+        if len(self) >= MAX_WAITING:
+            entries = next(entries for entries in reversed(self._levels) if entries)
+            self.discard(next(iter(entries)))
         self._store(0, subject, (update, measure_update(update)))
 
     def discard(self, subject: Hashable) -> None:
--- a/packages/godwitpass/src/godwitpass/internal/membership/core.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/core.py
@@ -89,7 +89,7 @@
         return (*state.table.upstreams(service), *state.regions.upstreams(service))
 
     def sums(self, service: ServiceName) -> Sequence[SumUpdate]:
-        """Return what each region has of `service`; `DAEMONS` counts the daemons."""
+        """Return what each other region has of `service`; `DAEMONS` counts the daemons."""
         return self._state.regions.sums(service)
 
     def lost_regions(self) -> list[RegionId]:
--- a/packages/godwitpass/src/godwitpass/internal/membership/delegate.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/delegate.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from godwitpass.ids import RegionId, ServiceName, ZoneId
+from godwitpass.ids import Address, RegionId, ServiceName, ZoneId
 from godwitpass.internal.actions import Report, Send
 from godwitpass.internal.membership.events import REGION_FOUND, REGION_LOST
 from godwitpass.internal.membership.messages import (
@@ -23,7 +23,10 @@
 from godwitpass.mesh import Member, UpstreamState
 
 SETTLE_S = 10.0
-"""A daemon that has just joined publishes nothing, since it may not know all members yet."""
+"""Time after joining until a daemon may act, since it may not know all members before.
+
+A new delegate waits as long again, in which other regions tell it the versions to exceed.
+"""
 
 DAEMON_SUM_DELAY_S = 10.0
 
@@ -43,8 +46,11 @@
         self._ranked_generation = -1
         self._counted_generation = -1
         self._due: dict[ServiceName, float] = {}
+        self._published_at: dict[ServiceName, float] = {}
         self._settled_at = float("inf")
         self._cross_at = 0.0
+        self._publish_from = 0.0
+        self._peers: list[Address] = []
 
     def settle(self, now: float) -> None:
         """Note that this daemon has just joined."""
@@ -54,12 +60,13 @@
         """Publish what has changed; called about once a second."""
         state = self._state
         actions = self._find_lost_regions(now)
-        changed, state.table.changed_services = state.table.changed_services, set()
-        self._update_rank()
-        if self._rank is None or now < self._settled_at:
+        if now >= self._settled_at:
+            self._update_rank(now)
+        if self._rank is None:
+            state.table.changed_services.clear()
             self._due.clear()
             return actions
-        self._schedule(changed, now)
+        self._schedule(now)
         actions += self._publish(now)
         actions += self._beat(now)
         return actions + self._probe_region(now)
@@ -69,7 +76,7 @@
         lost = self._state.regions.find_newly_lost(before)
         return [Report(REGION_LOST, {"lost": region}) for region in lost]
 
-    def _update_rank(self) -> None:
+    def _update_rank(self, now: float) -> None:
         table, own = self._state.table, self._state.own.key
         if self._ranked_generation == table.generation:
             return
@@ -79,7 +86,10 @@
         rank = lowest.index(own) if own in lowest else None
         if rank is not None and self._rank is None:
             self._mark_all()
+            self._publish_from = now + SETTLE_S
         self._rank = rank
+        records = (table.get(key) for key in lowest if key != own)
+        self._peers = [record.content.address for record in records if record is not None]
 
     def _mark_all(self) -> None:
         """Compare all sums, since the delegates before may have left some undone."""
@@ -87,24 +97,28 @@
         state.table.changed_services.update(state.table.services())
         state.table.changed_services.update(state.regions.services_of(state.regions.own))
 
-    def _schedule(self, changed: set[ServiceName], now: float) -> None:
+    def _schedule(self, now: float) -> None:
         tuning, rank = self._state.tuning, self._rank
         assert rank is not None
-        marked, self._state.table.changed_services = self._state.table.changed_services, set()
+        changed, self._state.table.changed_services = self._state.table.changed_services, set()
         due = now + tuning.sum_delay_s + rank * tuning.delegate_stagger_s
-        for service in (changed | marked) - {DAEMONS}:
-            self._due.setdefault(service, due)
+        for service in changed - {DAEMONS}:
+            earliest = self._published_at.get(service, 0.0) + tuning.sum_interval_s
+            self._due.setdefault(service, max(due, earliest))
         if self._counted_generation != self._state.table.generation:
             self._counted_generation = self._state.table.generation
             self._due.setdefault(DAEMONS, due + DAEMON_SUM_DELAY_S)
 
     def _publish(self, now: float) -> list[Action]:
+        if now < self._publish_from:
+            return []
         due = [service for service, at in self._due.items() if at <= now]
         updates: list[Update] = []
         for service in due[: self._state.tuning.max_sums_per_s]:
             del self._due[service]
             update = self._sum_up(service)
             if update is not None:
+                self._published_at[service] = now
                 self._state.merge(update, now)
                 updates.append(update)
         return self._push(updates)
@@ -160,15 +174,16 @@
         return self._push([update])
 
     def _push(self, updates: list[Update]) -> list[Action]:
-        """Send `updates` to one contact of every other region."""
+        """Send `updates` to one contact of every other region and to the other delegates."""
         if not updates:
             return []
         message = Gossip(tuple(updates))
         state = self._state
-        return [
-            Send(state.rng.choice(state.regions.contacts(region)).address, message)
+        contacts = [
+            state.rng.choice(state.regions.contacts(region)).address
             for region in state.regions.others()
         ]
+        return [Send(address, message) for address in (*contacts, *self._peers)]
 
     def _probe_region(self, now: float) -> list[Action]:
         """Compare sums with one other region."""
--- a/packages/godwitpass/src/godwitpass/internal/membership/exchange.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/exchange.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from godwitpass.ids import Address
+from godwitpass.ids import Address, RegionId
 from godwitpass.internal.actions import Report, Send
 from godwitpass.internal.membership.delegate import report_found
 from godwitpass.internal.membership.detector import Detector
@@ -30,6 +30,9 @@
 EARLY_SYNC_INTERVAL_S = 2.0
 """A daemon that has just started repairs its records at shorter intervals."""
 
+MAX_NEWS = 32
+"""Records beyond which a repair is taken for old news, which others need not be told."""
+
 Action = Send[Message] | Report
 
 
@@ -65,10 +68,8 @@
         state = self._state
         if ping.target not in (ANY_MEMBER, state.own.key):
             return []
-        if ping.member_root is None:
-            actions = self._merge(sender, ping.updates, now)
-            ack = Ack(ping.nonce, None, state.regions.buckets.root, state.list_beats())
-            return [*actions, Send(sender, ack)]
+        if ping.region is not None:
+            return self._answer_region(sender, ping, ping.region, now)
         actions = self._introduce(sender, ping.target == ANY_MEMBER)
         actions += self._merge(sender, ping.updates, now)
         updates = state.tell_suspicion(state.table.find_address(sender))
@@ -76,13 +77,26 @@
         roots = state.table.buckets.root, state.regions.buckets.root
         return [*actions, Send(sender, Ack(ping.nonce, *roots, tuple(updates)))]
 
+    def _answer_region(
+        self, sender: Address, ping: Ping, region: RegionId, now: float
+    ) -> list[Action]:
+        """Answer a delegate of another region, whose sums are compared with those held here."""
+        actions = self._merge(sender, ping.updates, now)
+        actions.append(Send(sender, Ack(ping.nonce, None, None, self._state.list_beats())))
+        held = self._state.regions.buckets_of(region)
+        if region != self._state.regions.own and held.root != ping.sum_root:
+            actions += self._sync.begin(Scope.SUMS, sender, region)
+        return actions
+
     def _take_ack(self, sender: Address, ack: Ack, now: float) -> list[Action]:
         actions = self._detector.note_answer(ack.nonce)
         actions += self._merge(sender, ack.updates, now)
         if ack.member_root is not None:
             actions += self._introduce(sender, False)
             actions += self._compare(Scope.MEMBERS, ack.member_root, sender, now)
-        return actions + self._compare(Scope.SUMS, ack.sum_root, sender, now)
+        if ack.sum_root is not None:
+            actions += self._compare(Scope.SUMS, ack.sum_root, sender, now)
+        return actions
 
     def _introduce(self, sender: Address, wanted: bool) -> list[Action]:
         """Exchange own records with a daemon that isn't known, or that knows nobody."""
@@ -130,8 +144,9 @@
     def _take_records(self, sender: Address, message: Records, now: float) -> list[Action]:
         actions: list[Action] = []
         outdated: list[int] = []
+        pass_on = len(message.updates) <= MAX_NEWS
         for update in message.updates:
-            outcome, reports = self._state.merge(update, now)
+            outcome, reports = self._state.merge(update, now, pass_on)
             actions += reports
             if outcome is Outcome.OUTDATED and not isinstance(update, BeatUpdate):
                 outdated.append(find_key(update))
--- a/packages/godwitpass/src/godwitpass/internal/membership/messages.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/messages.py
@@ -101,22 +101,24 @@
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Asks the member with key `target` for an `Ack`.
 
-    A ping between regions has no `member_root`.
+    Within a region the roots cover its members and the sums of all other regions. A ping from
+    another region names it in `region`; then `sum_root` covers the sums of that region only.
     """
 
     nonce: Nonce
     target: Number
-    member_root: int | None
+    member_root: int
     sum_root: int
     updates: tuple[Update, ...] = ()
+    region: RegionId | None = None
 
 
 class Ack(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """Answers a `Ping`."""
+    """Answers a `Ping`; one that goes to another region has no roots to compare."""
 
     nonce: Nonce
     member_root: int | None
-    sum_root: int
+    sum_root: int | None
     updates: tuple[Update, ...] = ()
 
 
@@ -141,10 +143,14 @@
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag=6):
-    """Begins a repair: one hash for every bucket of the sender's records."""
+    """Begins a repair: one hash for every bucket of the sender's records.
+
+    Sums are those of `region`, or of all regions but the sender's own.
+    """
 
     scope: Scope
     hashes: bytes
+    region: RegionId | None = None
 
 
 class Items(msgspec.Struct, frozen=True, array_like=True, tag=7):
@@ -153,6 +159,7 @@
     scope: Scope
     buckets: bytes
     items: bytes
+    region: RegionId | None = None
 
 
 class Records(msgspec.Struct, frozen=True, array_like=True, tag=8):
--- a/packages/godwitpass/src/godwitpass/internal/membership/regions.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/regions.py
@@ -31,17 +31,26 @@
 
 
 class Regions:
-    """Holds the sums of every region and knows which other regions are reachable."""
+    """Holds the sums of every region and knows which other regions are reachable.
+
+    `buckets` covers the sums of the other regions. Those of the own region are held by its
+    delegates only, since everybody there knows the members themselves.
+    """
 
     def __init__(self, own: RegionId) -> None:
         self.own = own
         self.buckets = Buckets()
+        self._buckets: dict[RegionId, Buckets] = {}
         self.beats: dict[RegionId, Beat] = {}
         self.generation = 0
         self._sums: dict[int, SumUpdate] = {}
         self._keys: dict[ServiceName, dict[RegionId, int]] = {}
         self._cached: dict[ServiceName, tuple[Upstream, ...]] = {}
 
+    def buckets_of(self, region: RegionId) -> Buckets:
+        """Return the digest of the sums of `region`."""
+        return self._buckets.setdefault(region, Buckets())
+
     def merge_sum(self, update: SumUpdate) -> bool:
         """Keep `update` if it is newer than what is held; tell whether it was."""
         key = hash_sum(update.region, update.service)
@@ -94,7 +103,7 @@
         return tuple(
             build_remote_member(held, contact)
             for held in self.sums(DAEMONS)
-            if held.region != self.own and self.is_reachable(held.region)
+            if self.is_reachable(held.region)
             for contact in held.contacts
         )
 
@@ -104,8 +113,12 @@
         return [region for region in regions if region != self.own and self.contacts(region)]
 
     def sums(self, service: ServiceName) -> list[SumUpdate]:
-        """Return the sums of `service` in all regions where it was ever seen."""
-        return [self._sums[key] for key in self._keys.get(service, {}).values()]
+        """Return the sums of `service` in the other regions where it was ever seen."""
+        return [
+            self._sums[key]
+            for region, key in self._keys.get(service, {}).items()
+            if region != self.own
+        ]
 
     def services_of(self, region: RegionId) -> list[ServiceName]:
         """Return the services that have a sum in `region`."""
@@ -118,7 +131,7 @@
             cached = tuple(
                 build_remote_upstream(held, contact)
                 for held in self.sums(service)
-                if held.region != self.own and self.is_reachable(held.region)
+                if self.is_reachable(held.region)
                 for contact in held.contacts
             )
             self._cached[service] = cached
@@ -135,7 +148,10 @@
         self._sums[key] = update
         self._keys.setdefault(update.service, {})[update.region] = key
         self._cached.pop(update.service, None)
-        self.buckets.put(key, hash_numbers(key, update.version, update.ready))
+        value = hash_numbers(key, update.version, update.ready)
+        self.buckets_of(update.region).put(key, value)
+        if update.region != self.own:
+            self.buckets.put(key, value)
 
 
 def build_remote_member(held: SumUpdate, contact: Contact) -> Member:
--- a/packages/godwitpass/src/godwitpass/internal/membership/state.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/state.py
@@ -43,21 +43,23 @@
         self.table = Table(self.own, tuning.max_gone)
         self.regions = Regions(identity.region)
         self.members_to_send = Broadcasts(tuning.retransmit_factor)
-        self.sums_to_send = Broadcasts(tuning.retransmit_factor)
+        self.sums_to_send = Broadcasts(tuning.sum_retransmit_factor)
         self.beats_to_send = Broadcasts(tuning.retransmit_factor)
         self.suspects: dict[int, float] = {}
         self.leaving = False
         self._refuted_at = -MIN_REFUTATION_INTERVAL_S
 
-    def merge(self, update: Update, now: float) -> tuple[Outcome, list[Report]]:
+    def merge(
+        self, update: Update, now: float, pass_on: bool = True
+    ) -> tuple[Outcome, list[Report]]:
         """Apply an update received from another daemon and pass it on if it was new."""
         if isinstance(update, SumUpdate):
-            return self._merge_sum(update), []
+            return self._merge_sum(update, pass_on), []
         if isinstance(update, BeatUpdate):
             return self._merge_beat(update, now), []
         if update.key == self.own.key:
             return Outcome.KNOWN, self._correct_own(update, now)
-        return self._merge_member(update, now), []
+        return self._merge_member(update, now, pass_on), []
 
     def suspect(self, record: Record, now: float) -> None:
         """Begin to suspect `record` and tell others."""
@@ -116,8 +118,10 @@
 
     def build_cross_ping(self, to: Address) -> Send[Message]:
         """Build a ping to a member of another region."""
-        root = self.regions.buckets.root
-        return Send(to, Ping(self.draw_nonce(), ANY_MEMBER, None, root, self.list_beats()))
+        region = self.regions.own
+        root = self.regions.buckets_of(region).root
+        beats = self.list_beats()
+        return Send(to, Ping(self.draw_nonce(), ANY_MEMBER, 0, root, beats, region))
 
     def list_beats(self) -> tuple[Update, ...]:
         """Return the latest beat of every region."""
@@ -139,12 +143,12 @@
         wanted = (self.own.key if key == ANY_MEMBER else key for key in keys)
         return self.table.build_updates(wanted)
 
-    def _merge_sum(self, update: SumUpdate) -> Outcome:
+    def _merge_sum(self, update: SumUpdate, pass_on: bool) -> Outcome:
         if self.regions.merge_sum(update):
-            subject = (update.region, update.service)
-            self.sums_to_send.add(subject, update)
             if update.region == self.regions.own:
                 self.table.changed_services.add(update.service)
+            elif pass_on:
+                self.sums_to_send.add((update.region, update.service), update)
             return Outcome.CHANGED
         held = self.regions.get(update.region, update.service)
         return Outcome.KNOWN if held == update else Outcome.OUTDATED
@@ -155,7 +159,7 @@
         self.beats_to_send.add(update.region, update)
         return Outcome.CHANGED
 
-    def _merge_member(self, update: MemberUpdate, now: float) -> Outcome:
+    def _merge_member(self, update: MemberUpdate, now: float, pass_on: bool) -> Outcome:
         held = self.table.get(update.key)
         sequence = None if held is None else held.sequence
         outcome = self.table.merge(update, now)
@@ -163,7 +167,8 @@
             record = self.table.get(update.key)
             assert record is not None
             self.track(record, now)
-            self.spread(record, with_content=record.sequence != sequence)
+            if pass_on:
+                self.spread(record, with_content=record.sequence != sequence)
         return outcome
 
     def _correct_own(self, update: MemberUpdate, now: float) -> list[Report]:
--- a/packages/godwitpass/src/godwitpass/internal/membership/sync.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/sync.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 
-from godwitpass.ids import Address
+from godwitpass.ids import Address, RegionId
 from godwitpass.internal.actions import Send
 from godwitpass.internal.membership.digest import BUCKETS, HASH_BYTES, Buckets, decode_items
 from godwitpass.internal.membership.limits import TokenBucket
@@ -37,13 +37,15 @@
         self._state = state
         self._served = TokenBucket(SERVED_PER_S, MAX_SERVED)
 
-    def begin(self, scope: Scope, to: Address) -> list[Send[Message]]:
-        """Offer the own digest to `to`."""
-        return [Send(to, Digest(scope, self._buckets(scope).encode()))]
+    def begin(
+        self, scope: Scope, to: Address, region: RegionId | None = None
+    ) -> list[Send[Message]]:
+        """Offer the own digest to `to`; of sums that of `region` or of all other regions."""
+        return [Send(to, Digest(scope, self._buckets(scope, region).encode(), region))]
 
     def answer_digest(self, sender: Address, message: Digest, now: float) -> list[Send[Message]]:
         """List what differs; a daemon that holds nothing gets all records at once."""
-        buckets = self._buckets(message.scope)
+        buckets = self._buckets(message.scope, message.region)
         differing = buckets.find_differing(message.hashes)
         if not differing or self._served.available(now) <= 0:
             return []
@@ -53,11 +55,11 @@
         if len(differing) > MAX_BUCKETS:
             differing = bytes(self._state.rng.sample(differing, MAX_BUCKETS))
         items = buckets.encode_items(differing)
-        return [Send(sender, Items(message.scope, differing, items))]
+        return [Send(sender, Items(message.scope, differing, items, message.region))]
 
     def answer_items(self, sender: Address, message: Items, now: float) -> list[Send[Message]]:
         """Send the records that the other lacks or holds differently; ask for those lacked."""
-        mine = self._buckets(message.scope).items(message.buckets)
+        mine = self._buckets(message.scope, message.region).items(message.buckets)
         theirs = dict(decode_items(message.items))
         lacked = {key for key in theirs if key not in mine}
         # Members that count as dead here but not there: the other must hear of it.
@@ -92,9 +94,11 @@
             return list(self._state.build_updates(keys))
         return list(self._state.regions.build_updates(keys))
 
-    def _buckets(self, scope: Scope) -> Buckets:
+    def _buckets(self, scope: Scope, region: RegionId | None) -> Buckets:
         state = self._state
-        return state.table.buckets if scope is Scope.MEMBERS else state.regions.buckets
+        if scope is Scope.MEMBERS:
+            return state.table.buckets
+        return state.regions.buckets if region is None else state.regions.buckets_of(region)
 
     def _holds_gone(self, scope: Scope, key: int) -> bool:
         return scope is Scope.MEMBERS and self._state.table.get(key) is not None
--- a/packages/godwitpass/src/godwitpass/internal/membership/tuning.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/tuning.py
@@ -24,6 +24,7 @@
     piggyback_bytes: int = 400
     message_bytes: int = 1_100
     retransmit_factor: float = 3.0
+    sum_retransmit_factor: float = 2.0
 
     sync_interval_s: float = 10.0
     forget_s: float = 3_600.0
@@ -40,6 +41,7 @@
 
     delegates: int = 3
     sum_delay_s: float = 0.5
+    sum_interval_s: float = 5.0
     delegate_stagger_s: float = 3.0
     max_sums_per_s: int = 40
     contacts_per_sum: int = 3
--- /dev/null
+++ b/testkit/tests/test_membership.py
@@ -0,0 +1,262 @@
+import random
+
+import pytest
+
+from godwitpass.events import EventKind
+from godwitpass.ids import Address
+from godwitpass.internal.actions import Received
+from godwitpass.internal.membership import events as kinds
+from godwitpass.internal.membership.messages import DAEMONS, Gossip
+from godwitpass.mesh import MemberState, UpstreamState
+from godwitpass_testkit.experiments.membership_mesh import START_S, Mesh, build_member_update
+from godwitpass_testkit.virtual import Link
+
+DETECTION_LIMIT_S = 30.0
+
+
+def count_ready(mesh: Mesh, address: Address, viewers: list[Address]) -> int:
+    where = mesh.places[address]
+    return sum(
+        upstream.instance == where.instance and upstream.state is UpstreamState.READY
+        for viewer in viewers
+        for upstream in mesh.node(viewer).upstreams(where.service)
+    )
+
+
+def count_reports(mesh: Mesh, kind: EventKind) -> int:
+    return sum(report.kind is kind for _, _, report in mesh.queue.reports)
+
+
+def join(seed: int, count: int, link: Link | None = None) -> tuple[Mesh, list[Address]]:
+    mesh = Mesh(seed, count, link)
+    addresses = mesh.start_joined(count)
+    mesh.queue.run(5)
+    assert mesh.knows_all()
+    return mesh, addresses
+
+
+class TestDiscovery:
+    def test_a_herd_without_any_list_finds_itself_with_one_read_each(self) -> None:
+        mesh = Mesh(1, 60)
+        addresses = mesh.start_many(range(60))
+        assert mesh.settle(60) is not None
+        assert mesh.store.calls["Get"] == 60
+        # Each availability zone's record takes a few writers; the rest only read.
+        assert mesh.store.calls["Put"] <= 3 * 12
+        assert mesh.store.calls["List"] <= 12
+        assert all(len(mesh.node(address).members()) == 60 for address in addresses)
+
+    def test_idle_store_calls_do_not_grow_with_the_daemons(self) -> None:
+        calls = []
+        for count in (12, 60):
+            mesh, _ = join(2, count)
+            mesh.queue.run(60)
+            before = sum(mesh.store.calls.values())
+            mesh.queue.run(360)
+            calls.append(sum(mesh.store.calls.values()) - before)
+        assert calls[1] <= 1.2 * calls[0]
+        assert calls[1] <= 300 / 30 * 6 * 1.4
+
+    def test_a_daemon_restarted_at_its_address_is_found_while_the_store_is_away(self) -> None:
+        mesh, addresses = join(3, 30)
+        mesh.store.set_down(True)
+        mesh.kill(addresses[4])
+        mesh.queue.run(mesh.queue.now + 2)
+        mesh.start(4)
+        assert mesh.settle(DETECTION_LIMIT_S) is not None
+
+    def test_after_a_store_outage_at_the_start_all_daemons_meet(self) -> None:
+        mesh = Mesh(4, 20)
+        mesh.store.set_down(True)
+        mesh.start_many(range(20))
+        mesh.queue.run(40)
+        mesh.store.set_down(False)
+        assert mesh.settle(90) is not None
+
+    def test_records_full_of_dead_addresses_are_replaced(self) -> None:
+        mesh = Mesh(5, 100)
+        old = mesh.start_many(range(30))
+        assert mesh.settle(60) is not None
+        for address in old:
+            mesh.kill(address)
+        new = mesh.start_many(range(30, 60))
+        assert mesh.settle(120) is not None
+        mesh.queue.run(mesh.queue.now + 120)
+        written = b"".join(entry.value or b"" for entry in mesh.store.memory.entries.values())
+        assert not any(address.encode() in written for address in old)
+        assert any(address.encode() in written for address in new)
+
+
+class TestFailureDetection:
+    def test_a_dead_daemon_disappears_everywhere_and_a_restarted_one_returns(self) -> None:
+        mesh, addresses = join(6, 40)
+        mesh.kill(addresses[7])
+        assert mesh.settle(DETECTION_LIMIT_S) is not None
+        mesh.start(7)
+        assert mesh.settle(DETECTION_LIMIT_S) is not None
+
+    def test_a_restart_with_a_clock_set_back_still_wins(self) -> None:
+        mesh, addresses = join(7, 40)
+        mesh.kill(addresses[7])
+        mesh.queue.run(mesh.queue.now + 1)
+        mesh.start(7, started_s=START_S - 3_600)
+        mesh.queue.run(mesh.queue.now + 1)
+        assert mesh.settle(60) is not None
+        assert count_ready(mesh, addresses[7], addresses) == 40
+
+    def test_a_paused_daemon_that_wakes_buries_nobody_and_is_not_buried(self) -> None:
+        mesh, addresses = join(8, 40)
+        mesh.queue.pause(addresses[3])
+        mesh.queue.run(mesh.queue.now + DETECTION_LIMIT_S)
+        others = [address for address in addresses if address != addresses[3]]
+        assert mesh.count_views(addresses[3], others) == 0
+        mesh.queue.resume(addresses[3])
+        assert count_reports(mesh, kinds.PAUSE_NOTICED) == 1
+        assert len(mesh.node(addresses[3]).members()) == 40
+        assert mesh.settle(DETECTION_LIMIT_S) is not None
+
+    def test_loss_buries_no_living_daemon(self) -> None:
+        mesh, _ = join(9, 40, Link(loss=0.02, duplication=0.02))
+        mesh.queue.run(300)
+        assert count_reports(mesh, kinds.MEMBER_DEAD) == 0
+        assert mesh.settle(10) is not None
+
+    def test_a_daemon_cut_off_for_minutes_starts_no_storm_when_it_returns(self) -> None:
+        mesh, addresses = join(10, 40)
+        alone = addresses[3]
+        mesh.queue.blocked = lambda sender, to: alone in (sender, to)
+        mesh.queue.run(mesh.queue.now + 180)
+        refuted = count_reports(mesh, kinds.SUSPICION_REFUTED)
+        mesh.queue.blocked = lambda sender, to: False
+        assert mesh.settle(60) is not None
+        assert count_reports(mesh, kinds.RECONNECTED) == 1
+        assert count_reports(mesh, kinds.SUSPICION_REFUTED) - refuted <= 3
+
+
+class TestLargeFaults:
+    def test_a_lost_zone_is_found_without_a_storm(self) -> None:
+        mesh, addresses = join(11, 90)
+        lost = [address for address in addresses if mesh.places[address].zone == "zone-01"]
+        for address in lost:
+            mesh.kill(address)
+        start, before = mesh.queue.now, sum(mesh.queue.sent_bytes.values())
+        assert mesh.settle(60) is not None
+        seconds = mesh.queue.now - start
+        sent = sum(mesh.queue.sent_bytes.values()) - before
+        assert sent / seconds / (90 - len(lost)) < 3_000
+        # One suspicion a probe at most, and the living suspect nobody else.
+        assert count_reports(mesh, kinds.MEMBER_SUSPECTED) <= seconds * 60
+        assert count_reports(mesh, kinds.SUSPICION_REFUTED) == 0
+
+    def test_two_halves_of_a_region_that_lost_each_other_join_again(self) -> None:
+        mesh, addresses = join(12, 40)
+        left = set(addresses[:20])
+        mesh.queue.blocked = lambda sender, to: (sender in left) != (to in left)
+        mesh.queue.run(mesh.queue.now + 120)
+        assert all(len(node.members()) == 20 for node in mesh.nodes())
+        mesh.queue.blocked = lambda sender, to: False
+        assert mesh.settle(60) is not None
+
+    @pytest.mark.parametrize("seed", range(5))
+    def test_after_random_faults_exactly_the_living_are_known(self, seed: int) -> None:
+        mesh, addresses = join(seed, 24, Link(loss=0.01))
+        faults = random.Random(seed)
+        dead: list[int] = []
+        paused: list[Address] = []
+        for _ in range(15):
+            mesh.queue.run(mesh.queue.now + faults.uniform(0, 10))
+            number = faults.randrange(24)
+            address = addresses[number]
+            if number in dead:
+                dead.remove(number)
+                mesh.start(number, started_s=START_S + faults.randrange(-100, 100))
+            elif address in paused:
+                paused.remove(address)
+                mesh.queue.resume(address)
+            elif faults.random() < 0.5:
+                dead.append(number)
+                mesh.kill(address)
+            else:
+                paused.append(address)
+                mesh.queue.pause(address)
+        for address in paused:
+            mesh.queue.resume(address)
+        assert mesh.settle(120) is not None
+
+
+class TestUpstreams:
+    def test_a_drain_is_known_to_the_whole_region_within_three_seconds(self) -> None:
+        mesh, addresses = join(13, 120)
+        assert count_ready(mesh, addresses[9], addresses) == 120
+        mesh.drain(addresses[9])
+        mesh.queue.run(mesh.queue.now + 3)
+        assert count_ready(mesh, addresses[9], addresses) == 0
+
+    def test_a_graceful_stop_is_known_without_a_suspicion(self) -> None:
+        mesh, addresses = join(14, 60)
+        mesh.leave(addresses[9])
+        mesh.queue.run(mesh.queue.now + 2)
+        assert mesh.knows_all()
+        mesh.queue.run(mesh.queue.now + 20)
+        assert mesh.knows_all()
+        assert count_reports(mesh, kinds.MEMBER_SUSPECTED) == 0
+
+    def test_a_drain_stays_when_older_news_arrives_late(self) -> None:
+        mesh, addresses = join(15, 30, Link(max_delay_s=0.15, duplication=0.3))
+        mesh.drain(addresses[9])
+        mesh.queue.run(mesh.queue.now + 5)
+        late = Gossip((build_member_update(mesh.places[addresses[9]]),))
+        for address in addresses:
+            mesh.queue.post(address, Received(addresses[0], late))
+        assert count_ready(mesh, addresses[9], addresses) == 0
+        mesh.queue.run(mesh.queue.now + 30)
+        assert count_ready(mesh, addresses[9], addresses) == 0
+
+
+class TestRegions:
+    def build(self) -> tuple[Mesh, list[Address]]:
+        mesh = Mesh(16, 15)
+        addresses = mesh.start_joined(45)
+        mesh.queue.run(60)
+        return mesh, addresses
+
+    def test_sums_and_contacts_of_every_region_reach_every_daemon(self) -> None:
+        mesh, addresses = self.build()
+        far, near = addresses[40], addresses[0]
+        service = mesh.places[far].service
+        for address in addresses:
+            found = mesh.node(address).upstreams(service)
+            assert {upstream.region for upstream in found} == {mesh.places[far].region}
+            counted = {total.region: total.ready for total in mesh.node(address).sums(DAEMONS)}
+            assert counted == {
+                f"region-{number}": 15
+                for number in range(3)
+                if f"region-{number}" != mesh.places[address].region
+            }
+        assert len({member.region for member in mesh.node(near).members()}) == 3
+        mesh.drain(far)
+        mesh.queue.run(mesh.queue.now + 8)
+        assert count_ready(mesh, far, addresses[:15]) == 0
+
+    def test_a_region_apart_for_minutes_is_left_out_and_joins_again(self) -> None:
+        mesh, addresses = self.build()
+        apart = set(addresses[:15])
+        service = mesh.places[addresses[0]].service
+        mesh.queue.blocked = lambda sender, to: (sender in apart) != (to in apart)
+        mesh.queue.run(mesh.queue.now + 200)
+        assert not mesh.node(addresses[20]).upstreams(service)
+        assert all(
+            member.state is MemberState.ALIVE
+            for member in mesh.node(addresses[0]).members()
+            if member.region == mesh.places[addresses[0]].region
+        )
+        mesh.drain(addresses[1])
+        mesh.queue.blocked = lambda sender, to: False
+        before = sum(mesh.queue.sent_bytes.values())
+        assert mesh.queue.run_until(
+            lambda: all(mesh.node(each).upstreams(service) for each in addresses[15:]),
+            mesh.queue.now + 60,
+        )
+        mesh.queue.run(mesh.queue.now + 20)
+        assert count_ready(mesh, addresses[1], addresses[15:]) == 0
+        assert sum(mesh.queue.sent_bytes.values()) - before < 45 * 3_000 * 80
