--- a/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -1,9 +1,15 @@
 """The composition root: wires the services of one daemon."""
 
-from godwitpass_daemon.admin_thin import AdminService
-from godwitpass_daemon.edge_thin import EdgeService
+from godwitpass.internal.calls.dispatcher import Place
+from godwitpass_daemon.admin.service import build_admin
+from godwitpass_daemon.edge.service import EdgeService
+from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.kernel import Kernel
+from godwitpass_daemon.metrics import collect_services
+from godwitpass_daemon.peers import PeerTransport
 from godwitpass_daemon.services.acceptance import AcceptanceService
+from godwitpass_daemon.services.claims import ClaimsService
+from godwitpass_daemon.services.crashes import CrashesService
 from godwitpass_daemon.services.distribution import DistributionService
 from godwitpass_daemon.services.membership import MembershipService
 from godwitpass_daemon.services.store import StoreClient
@@ -13,29 +19,71 @@
 def build_kernel(settings: Settings) -> Kernel:
     """Build the kernel of one daemon with all its services, none started."""
     kernel = Kernel()
+    kernel.register("events", lambda _: EventLog(settings))
     kernel.register("store", lambda _: StoreClient(settings.store))
+    kernel.register(
+        "peers",
+        lambda found: PeerTransport(
+            settings.listen.peer,
+            (settings.peer_key.encode(),),
+            found.find("events", EventLog).emit,
+        ),
+    )
     kernel.register(
         "membership",
-        lambda found: MembershipService(settings, found.find("store", StoreClient)),
+        lambda found: MembershipService(
+            settings,
+            found.find("store", StoreClient),
+            found.find("peers", PeerTransport),
+            found.find("events", EventLog),
+        ),
+    )
+    kernel.register(
+        "acceptance",
+        lambda found: AcceptanceService(
+            found.find("store", StoreClient),
+            found.find("events", EventLog),
+            lambda: found.find("distribution", DistributionService).snapshot(),
+        ),
+    )
+    kernel.register(
+        "distribution",
+        lambda found: DistributionService(
+            settings,
+            found.find("store", StoreClient),
+            found.find("peers", PeerTransport),
+            found.find("membership", MembershipService),
+            found.find("events", EventLog),
+        ),
     )
-    kernel.register("acceptance", lambda found: AcceptanceService(found.find("store", StoreClient)))
     kernel.register(
-        "distribution", lambda found: DistributionService(found.find("store", StoreClient))
+        "claims",
+        lambda found: ClaimsService(
+            settings.region,
+            found.find("store", StoreClient),
+            found.find("peers", PeerTransport),
+            found.find("membership", MembershipService),
+            found.find("events", EventLog),
+        ),
+    )
+    kernel.register(
+        "crashes",
+        lambda found: CrashesService(
+            found.find("peers", PeerTransport),
+            found.find("membership", MembershipService),
+            found.find("events", EventLog),
+        ),
     )
     kernel.register(
         "edge",
         lambda found: EdgeService(
+            found,
             settings.listen.outer,
-            found.find("distribution", DistributionService),
-            found.find("membership", MembershipService),
+            settings.listen.inner,
+            Place(settings.instance, settings.zone, settings.region),
         ),
     )
     kernel.register(
-        "admin",
-        lambda found: AdminService(
-            settings,
-            found.find("acceptance", AcceptanceService),
-            found.find("distribution", DistributionService),
-        ),
+        "admin", lambda found: build_admin(found, settings, [lambda: collect_services(found)])
     )
     return kernel
--- a/packages/godwitpass-daemon/tests/peers/conftest.py
+++ b/packages/godwitpass-daemon/tests/peers/conftest.py
@@ -11,7 +11,7 @@
     def __init__(self) -> None:
         self.events: list[tuple[EventKind, dict[str, Field]]] = []
 
-    def __call__(self, kind: EventKind, **fields: Field) -> None:
+    def __call__(self, kind: EventKind, /, **fields: Field) -> None:
         self.events.append((kind, fields))
 
 
