Let the stand-in upstream take its port as an argument again

Change: an optional argument beside the host option. Conclusion: experiments may leave the port open, deployments name it.

--- a/testkit/src/godwitpass_testkit/upstream.py
+++ b/testkit/src/godwitpass_testkit/upstream.py
@@ -9,7 +9,7 @@
 import os
 from collections import Counter
 from enum import Enum
-from typing import cast
+from typing import Annotated, cast
 
 import httptools
 import msgspec
@@ -297,13 +297,19 @@
                 connection.transport.abort()
 
 
-def main(port: int = 0, slots: int = 12, work_ms: float = 0.0, sheds: bool = True) -> None:
-    """Serve on 127.0.0.1 until the process is ended; prints the address."""
+def main(
+    port: Annotated[int, typer.Argument()] = 0,
+    host: str = "127.0.0.1",
+    slots: int = 12,
+    work_ms: float = 0.0,
+    sheds: bool = True,
+) -> None:
+    """Serve on `host` until the process is ended; prints the address."""
 
     async def serve() -> None:
         options = UpstreamOptions(slots=slots, work_s=work_ms / 1000, sheds=sheds)
         upstream = StandInUpstream(options, exit_on_crash=True)
-        print(await upstream.start(port=port), flush=True)
+        print(await upstream.start(host, port), flush=True)
         await asyncio.Event().wait()
 
     uvloop.run(serve())
