--- /dev/null
+++ b/packages/godwitpass-daemon/tests/edge/test_bad_input.py
@@ -0,0 +1,83 @@
+import pytest
+
+from godwitpass_daemon.edge.limits import MAX_HEAD_BYTES
+from godwitpass_testkit.caller import connect, encode_request, request
+from godwitpass_testkit.edge import run_async, run_mesh
+
+HEAD = b"POST /scans HTTP/1.1\r\nhost: mesh.test\r\n"
+BROKEN = [
+    (b"nonsense\r\n\r\n", 400),
+    (HEAD + b"content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+    (HEAD + b"transfer-encoding: chunked\r\ncontent-length: 3\r\n\r\n0\r\n\r\n", 400),
+    (HEAD + b"content-length: 3\r\ncontent-length: 4\r\n\r\nabc", 400),
+    (HEAD + b"content-length: -1\r\n\r\n", 400),
+    (HEAD + b"content-length: +3\r\n\r\nabc", 400),
+    (HEAD + b"transfer-encoding: identity, chunked\r\n\r\n0\r\n\r\n", 400),
+    (HEAD + b"transfer-encoding: xchunked\r\n\r\n0\r\n\r\n", 400),
+    (HEAD + b"transfer-encoding: chunked\r\ntransfer-encoding: x\r\n\r\n0\r\n\r\n", 400),
+    (HEAD + b"transfer-encoding : chunked\r\n\r\n0\r\n\r\n", 400),
+    (HEAD + b"transfer-encoding: chunked\r\n\r\nzz\r\n", 400),
+    (HEAD + b"host: other.test\r\n\r\n", 400),
+    (HEAD + b" folded: x\r\n\r\n", 400),
+    (HEAD + b"x: a\x00b\r\n\r\n", 400),
+    (HEAD.replace(b"\r\n", b"\n") + b"\n", 400),
+    (b"POST /scans HTTP/1.1\r\n\r\n", 400),
+    (b"POST /scans HTTP/1.0\r\nhost: mesh.test\r\n\r\n", 505),
+    (b"POST /scans/%2e%2e/payroll HTTP/1.1\r\nhost: mesh.test\r\n\r\n", 400),
+    (b"CONNECT mesh.test:80 HTTP/1.1\r\nhost: mesh.test\r\n\r\n", 501),
+    (HEAD + b"upgrade: websocket\r\nconnection: upgrade\r\n\r\n", 501),
+    (HEAD + b"expect: miracles\r\n\r\n", 400),
+    (HEAD + b"godwit-deadline-ms: 0\r\n\r\n", 400),
+    (HEAD + b"godwit-deadline-ms: soon\r\n\r\n", 400),
+    (HEAD + b"x: y\r\n" * 101 + b"\r\n", 431),
+    (HEAD + b"x: " + b"y" * (MAX_HEAD_BYTES + 10), 431),
+]
+
+
+class TestBadInput:
+    @pytest.mark.parametrize(("data", "status"), BROKEN)
+    def test_a_bad_request_gets_a_clear_refusal_and_nothing_is_forwarded(
+        self, data: bytes, status: int
+    ) -> None:
+        async def check(_: object) -> None:
+            async with run_mesh() as mesh:
+                caller = await connect(mesh.outer)
+                answer = await caller.send(data)
+                assert (answer.status, answer.outcome) == (status, "refused")
+                assert answer.closed
+                assert mesh.upstreams[0].counts["requests"] == 0
+
+        run_async(check)(self)
+
+    @run_async
+    async def test_smuggled_bytes_are_requests_of_their_own(self) -> None:
+        async with run_mesh() as mesh:
+            caller = await connect(mesh.outer)
+            body = encode_request("/payroll")
+            first = caller.send(encode_request("/scans", "POST", {"x-request": "a"}, body) + body)
+            second = caller.send(b"")
+            assert (await first).body == f"a /scans {len(body)}".encode()
+            assert (await second).status == 404
+
+    @run_async
+    async def test_headers_that_replace_the_path_or_forge_marks_are_dropped(self) -> None:
+        async with run_mesh() as mesh:
+            forged = {
+                "x-original-url": "/payroll",
+                "x-http-method-override": "DELETE",
+                "godwit-call": "x",
+                "connection": "host, x-request",
+                "x-request": "r",
+            }
+            answer = await request(mesh.outer, "/books", headers=forged)
+            assert answer.body == b" /books 0"
+
+    @run_async
+    async def test_pipelined_requests_are_answered_in_their_order(self) -> None:
+        async with run_mesh() as mesh:
+            caller = await connect(mesh.inner)
+            names = [f"r{number}" for number in range(40)]
+            requests = [encode_request("/books", headers={"x-request": name}) for name in names]
+            pending = [caller.send(b"".join(requests)), *(caller.send(b"") for _ in names[1:])]
+            bodies = [(await answer).body.decode().split()[0] for answer in pending]
+            assert bodies == names
--- /dev/null
+++ b/packages/godwitpass-daemon/tests/edge/test_faults.py
@@ -0,0 +1,212 @@
+import asyncio
+
+import anyio
+import pytest
+
+from godwitpass.document import Document, Execution, Policy, Route, Service
+from godwitpass.ids import Address, RouteName
+from godwitpass_testkit.caller import connect, encode_request, request
+from godwitpass_testkit.edge import (
+    READ,
+    STOFFBOK,
+    make_snapshot,
+    make_upstream,
+    run_async,
+    run_mesh,
+)
+from godwitpass_testkit.upstream import Fault, UpstreamOptions
+
+LIMIT_S = 20.0
+NOWHERE = Address("127.0.0.1:9")
+
+
+async def wait_until(condition: object) -> None:
+    assert callable(condition)
+    with anyio.fail_after(LIMIT_S):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+class TestOutcomes:
+    @pytest.mark.parametrize("fault", [Fault.BREAK, Fault.GARBAGE, Fault.UNMARKED])
+    def test_a_call_that_may_have_run_is_never_called_not_run(self, fault: Fault) -> None:
+        async def check(_: object) -> None:
+            async with run_mesh(upstreams=2) as mesh:
+                headers = {"x-fault": fault.value.decode(), "x-request": "r"}
+                answer = await request(mesh.inner, "/scans", "POST", headers, b"scan")
+                assert (answer.status, answer.outcome) == (502, "unknown")
+                assert mesh.count_runs("r") == 1, "a request with effects is sent once"
+
+        run_async(check)(self)
+
+    @run_async
+    async def test_an_idempotent_call_is_sent_again_to_another_upstream(self) -> None:
+        async with run_mesh(upstreams=2) as mesh:
+            answer = await mesh.get("/books", x_fault="break", x_request="r")
+            assert answer.outcome == "unknown"
+            assert [upstream.runs[b"r"] for upstream in mesh.upstreams] == [1, 1]
+
+    @run_async
+    async def test_an_upstream_can_not_pass_on_the_not_run_of_another_call(self) -> None:
+        async with run_mesh() as mesh:
+            answer = await mesh.get("/scans", x_fault="false-not-run", x_request="r")
+            assert (answer.status, answer.outcome) == (503, "")
+            assert mesh.count_runs("r") == 1
+
+    @run_async
+    async def test_a_call_no_upstream_can_be_reached_for_did_not_run(self) -> None:
+        async with run_mesh(upstreams=0) as mesh:
+            mesh.peers.change(STOFFBOK, [make_upstream(1, NOWHERE)])
+            answer = await mesh.get("/scans")
+            assert (answer.outcome, answer.reason) == ("not-run", "connect-failed")
+
+    @run_async
+    async def test_a_shed_call_is_not_run_and_counted_nowhere(self) -> None:
+        async with run_mesh(options=UpstreamOptions(slots=1)) as mesh:
+            busy = asyncio.ensure_future(request(mesh.upstreams[0].address, "/x?stall"))
+            del busy
+            holder = await connect(mesh.upstreams[0].address)
+            holder.send(encode_request("/x", headers={"x-fault": "stall"}))
+            await wait_until(lambda: mesh.upstreams[0].in_use == 1)
+            answer = await mesh.get("/scans", x_request="r")
+            assert (answer.outcome, answer.reason) == ("not-run", "upstream-refused")
+            assert mesh.count_runs("r") == 0
+            holder.close()
+
+    @run_async
+    async def test_a_late_answer_never_reaches_another_caller(self) -> None:
+        async with run_mesh() as mesh:
+            hurried = {"godwit-deadline-ms": "50", "x-fault": "late", "x-request": "first"}
+            first = await request(mesh.inner, "/scans", headers=hurried)
+            assert (first.status, first.outcome) == (504, "unknown")
+            for number in range(5):
+                answer = await mesh.get("/scans", x_request=f"r{number}", x_work_ms="60")
+                assert answer.body == f"r{number} /scans 0".encode()
+
+    @run_async
+    async def test_surplus_bytes_after_an_answer_never_reach_another_caller(self) -> None:
+        async with run_mesh() as mesh:
+            for number in range(5):
+                answer = await mesh.get("/books", x_fault="two-answers", x_request=f"r{number}")
+                assert answer.body == f"r{number} /books 0".encode()
+
+    @run_async
+    async def test_connections_that_the_upstream_closed_cost_no_call(self) -> None:
+        async with run_mesh(options=UpstreamOptions(idle_timeout_s=0.01)) as mesh:
+            for number in range(20):
+                answer = await mesh.get("/scans", x_request=f"r{number}")
+                assert answer.status == 200
+                assert mesh.count_runs(f"r{number}") == 1
+                await anyio.sleep(0.02)
+
+
+class TestTime:
+    @run_async
+    async def test_the_deadline_shrinks_on_its_way(self) -> None:
+        async with run_mesh() as mesh:
+            await mesh.get("/books", godwit_deadline_ms="500")
+            (passed_on,) = mesh.upstreams[0].deadlines_ms
+            assert 0 < passed_on < 500
+
+    @run_async
+    async def test_a_caller_that_leaves_cancels_the_call_at_the_upstream(self) -> None:
+        async with run_mesh() as mesh:
+            caller = await connect(mesh.inner)
+            caller.send(encode_request("/scans", headers={"x-fault": "stall"}))
+            await wait_until(lambda: mesh.upstreams[0].in_use == 1)
+            caller.close()
+            await wait_until(lambda: mesh.upstreams[0].counts["cancelled"] == 1)
+            assert mesh.edge.core.calls_in_progress == 0
+
+    @run_async
+    async def test_calls_too_deep_are_refused_inside_and_marks_from_outside_ignored(self) -> None:
+        async with run_mesh() as mesh:
+            deep = {"godwit-depth": "14"}
+            assert (await request(mesh.inner, "/books", headers=deep)).status == 508
+            assert (await request(mesh.outer, "/books", headers=deep)).status == 200
+
+    @run_async
+    async def test_a_slow_read_is_hedged_inside_the_budget(self) -> None:
+        async with run_mesh(upstreams=2) as mesh:
+            for _ in range(40):
+                await mesh.get("/books")
+            answer = await mesh.get("/books", x_fault="late", x_request="r")
+            assert answer.body == b"r /books 0"
+            assert mesh.edge.core.statistics.counts["hedged"] >= 1
+            assert mesh.count_runs("r") == 2
+
+
+class TestUploads:
+    @run_async
+    async def test_a_stalled_upload_never_reaches_an_upstream_and_did_not_run(self) -> None:
+        async with run_mesh() as mesh:
+            caller = await connect(mesh.inner)
+            head = b"POST /scans HTTP/1.1\r\nhost: mesh.test\r\ncontent-length: 1000\r\n\r\nabc"
+            answer = await caller.send(head)
+            assert (answer.status, answer.outcome) == (408, "not-run")
+            assert mesh.upstreams[0].counts["requests"] == 0
+            assert mesh.upstreams[0].peak_connections == 0
+
+    @run_async
+    async def test_a_hundred_slow_uploads_leave_lookups_alone(self) -> None:
+        async with run_mesh() as mesh:
+            head = b"POST /scans HTTP/1.1\r\nhost: mesh.test\r\ncontent-length: 100000\r\n\r\n"
+            callers = [await connect(mesh.inner) for _ in range(100)]
+            for caller in callers:
+                caller.send(head + bytes(1000))
+            answers = [await mesh.get("/books") for _ in range(20)]
+            assert {answer.status for answer in answers} == {200}
+            assert mesh.upstreams[0].peak_in_use == 1
+            for caller in callers:
+                caller.close()
+
+    @run_async
+    async def test_a_long_upload_arrives_whole_and_is_never_held_whole(self) -> None:
+        async with run_mesh() as mesh:
+            body = bytes(8 * 1024 * 1024)
+            answer = await request(mesh.inner, "/scans", "POST", {"x-request": "r"}, body)
+            assert answer.body == f"r /scans {len(body)}".encode()
+
+
+class TestShutdown:
+    @run_async
+    async def test_a_draining_edge_finishes_calls_and_takes_no_new_ones(self) -> None:
+        async with run_mesh() as mesh:
+            caller = await connect(mesh.inner)
+            pending = caller.send(encode_request("/scans", headers={"x-work-ms": "300"}))
+            await wait_until(lambda: mesh.upstreams[0].in_use == 1)
+            await mesh.edge.stop()
+            answer = await pending
+            assert answer.whole and answer.status == 200
+            with pytest.raises(OSError):
+                await connect(mesh.inner)
+
+    @run_async
+    async def test_an_upstream_that_leaves_gets_no_new_call_and_ends_its_own(self) -> None:
+        async with run_mesh(upstreams=2) as mesh:
+            leaving, staying = mesh.upstreams
+            pending = [asyncio.ensure_future(mesh.get("/scans", x_work_ms="300")) for _ in range(4)]
+            await wait_until(lambda: leaving.in_use + staying.in_use == 4)
+            mesh.peers.change(STOFFBOK, [make_upstream(1, staying.address)])
+            await anyio.sleep(0.1)
+            before = leaving.counts["requests"]
+            leaving.drain()
+            for _ in range(20):
+                assert (await mesh.get("/scans")).status == 200
+            assert leaving.counts["requests"] == before
+            assert [(await call).status for call in pending] == [200] * 4
+
+    @run_async
+    async def test_a_new_version_changes_routes_but_not_calls_in_progress(self) -> None:
+        async with run_mesh() as mesh:
+            pending = asyncio.ensure_future(mesh.get("/books", x_work_ms="200", x_request="r"))
+            await wait_until(lambda: mesh.upstreams[0].in_use == 1)
+            route = Route(RouteName("maps"), "/maps", STOFFBOK, policy=READ)
+            policy = Policy(READ, execution=Execution.IDEMPOTENT)
+            document = Document(1, (Service(STOFFBOK),), (route,), (policy,))
+            mesh.peers.publish(make_snapshot(document, version=2))
+            assert (await mesh.get("/books")).status == 404
+            assert (await mesh.get("/maps")).status == 200
+            mesh.peers.publish(make_snapshot(version=1))
+            assert (await mesh.get("/books")).status == 404, "an older version never returns"
+            assert (await pending).body == b"r /books 0"
--- a/packages/godwitpass/src/godwitpass/internal/balancing/record.py
+++ b/packages/godwitpass/src/godwitpass/internal/balancing/record.py
@@ -15,6 +15,9 @@
 FORGET_S = 5.0
 """After this time without a call, half of a bad measurement is forgotten."""
 
+NEGLIGIBLE_EXCESS = 0.1
+"""Less slowness than this counts as none, so that an upstream is tried again."""
+
 UPLOAD_SHARE = 0.5
 """Uploads may hold this share of an upstream's limit."""
 
@@ -76,9 +79,7 @@
 
     def estimate_cost(self, now: float) -> float:
         """Return the expected wait for an answer, in units of the usual latency."""
-        excess = max(0.0, self.slowness - 1.0)
-        remembered = excess / (1.0 + (now - self.measured_at) / FORGET_S)
-        return (min(self.slowness, 1.0) + remembered) * (self.in_flight + 1)
+        return self._recall_slowness(now) * (self.in_flight + 1)
 
     def record_answer(self, ratio: float, now: float) -> None:
         """Take in an answer that took `ratio` times as long as usual on its route."""
@@ -90,7 +91,16 @@
         self._measure(FAILURE_SLOWNESS, now)
         self.failure_rate += FAILURE_WEIGHT * (1.0 - self.failure_rate)
 
+    def _recall_slowness(self, now: float) -> float:
+        """Return the slowness, of which the part above 1 fades without new calls."""
+        excess = self.slowness - 1.0
+        if excess <= 0.0:
+            return self.slowness
+        remembered = excess * 0.5 ** ((now - self.measured_at) / FORGET_S)
+        return 1.0 + remembered if remembered >= NEGLIGIBLE_EXCESS else 1.0
+
     def _measure(self, ratio: float, now: float) -> None:
-        self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
+        slowness = self._recall_slowness(now)
+        self.slowness = slowness + SLOWNESS_WEIGHT * (ratio - slowness)
         self.samples += 1
         self.measured_at = now
