--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/callers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/callers.py
@@ -58,6 +58,7 @@
         self._headers: list[Header] = []
         self._in_head = False
         self._head_bytes = 0
+        self._begun = 0
         self._incoming: _Incoming | None = None
         self._queue: deque[_Incoming] = deque()
         self._call: Call | None = None
@@ -149,14 +150,16 @@
         """Parse a part of a request."""
         if self._stopped:
             return
-        if self._in_head:
-            self._head_bytes += len(data)
+        starts_with_head = self._in_head or self._incoming is None or self._incoming.body.complete
+        self._begun = 0
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._refuse_head(Reason.UNSUPPORTED)
         except httptools.HttpParserError:
             self._refuse_head(Reason.MALFORMED)
+        if self._in_head and starts_with_head and self._begun <= 1:
+            self._head_bytes += len(data)
         if self._in_head and self._head_bytes > MAX_HEAD_BYTES and not self._stopped:
             self._refuse_head(Reason.HEAD_TOO_LARGE)
         if len(self._queue) >= MAX_PIPELINED:
@@ -192,6 +195,7 @@
         self._url = b""
         self._headers = []
         self._in_head = True
+        self._begun += 1
         self._head_bytes = 0
         self._expires_at = self._edge.now() + HEAD_TIMEOUT_S
 
@@ -279,6 +283,7 @@
         if in_body and incoming is not None and not incoming.body.complete:
             incoming.keep_alive = False
             incoming.body.break_off()
+            self._serve()
             return
         if self._stopped:
             return
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
@@ -32,6 +32,11 @@
     from godwitpass_daemon.edge.core import EdgeCore
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+FAILURE_REASONS = {
+    Certainty.UNSENT: Reason.CONNECT_FAILED,
+    Certainty.REFUSED: Reason.UPSTREAM_REFUSED,
+    Certainty.UNCERTAIN: Reason.UPSTREAM_BROKEN,
+}
 _NEVER = float("inf")
 
 
@@ -49,6 +54,7 @@
         "_facts",
         "_framing",
         "_hedge_timer",
+        "_last_failure",
         "_maybe_ran",
         "_out",
         "_sent",
@@ -95,6 +101,7 @@
         self._sent = 0
         self._unsent = 0
         self._maybe_ran = False
+        self._last_failure: Reason | None = None
         self._waits_for_body = True
         self._ended = False
         self._timer: asyncio.TimerHandle | None = None
@@ -156,7 +163,7 @@
         """Answer that no upstream took the call, unless another attempt still runs."""
         self._attempts.remove(attempt)
         if not self._attempts and not self._ended:
-            self._refuse(reason, retry_after_s)
+            self._refuse(self._last_failure or reason, retry_after_s)
 
     # Called by attempts.
 
@@ -169,6 +176,7 @@
             self._sent += 1
         if self._attempts or self._ended:
             return
+        self._last_failure = FAILURE_REASONS[certainty]
         failed = FailedAttempt(
             certainty=certainty,
             sent=self._sent,
@@ -179,12 +187,7 @@
         if may_retry(failed, self.route.policy, self.dispatcher.budget):
             self._try(avoid=attempt)
             return
-        reasons = {
-            Certainty.UNSENT: Reason.CONNECT_FAILED,
-            Certainty.REFUSED: Reason.UPSTREAM_REFUSED,
-            Certainty.UNCERTAIN: Reason.UPSTREAM_BROKEN,
-        }
-        self._refuse(reasons[certainty])
+        self._refuse(self._last_failure)
 
     def lose_attempt(self, attempt: Attempt, stale: bool, invalid: bool) -> None:
         """Take in that an attempt's connection broke before its answer was whole."""
@@ -301,7 +304,7 @@
         self._maybe_ran = verdict is Verdict.REPEATED
         self._refuse(Reason.CLAIM_REFUSED)
 
-    def _try(self, avoid: Attempt | None, hedge: bool = False) -> None:
+    def _try(self, avoid: Attempt | None) -> None:
         now = self.edge.now()
         is_first = avoid is None
         if is_first:
@@ -309,7 +312,8 @@
         attempt = Attempt(self, self.edge.create_number(), is_repeat=not is_first)
         self._attempts.append(attempt)
         self.edge.register(attempt)
-        queue_s = 0.0 if hedge else self.route.policy.queue_ms / 1000
+        # Only a first attempt waits: of any other one, the answer is decided already.
+        queue_s = self.route.policy.queue_ms / 1000 if is_first else 0.0
         failed = avoid.upstream if avoid is not None else None
         self.dispatch(
             Arrived(
@@ -337,7 +341,7 @@
         pending = self._winner is None and len(self._attempts) == 1
         if pending and not self._ended and self.dispatcher.budget.withdraw():
             self.edge.count("hedged")
-            self._try(avoid=self._attempts[0], hedge=True)
+            self._try(avoid=self._attempts[0])
 
     def _set_deadline(self, deadline: float) -> None:
         if deadline >= self._deadline:
--- a/packages/godwitpass/src/godwitpass/internal/admission/limit.py
+++ b/packages/godwitpass/src/godwitpass/internal/admission/limit.py
@@ -2,7 +2,7 @@
 
 import random
 
-INITIAL_LIMIT = 2.0
+INITIAL_LIMIT = 4.0
 MIN_LIMIT = 1.0
 SHED_FACTOR = 0.7
 """The limit is multiplied by this when the upstream sheds a call."""
