Give each test run loopback addresses of its own

Cause: the demonstration's test failed once with a malformed answer: another test run on the same machine had taken a port between its choice and its use, and answered in the daemon's place. Change: addresses come from a loopback number made of the process id, so that runs side by side share none. Ruled out: a fault of the administration API, since the body came from a stand-in upstream.

--- a/packages/godwitpass-cli/tests/test_commands.py
+++ b/packages/godwitpass-cli/tests/test_commands.py
@@ -9,18 +9,18 @@
 from godwitpass.administration import ProblemKind
 from godwitpass.errors import AcceptanceUnknown, StoreUnavailable
 from godwitpass.events import TimelineEvent
-from godwitpass.ids import Address, ChangeId, InstanceId, RegionId, Version, ZoneId
+from godwitpass.ids import ChangeId, InstanceId, RegionId, Version, ZoneId
 from godwitpass_cli.exits import CODES, MEANINGS, ExitCode
 from godwitpass_cli.main import run
 from godwitpass_testkit.administration import ADMIN_TOKEN, FakeDaemon, run_admin
-from godwitpass_testkit.ports import PortAllocator
+from godwitpass_testkit.ports import AddressAllocator
 
 DOCUMENT: dict[str, Any] = {
     "format": 1,
     "services": [{"name": "maal"}],
     "routes": [{"name": "scan", "path_prefix": "/scan", "service": "maal"}],
 }
-PORTS = PortAllocator()
+ADDRESSES = AddressAllocator()
 
 
 def build_event(instance: str, time: float) -> TimelineEvent:
@@ -34,7 +34,7 @@
     def __init__(self, folder: Path, capture: pytest.CaptureFixture[str]) -> None:
         self.first, self.second = FakeDaemon(), FakeDaemon()
         self.second.versions = self.first.versions
-        self.addresses = [Address(f"127.0.0.1:{PORTS.allocate()}") for _ in range(3)]
+        self.addresses = [ADDRESSES.allocate() for _ in range(3)]
         self._folder = folder
         self._capture = capture
 
--- a/testkit/src/godwitpass_testkit/deployment.py
+++ b/testkit/src/godwitpass_testkit/deployment.py
@@ -15,7 +15,7 @@
 from godwitpass.errors import GodwitpassError
 from godwitpass.ids import Address, InstanceId, RegionId, ServiceName, ZoneId
 from godwitpass_daemon.settings import ListenSettings, Settings, UpstreamSettings
-from godwitpass_testkit.ports import PortAllocator
+from godwitpass_testkit.ports import AddressAllocator
 
 ADMIN_TOKEN = "experiment-token-not-a-secret"
 PEER_KEY = "experiment-peer-key-not-a-secret"
@@ -35,13 +35,12 @@
         self.folder = folder
         self.store = Address("")
         self.nodes: dict[InstanceId, Settings] = {}
-        self._ports = PortAllocator()
+        self._addresses = AddressAllocator()
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
 
     def start_store(self) -> None:
         """Start the stand-in store and wait until it takes calls."""
-        port = self._ports.allocate()
-        self.store = Address(f"127.0.0.1:{port}")
+        self.store = self._addresses.allocate()
         self._spawn("store", "godwitpass_testkit.store", "--listen", self.store)
         self.wait_until("the store listens", lambda: _is_listening(self.store))
 
@@ -51,15 +50,16 @@
         """Start a daemon, and beside it an upstream of `service`."""
         upstream = None
         if with_upstream:
-            address = self._allocate_address()
-            port = address.rpartition(":")[2]
-            self._spawn(f"upstream-{instance}", "godwitpass_testkit.upstream", port)
+            address = self._addresses.allocate()
+            host, _, port = address.rpartition(":")
+            module = "godwitpass_testkit.upstream"
+            self._spawn(f"upstream-{instance}", module, port, "--host", host)
             upstream = UpstreamSettings(ServiceName(service), address)
         settings = Settings(
             instance=InstanceId(instance),
             zone=ZoneId(zone),
             region=RegionId(region),
-            listen=ListenSettings(*(self._allocate_address() for _ in range(4))),
+            listen=ListenSettings(*(self._addresses.allocate() for _ in range(4))),
             store=(self.store,),
             admin_token=ADMIN_TOKEN,
             peer_key=PEER_KEY,
@@ -107,9 +107,6 @@
             store.kill()
             store.wait()
 
-    def _allocate_address(self) -> Address:
-        return Address(f"127.0.0.1:{self._ports.allocate()}")
-
     def _spawn(self, name: str, module: str, *arguments: str) -> None:
         log = (self.folder / f"{name}.log").open("ab")
         with log:
--- a/testkit/src/godwitpass_testkit/upstream.py
+++ b/testkit/src/godwitpass_testkit/upstream.py
@@ -296,12 +296,14 @@
                 connection.transport.abort()
 
 
-def main(port: int, slots: int = 12, work_ms: float = 0.0, sheds: bool = True) -> None:
-    """Serve on 127.0.0.1 until the process is ended."""
+def main(
+    port: int, host: str = "127.0.0.1", slots: int = 12, work_ms: float = 0.0, sheds: bool = True
+) -> None:
+    """Serve on `host` until the process is ended."""
 
     async def serve() -> None:
         options = UpstreamOptions(slots=slots, work_s=work_ms / 1000, sheds=sheds)
-        await StandInUpstream(options, exit_on_crash=True).start(port=port)
+        await StandInUpstream(options, exit_on_crash=True).start(host, port)
         await asyncio.Event().wait()
 
     import uvloop
--- a/testkit/tests/reference/test_reference.py
+++ b/testkit/tests/reference/test_reference.py
@@ -6,13 +6,12 @@
 import pytest
 
 from godwitpass.document import read_document
-from godwitpass.ids import Address
 from godwitpass.timeline import parse_timeline
 from godwitpass_cli.main import run
 from godwitpass_daemon.settings import read_settings, report_settings
 from godwitpass_testkit.administration import ADMIN_TOKEN, FakeDaemon, run_admin
 from godwitpass_testkit.demo.fleet import EXAMPLES, GUILD, LAKESHORE, FleetPlan
-from godwitpass_testkit.ports import PortAllocator
+from godwitpass_testkit.ports import AddressAllocator
 from godwitpass_testkit.reference.catalogue import list_events
 from godwitpass_testkit.reference.pages import PAGES
 
@@ -60,7 +59,7 @@
     ) -> None:
         commands = COMMAND.findall((DOCS / "operators" / f"{page}.md").read_text())
         assert commands
-        admin = Address(f"127.0.0.1:{PortAllocator().allocate()}")
+        admin = AddressAllocator().allocate()
         monkeypatch.setenv("GODWITCTL_ADDRESSES", admin)
         monkeypatch.setenv("GODWITCTL_TOKEN", ADMIN_TOKEN)
         monkeypatch.chdir(tmp_path)
