Leave minor events out of the time line, and name a store that went back

A store restored from an older copy was answered as one that can't be reached. The problem store-went-back (409, exit code 4) tells the version to build on. The help in CLI.md no longer changes the environment of the process that renders it. Conclusion: daemons keep all events; only the default view is shorter.

--- a/packages/godwitpass-cli/src/godwitpass_cli/exits.py
+++ b/packages/godwitpass-cli/src/godwitpass_cli/exits.py
@@ -24,7 +24,7 @@
     ExitCode.FAULT: "A fault of this command or of the daemon.",
     ExitCode.USAGE: "Unknown command, option or configuration.",
     ExitCode.INVALID_INPUT: "The document or another input was refused; every finding is printed.",
-    ExitCode.CONFLICT: "Another change was accepted first.",
+    ExitCode.CONFLICT: "Another change was accepted first, or the store shows an older version.",
     ExitCode.UNAVAILABLE: "No daemon, or not its store, could be reached; nothing was changed.",
     ExitCode.OUTCOME_UNKNOWN: "Not known whether it was done; repeat it with the same change id.",
     ExitCode.UNAUTHORIZED: "The token is missing or wrong.",
@@ -43,6 +43,7 @@
     ProblemKind.VERSION_CONFLICT: ExitCode.CONFLICT,
     ProblemKind.NOT_READY: ExitCode.UNAVAILABLE,
     ProblemKind.STORE_UNAVAILABLE: ExitCode.UNAVAILABLE,
+    ProblemKind.STORE_WENT_BACK: ExitCode.CONFLICT,
     ProblemKind.OUTCOME_UNKNOWN: ExitCode.OUTCOME_UNKNOWN,
     ProblemKind.INTERNAL: ExitCode.FAULT,
 }
--- a/packages/godwitpass-cli/src/godwitpass_cli/observation.py
+++ b/packages/godwitpass-cli/src/godwitpass_cli/observation.py
@@ -8,7 +8,7 @@
 import typer
 
 from godwitpass.administration import DrainResult, Status, Timeline
-from godwitpass.events import TimelineEvent
+from godwitpass.events import Level, TimelineEvent, list_levels
 from godwitpass.ids import Address
 from godwitpass.timeline import merge_timelines, parse_timeline
 from godwitpass_cli.client import Call
@@ -47,16 +47,23 @@
     ] = None,
     instance: Annotated[str | None, typer.Option(help="Only events of this instance.")] = None,
     kind: Annotated[str | None, typer.Option(help="Only events of this number or name.")] = None,
+    level: Annotated[
+        Level,
+        typer.Option(case_sensitive=False, help="Least severity of the events, without --kind."),
+    ] = Level.INFO,
     last: Annotated[int, typer.Option(min=1, help="How many events to show.")] = DEFAULT_EVENTS,
     output: Output = OutputForm.TABLE,
 ) -> None:
     """Merge the events of many processes into one ordered picture."""
     session = find_session(context)
     sources = [_read_log(path) for path in files] if files else _ask_daemons(session)
+    levels = list_levels(level)
     events = [
         event
         for event in merge_timelines(sources)
-        if instance in (None, event.instance) and kind in (None, event.name, str(event.number))
+        if instance in (None, event.instance)
+        and kind in (None, event.name, str(event.number))
+        and (kind is not None or event.level in levels)
     ][-last:]
     if not session.print_message(Timeline(tuple(events))):
         headings = ("TIME", "ZONE", "INSTANCE", "VERSION", "EVENT", "FIELDS")
--- a/packages/godwitpass-cli/tests/test_commands.py
+++ b/packages/godwitpass-cli/tests/test_commands.py
@@ -8,7 +8,7 @@
 
 from godwitpass.administration import ProblemKind
 from godwitpass.errors import AcceptanceUnknown, StoreUnavailable
-from godwitpass.events import TimelineEvent
+from godwitpass.events import Level, TimelineEvent
 from godwitpass.ids import Address, ChangeId, InstanceId, RegionId, Version, ZoneId
 from godwitpass_cli.exits import CODES, MEANINGS, ExitCode
 from godwitpass_cli.main import run
@@ -126,6 +126,13 @@
         assert code == 0 and out.index("early") < out.index("late")
         assert f"left out: daemon {operator.addresses[0]}" in err
 
+    def test_minor_events_are_shown_on_request(self, operator: Operator) -> None:
+        event = msgspec.structs.replace(build_event("minor", 5.0), level=Level.DEBUG)
+        operator.first.events = [event]
+        assert "minor" not in operator.run("timeline")[1]
+        assert "minor" in operator.run("timeline", "--level", "debug")[1]
+        assert "minor" in operator.run("timeline", "--kind", "210")[1]
+
     def test_the_time_line_merges_files(self, operator: Operator, tmp_path: Path) -> None:
         paths = [str(tmp_path / name) for name in ("a.log", "b.log")]
         for path, time in zip(paths, (20.0, 10.0), strict=True):
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/admin/application.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/admin/application.py
@@ -11,6 +11,7 @@
     InvalidDocument,
     StoreOutcomeUnknown,
     StoreUnavailable,
+    StoreWentBack,
 )
 from godwitpass_daemon.admin import events
 from godwitpass_daemon.admin.endpoints import Endpoint, find_endpoint, list_methods
@@ -123,6 +124,10 @@
                 ProblemKind.OUTCOME_UNKNOWN, str(error), "send it again with the same change id"
             )
             return Answer(problem, 503, RETRY_AFTER)
+        case StoreWentBack():
+            remedy = f"apply it with --if-version {error.held} to go on from that version"
+            problem = Problem(ProblemKind.STORE_WENT_BACK, str(error), remedy, current=error.stored)
+            return Answer(problem, 409)
         case StoreUnavailable():
             problem = Problem(ProblemKind.STORE_UNAVAILABLE, str(error), "ask again later")
             return Answer(problem, 503, RETRY_AFTER)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/eventlog/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/eventlog/service.py
@@ -11,7 +11,7 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 
-from godwitpass.events import EventKind, Field, Level, TimelineEvent
+from godwitpass.events import EventKind, Field, TimelineEvent, list_levels
 from godwitpass.ids import NO_VERSION
 from godwitpass.snapshot import Snapshot
 from godwitpass_daemon.eventlog.events import STARTED, STOPPING, SUPPRESSED
@@ -38,8 +38,7 @@
         self._limiter = EventLimiter()
         self._logger = logger.bind(event_log=id(self))
         self._sinks: list[int] = []
-        levels = list(Level)
-        self._logged = frozenset(levels[levels.index(settings.log_level) :])
+        self._logged = frozenset(list_levels(settings.log_level))
 
     async def start(self, tasks: TaskGroup) -> None:
         """Open the log."""
@@ -91,6 +90,7 @@
             settings.region,
             self._version,
             fields,
+            kind.level,
         )
         self._ring.append(event)
         if self._sinks and kind.level in self._logged:
--- a/packages/godwitpass-daemon/tests/admin/test_admin.py
+++ b/packages/godwitpass-daemon/tests/admin/test_admin.py
@@ -15,11 +15,12 @@
     ValidationResult,
 )
 from godwitpass.document import Service
-from godwitpass.errors import AcceptanceUnknown, StoreUnavailable
+from godwitpass.errors import AcceptanceUnknown, StoreUnavailable, StoreWentBack
 from godwitpass.ids import (
     NO_VERSION,
     ChangeId,
     ServiceName,
+    Version,
 )
 from godwitpass.internal.validation.text import MAX_TEXT_BYTES
 from godwitpass.mesh import UpstreamState
@@ -118,19 +119,20 @@
         assert client.call("POST", "/v1/rollback", b'{"to_version": 9}')[0] == 404
 
     @pytest.mark.parametrize(
-        ("failure", "kind"),
+        ("failure", "expected", "kind"),
         [
-            (StoreUnavailable("down"), "store-unavailable"),
-            (AcceptanceUnknown(ChangeId("c")), "outcome-unknown"),
+            (StoreUnavailable("down"), 503, "store-unavailable"),
+            (AcceptanceUnknown(ChangeId("c")), 503, "outcome-unknown"),
+            (StoreWentBack(Version(7), Version(3)), 409, "store-went-back"),
         ],
     )
     def test_a_store_failure_tells_whether_to_ask_with_the_same_change(
-        self, failure: Exception, kind: str
+        self, failure: Exception, expected: int, kind: str
     ) -> None:
         client = Client(daemon := FakeDaemon())
         daemon.failure = failure
         status, answer = client.put(DOCUMENT)
-        assert (status, answer["kind"]) == (503, kind)
+        assert (status, answer["kind"]) == (expected, kind)
 
     def test_an_unforeseen_fault_shows_neither_traceback_nor_text(self) -> None:
         client = Client(daemon := FakeDaemon())
--- a/packages/godwitpass/src/godwitpass/administration.py
+++ b/packages/godwitpass/src/godwitpass/administration.py
@@ -39,6 +39,7 @@
     VERSION_CONFLICT = "version-conflict"
     NOT_READY = "not-ready"
     STORE_UNAVAILABLE = "store-unavailable"
+    STORE_WENT_BACK = "store-went-back"
     OUTCOME_UNKNOWN = "outcome-unknown"
     INTERNAL = "internal"
 
--- a/packages/godwitpass/src/godwitpass/events.py
+++ b/packages/godwitpass/src/godwitpass/events.py
@@ -23,6 +23,16 @@
     ERROR = "ERROR"
 
 
+def list_levels(least: Level) -> list[Level]:
+    """Return `least` and the more severe levels.
+
+    >>> list_levels(Level.WARNING)
+    [<Level.WARNING: 'WARNING'>, <Level.ERROR: 'ERROR'>]
+    """
+    levels = list(Level)
+    return levels[levels.index(least) :]
+
+
 class EventKind(msgspec.Struct, frozen=True):
     """What an event means; `number` never changes its meaning between releases."""
 
@@ -47,3 +57,4 @@
     region: RegionId
     version: Version
     fields: dict[str, Field] = {}
+    level: Level = Level.INFO
--- a/testkit/src/godwitpass_testkit/reference/commands.py
+++ b/testkit/src/godwitpass_testkit/reference/commands.py
@@ -3,6 +3,7 @@
 import contextlib
 import io
 import os
+from unittest import mock
 
 import typer
 
@@ -23,9 +24,8 @@
 
 
 def _render_help(title: str, arguments: list[str]) -> str:
-    os.environ["COLUMNS"] = WIDTH_CHARS
     output = io.StringIO()
-    with contextlib.redirect_stdout(output):
+    with mock.patch.dict(os.environ, COLUMNS=WIDTH_CHARS), contextlib.redirect_stdout(output):
         run([*arguments, "--help"])
     lines = [line.rstrip() for line in output.getvalue().strip().splitlines()]
     return "\n".join([f"## {title}", "", "```text", *lines, "```", ""])
