--- /dev/null
+++ b/packages/godwitpass-daemon/tests/admin/test_processes.py
@@ -0,0 +1,108 @@
+"""The administration API of real daemons over a real connection."""
+
+import contextlib
+import socket
+import threading
+from collections.abc import Iterator
+
+import msgspec
+import pytest
+
+from godwitpass.administration import History, Problem, VersionRecord
+from godwitpass.document import Document, Route, Service
+from godwitpass.ids import RouteName, ServiceName
+from godwitpass_daemon.settings import Settings
+from godwitpass_testkit.deployment import Answer, Deployment, administer, run_deployment
+
+ROUNDS = 3
+OPERATORS = 4
+SERVICE = ServiceName("maal")
+ROUTE = Route(RouteName("scan"), "/scan", SERVICE)
+
+MALFORMED_BYTES = [
+    b"\x00\xff\xfe" * 50,
+    b"PUT /v1/document HTTP/1.1\r\ncontent-length: -5\r\n\r\n",
+    b"PUT /v1/document HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+    b"GET /" + b"a" * 100_000 + b" HTTP/1.1\r\n\r\n",
+]
+REFUSED_BODIES = [
+    b"",
+    b"\xff",
+    b"[" * 90_000,
+    b'{"format": 1, "format": 1}',
+    b'{"format": 1, "services": 3}',
+    b'{"format": 1, "routes": [{"name": "r", "path_prefix": "/", "service": "unknown"}]}',
+    b'{"services": [' + b"[]," * 1_000_000 + b"1]}",
+]
+
+
+def build_document(slots: int) -> bytes:
+    services = (Service(SERVICE, slots=slots),)
+    return msgspec.json.encode(Document(1, services=services, routes=(ROUTE,)))
+
+
+@pytest.fixture(scope="module")
+def deployment(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Deployment]:
+    with run_deployment(tmp_path_factory.mktemp("admin")) as running:
+        for zone in ("bergen", "stavanger"):
+            running.add_node(f"maal-{zone}", zone, "vest", SERVICE)
+        nodes = list(running.nodes.values())
+        running.wait_until(
+            "all daemons answer",
+            lambda: all(administer(node, "GET", "/v1/history") is not None for node in nodes),
+        )
+        yield running
+
+
+def list_versions(node: Settings) -> tuple[VersionRecord, ...]:
+    answer = administer(node, "GET", "/v1/history")
+    assert answer is not None and answer.status == 200, answer
+    return msgspec.json.decode(answer.body, type=History).versions
+
+
+class TestRacingOperators:
+    def test_exactly_one_of_them_wins_and_the_others_learn_who(
+        self, deployment: Deployment
+    ) -> None:
+        nodes = list(deployment.nodes.values())
+        for _ in range(ROUNDS):
+            base = len(list_versions(nodes[0]))
+            answers: list[Answer | None] = []
+
+            def write(operator: int, base: int = base, into: list[Answer | None] = answers) -> None:
+                target = f"/v1/document?if_version={base}"
+                body = build_document(slots=base * OPERATORS + operator + 1)
+                into.append(administer(nodes[operator % 2], "PUT", target, body))
+
+            threads = [threading.Thread(target=write, args=(n,)) for n in range(OPERATORS)]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            given = [answer for answer in answers if answer is not None]
+            assert sorted(answer.status for answer in given) == [200] + [409] * (OPERATORS - 1)
+            newest = list_versions(nodes[0])[0]
+            assert newest.version == base + 1
+            for answer in given:
+                if answer.status == 409:
+                    problem = msgspec.json.decode(answer.body, type=Problem)
+                    assert (problem.current, problem.winner) == (newest.version, newest.change)
+
+
+class TestBadInput:
+    def test_refused_bodies_and_malformed_bytes_leave_store_and_daemon_as_they_were(
+        self, deployment: Deployment
+    ) -> None:
+        node = next(iter(deployment.nodes.values()))
+        before = list_versions(node)
+        for body in REFUSED_BODIES:
+            answer = administer(node, "PUT", "/v1/document", body)
+            assert answer is not None and answer.status == 422, (body[:40], answer)
+            assert msgspec.json.decode(answer.body, type=Problem).findings
+        host, _, port = node.listen.admin.rpartition(":")
+        for content in MALFORMED_BYTES:
+            with socket.create_connection((host, int(port)), timeout=30) as connection:
+                # The daemon may close before all is sent.
+                with contextlib.suppress(ConnectionError):
+                    connection.sendall(content)
+        assert list_versions(node) == before
