--- a/testkit/src/godwitpass_testkit/reference/pages.py
+++ b/testkit/src/godwitpass_testkit/reference/pages.py
@@ -6,7 +6,7 @@
 
 from godwitpass.document import Document
 from godwitpass.internal.validation.reader import MAX_CANONICAL_BYTES
-from godwitpass.internal.validation.text import MAX_DEPTH, MAX_TEXT_BYTES
+from godwitpass.internal.validation.text import MAX_DEPTH, MAX_TEXT_BYTES, MAX_VALUES
 from godwitpass.policy import (
     DEFAULT_ATTEMPTS,
     DEFAULT_IDEMPOTENT_ATTEMPTS,
@@ -17,6 +17,7 @@
 )
 from godwitpass.store import MAX_VALUE_BYTES
 from godwitpass_daemon.admin.openapi import describe_api
+from godwitpass_daemon.eventlog.limiter import MAX_EVENTS_IN_ALL, MAX_EVENTS_PER_WINDOW
 from godwitpass_daemon.settings import PROFILES, Settings
 from godwitpass_testkit.reference.catalogue import render_catalogue
 from godwitpass_testkit.reference.commands import render_commands
@@ -39,9 +40,9 @@
 - two routes have the same host and path prefix and share a method;
 - no route leads to a service;
 - an `at-most-once` policy has more than one attempt;
-- it is not UTF-8, nested deeper than {MAX_DEPTH} levels, larger than {MAX_TEXT_BYTES:,} bytes as
-  text or {MAX_CANONICAL_BYTES:,} bytes in canonical form, or its compressed form larger than
-  {MAX_VALUE_BYTES:,} bytes.
+- it is not UTF-8, nested deeper than {MAX_DEPTH} levels, larger than {MAX_TEXT_BYTES:,} bytes or
+  {MAX_VALUES:,} values as text, {MAX_CANONICAL_BYTES:,} bytes in canonical form, or
+  {MAX_VALUE_BYTES:,} bytes compressed.
 
 A field that neither a policy nor those it extends set has this default: `execution` `unsafe`,
 `timeout_ms` {DEFAULT_TIMEOUT_MS}, `stall_timeout_ms` {DEFAULT_STALL_TIMEOUT_MS}, `attempts`
@@ -58,12 +59,13 @@
 a port. Secrets have at least 16 characters and are better kept in files of their own.
 """
 
-EVENTS_INTRODUCTION = """\
+EVENTS_INTRODUCTION = f"""\
 # Events
 
 Every event has a number that never changes its meaning, and carries time, sequence, instance,
 availability zone, region and the version in force. `godwitctl timeline` merges the events of many
-daemons. Past 50 events of one kind in a second a daemon counts them only (number 102).
+daemons. Past {MAX_EVENTS_PER_WINDOW} events of one kind or {MAX_EVENTS_IN_ALL} of all kinds in a
+second a daemon only counts them (number 102).
 """
 
 COMMANDS_INTRODUCTION = """\
