--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/membership.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/membership.py
@@ -26,6 +26,9 @@
 FAREWELL_S = 0.5
 """Time in which the news that this daemon leaves is passed on before it stops."""
 
+NOTIFY_INTERVAL_S = 0.2
+"""The loss of an availability zone is hundreds of changes; subscribers rebuild their views."""
+
 TUNINGS = {
     Profile.SMALL: msgspec.structs.replace(DEFAULT_TUNING, join_spread_s=0.5),
     Profile.LARGE: DEFAULT_TUNING,
@@ -49,6 +52,7 @@
         self._tasks: TaskGroup | None = None
         self._wake_at = math.inf
         self._woken = anyio.Event()
+        self._changed = anyio.Event()
 
     async def start(self, tasks: TaskGroup) -> None:
         """Look for other daemons in the background."""
@@ -58,6 +62,7 @@
         if self._has_upstream:
             self._handle(Announce(UpstreamState.READY))
         tasks.start_soon(self._run_timer)
+        tasks.start_soon(self._notify)
 
     async def stop(self) -> None:
         """Tell the others that this daemon leaves."""
@@ -74,7 +79,7 @@
         return self._membership.upstreams(service)
 
     def subscribe(self, callback: Callable[[], None]) -> None:
-        """Call `callback` after each change of members or upstreams."""
+        """Call `callback` soon after changes of members or upstreams, once for several."""
         self._callbacks.append(callback)
 
     def announce(self, state: UpstreamState) -> None:
@@ -101,12 +106,19 @@
                     self._tasks.start_soon(self._request, action)
         if self._generation != self._membership.generation:
             self._generation = self._membership.generation
-            for callback in self._callbacks:
-                callback()
+            self._changed.set()
 
     async def _request(self, request: Request) -> None:
         self._handle(await perform_request(self._store, request))
 
+    async def _notify(self) -> None:
+        while True:
+            await self._changed.wait()
+            self._changed = anyio.Event()
+            for callback in self._callbacks:
+                callback()
+            await anyio.sleep(NOTIFY_INTERVAL_S)
+
     def _set_timer(self, at: float) -> None:
         if at < self._wake_at:
             self._wake_at = at
