Let settings name a second peer key and TLS files

Cause: the transport could rotate keys and use TLS, but no setting reached it. Change: peer_key_accepted, peer_key_accepted_file and peer_tls; unreadable files and keys above 64 bytes are findings. A test delivers 5,000 bytes with the right certificate and none without or with a stranger's. Conclusion: keys change without a stop.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -1,19 +1,21 @@
 """The composition root: wires the services of one daemon."""
 
+from pathlib import Path
+
 from godwitpass.internal.calls.dispatcher import Place
 from godwitpass_daemon.admin.service import build_admin
 from godwitpass_daemon.edge.service import EdgeService
 from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.kernel import Kernel
 from godwitpass_daemon.metrics import collect_services
-from godwitpass_daemon.peers import PeerTransport
+from godwitpass_daemon.peers import PeerTransport, TlsIdentity
 from godwitpass_daemon.services.acceptance import AcceptanceService
 from godwitpass_daemon.services.claims import ClaimsService
 from godwitpass_daemon.services.crashes import CrashesService
 from godwitpass_daemon.services.distribution import DistributionService
 from godwitpass_daemon.services.membership import MembershipService
 from godwitpass_daemon.services.store import StoreClient
-from godwitpass_daemon.settings import Settings
+from godwitpass_daemon.settings import PeerTlsSettings, Settings
 
 
 def build_kernel(settings: Settings) -> Kernel:
@@ -25,8 +27,9 @@
         "peers",
         lambda found: PeerTransport(
             settings.listen.peer,
-            (settings.peer_key.encode(),),
+            settings.peer_keys,
             found.find("events", EventLog).emit,
+            _read_tls(settings.peer_tls),
         ),
     )
     kernel.register(
@@ -87,3 +90,14 @@
         "admin", lambda found: build_admin(found, settings, [lambda: collect_services(found)])
     )
     return kernel
+
+
+def _read_tls(tls: PeerTlsSettings | None) -> TlsIdentity | None:
+    if tls is None:
+        return None
+    return TlsIdentity(
+        Path(tls.certificate_file).read_bytes(),
+        Path(tls.private_key_file).read_bytes(),
+        Path(tls.authority_file).read_bytes(),
+        tls.name,
+    )
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/settings.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/settings.py
@@ -18,7 +18,11 @@
 from godwitpass.internal.validation.structure import show_value
 
 MIN_SECRET_CHARS = 16
+MAX_PEER_KEY_BYTES = 64
 MAX_PORT = 65_535
+SECRETS = ("admin_token", "peer_key", "peer_key_accepted")
+OPTIONAL_SECRETS = ("peer_key_accepted",)
+TLS_FILES = ("certificate_file", "private_key_file", "authority_file")
 
 
 class Profile(Enum):
@@ -66,6 +70,15 @@
     peer: Annotated[Address, Meta(description="Messages of other daemons, over UDP and TCP.")]
 
 
+class PeerTlsSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Mutual TLS for the large messages between daemons; files hold PEM."""
+
+    certificate_file: Annotated[str, Meta(description="Certificate of this daemon.")]
+    private_key_file: Annotated[str, Meta(description="Its private key.")]
+    authority_file: Annotated[str, Meta(description="Certificate that signed those of daemons.")]
+    name: Annotated[str, Meta(description="DNS name that the certificates of all daemons bear.")]
+
+
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Everything one process is told; the rest comes from the document."""
 
@@ -98,6 +111,16 @@
     peer_key_file: Annotated[
         str | None, Meta(description="File with the key, relative to the settings file.")
     ] = None
+    peer_key_accepted: Annotated[
+        str,
+        Meta(description="Second key, only accepted, while keys change; or with `_file`."),
+    ] = ""
+    peer_key_accepted_file: Annotated[
+        str | None, Meta(description="File with the second key, relative to the settings file.")
+    ] = None
+    peer_tls: Annotated[
+        PeerTlsSettings | None, Meta(description="Mutual TLS between daemons, if wanted.")
+    ] = None
     log_format: Annotated[LogFormat, Meta(description="Form of the log on standard error.")] = (
         LogFormat.TEXT
     )
@@ -112,6 +135,12 @@
         """Return a text without the secrets."""
         return f"Settings(instance={self.instance!r}, zone={self.zone!r}, region={self.region!r})"
 
+    @property
+    def peer_keys(self) -> tuple[bytes, ...]:
+        """Return the keys that authenticate peers; the first one signs."""
+        keys = (self.peer_key, self.peer_key_accepted)
+        return tuple(key.encode() for key in keys if key)
+
     @property
     def tuning(self) -> Tuning:
         """Return the defaults of the profile."""
@@ -131,13 +160,15 @@
         if isinstance(value, dict):
             _check_listen(value.get("listen"), findings)
             _check_addresses(value, findings)
-            for name in ("admin_token", "peer_key"):
+            for name in SECRETS:
                 secrets[name] = _read_secret(value, name, path.parent, findings)
+            _check_tls(value.get("peer_tls"), path.parent, findings)
 
     settings, found = read_struct(content, str(path), Settings, check)
     if settings is None:
         raise InvalidSettings(found)
-    return msgspec.structs.replace(settings, **secrets)
+    tls = _resolve_tls(settings.peer_tls, path.parent)
+    return msgspec.structs.replace(settings, peer_tls=tls, **secrets)
 
 
 def report_settings(path: Path, output: TextIO | None = None) -> bool:
@@ -203,9 +234,35 @@
         except (OSError, ValueError) as error:
             findings.add(pointer, f"{show_value(file)} can't be read: {error}", "correct the path")
             return ""
+    if not given and name in OPTIONAL_SECRETS:
+        return ""
     if not given:
         findings.add("", f"neither {name!r} nor '{name}_file' is given", "add one of the two")
     elif len(given) < MIN_SECRET_CHARS:
         message = f"a secret of {len(given)} characters"
         findings.add(pointer, message, f"use at least {MIN_SECRET_CHARS}")
+    elif name.startswith("peer_key") and len(given.encode()) > MAX_PEER_KEY_BYTES:
+        message = f"a key of {len(given.encode())} bytes"
+        findings.add(pointer, message, f"use at most {MAX_PEER_KEY_BYTES}")
     return given
+
+
+def _check_tls(tls: Any, folder: Path, findings: Findings) -> None:
+    if not isinstance(tls, dict):
+        return
+    for name in TLS_FILES:
+        file = tls.get(name)
+        if not isinstance(file, str):
+            continue
+        try:
+            (folder / file).read_bytes()
+        except OSError as error:
+            message = f"{show_value(file)} can't be read: {error.strerror}"
+            findings.add(f"/peer_tls/{name}", message, "correct the path")
+
+
+def _resolve_tls(tls: PeerTlsSettings | None, folder: Path) -> PeerTlsSettings | None:
+    if tls is None:
+        return None
+    paths = {name: str(folder / getattr(tls, name)) for name in TLS_FILES}
+    return msgspec.structs.replace(tls, **paths)
--- a/packages/godwitpass-daemon/tests/peers/test_transport.py
+++ b/packages/godwitpass-daemon/tests/peers/test_transport.py
@@ -1,13 +1,19 @@
 import socket
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
+from datetime import UTC, datetime, timedelta
+from functools import partial
 
 import anyio
 import msgspec
 import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
 
 from godwitpass.ids import Address
-from godwitpass_daemon.peers import Channel, PeerTransport
+from godwitpass_daemon.peers import Channel, PeerTransport, TlsIdentity
 from godwitpass_daemon.peers.events import PEER_MESSAGES_DROPPED
 from godwitpass_daemon.peers.frames import seal_frame
 from godwitpass_daemon.peers.transport import MAX_DATAGRAM_PAYLOAD_BYTES, MAX_PAYLOAD_BYTES
@@ -32,6 +38,32 @@
             tasks.cancel_scope.cancel()
 
 
+def build_identity(name: str) -> TlsIdentity:
+    """Return a self-signed certificate that is its own authority."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
+    start = datetime.now(UTC) - timedelta(days=1)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(subject)
+        .issuer_name(subject)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(start)
+        .not_valid_after(start + timedelta(days=3))
+        .add_extension(x509.SubjectAlternativeName([x509.DNSName(name)]), critical=False)
+        .add_extension(x509.BasicConstraints(ca=True, path_length=None), critical=True)
+        .sign(key, hashes.SHA256())
+        .public_bytes(serialization.Encoding.PEM)
+    )
+    private_key = key.private_bytes(
+        serialization.Encoding.PEM,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+    return TlsIdentity(certificate, private_key, certificate, name)
+
+
 async def wait_until(condition: Callable[[], bool]) -> None:
     with anyio.fail_after(PATIENCE_S):
         while not condition():  # noqa: ASYNC110 - the counters have no event to wait for
@@ -51,6 +83,10 @@
         await wait_until(lambda: len(self.messages) >= count)
 
 
+def is_settled(sender: PeerTransport, inbox: Inbox) -> bool:
+    return sender.unsent.totals["unavailable"] > 0 or bool(inbox.messages)
+
+
 class TestPeerTransport:
     async def deliver(self, addresses: Pair, recorder: EventRecorder, payload: bytes) -> None:
         sender, receiver = (PeerTransport(each, [KEY], recorder) for each in addresses)
@@ -71,6 +107,25 @@
     ) -> None:
         anyio.run(self.deliver, addresses, recorder, b"x" * size)
 
+    def test_with_tls_only_holders_of_a_certificate_deliver_large_payloads(
+        self, addresses: Pair, recorder: EventRecorder
+    ) -> None:
+        identity, stranger = build_identity("peer.example"), build_identity("peer.example")
+
+        async def deliver() -> None:
+            receiver = PeerTransport(addresses[1], [KEY], recorder, identity)
+            inbox = Inbox()
+            receiver.subscribe(Channel.CLAIMS, inbox)
+            async with run_transports([receiver]):
+                for tls in (stranger, None, identity):
+                    sender = PeerTransport(addresses[0], [KEY], recorder, tls)
+                    async with run_transports([sender]):
+                        sender.send(Channel.CLAIMS, addresses[1], b"x" * 5_000)
+                        await wait_until(partial(is_settled, sender, inbox))
+                    assert len(inbox.messages) == (tls is identity)
+
+        anyio.run(deliver)
+
     def test_an_oversize_payload_is_refused_at_the_sender(
         self, addresses: Pair, recorder: EventRecorder
     ) -> None:
--- a/packages/godwitpass-daemon/tests/settings/test_settings.py
+++ b/packages/godwitpass-daemon/tests/settings/test_settings.py
@@ -44,6 +44,22 @@
         assert settings.peer_key not in repr(settings)
         assert settings.profile is Profile.LARGE
 
+    def test_a_second_peer_key_and_tls_files_are_found_beside_the_settings(
+        self, tmp_path: Path
+    ) -> None:
+        tls = {"name": "peer.example"}
+        for name in ("certificate", "private_key", "authority"):
+            (tmp_path / name).write_text("PEM")
+            tls[f"{name}_file"] = name
+        path = write(tmp_path, peer_key_accepted="the-key-that-comes-next", peer_tls=tls)
+        settings = read_settings(path)
+        assert settings.peer_keys == (b"a-key-of-all-daemons", b"the-key-that-comes-next")
+        assert settings.peer_tls is not None
+        assert Path(settings.peer_tls.authority_file) == tmp_path / "authority"
+        tls["authority_file"] = "absent"
+        path = write(tmp_path, peer_key_accepted="k" * 65, peer_tls=tls)
+        assert find_pointers(path) == ["/peer_key_accepted", "/peer_tls/authority_file"]
+
     def test_all_findings_come_in_one_answer(self, tmp_path: Path) -> None:
         listen = VALID["listen"] | {"outer": "localhost:80", "peer": "127.0.0.1:7003"}
         path = write(
