Compare sums with every region at each beat

Cause: after 180 s apart, three changes of one region took 55 s to be known in eight others: each pair of regions was compared every 13 s on average. Change: the beat travels in a ping that carries a digest, to every region at once.

--- a/packages/godwitpass/src/godwitpass/internal/membership/delegate.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/delegate.py
@@ -171,19 +171,26 @@
         number = 1 + (held.beat if held is not None else state.identity.started_s)
         update = BeatUpdate(state.regions.own, number)
         state.merge(update, now)
-        return self._push([update])
+        # The beat travels with a digest, so that a region that was apart is repaired at once.
+        actions: list[Action] = []
+        actions += [state.build_cross_ping(address) for address in self._choose_contacts()]
+        actions += [Send(address, Gossip((update,))) for address in self._peers]
+        return actions
+
+    def _choose_contacts(self) -> list[Address]:
+        """Return one contact of every other region."""
+        state = self._state
+        return [
+            state.rng.choice(state.regions.contacts(region)).address
+            for region in state.regions.others()
+        ]
 
     def _push(self, updates: list[Update]) -> list[Action]:
         """Send `updates` to one contact of every other region and to the other delegates."""
         if not updates:
             return []
         message = Gossip(tuple(updates))
-        state = self._state
-        contacts = [
-            state.rng.choice(state.regions.contacts(region)).address
-            for region in state.regions.others()
-        ]
-        return [Send(address, message) for address in (*contacts, *self._peers)]
+        return [Send(address, message) for address in (*self._choose_contacts(), *self._peers)]
 
     def _probe_region(self, now: float) -> list[Action]:
         """Compare sums with one other region."""
--- a/testkit/src/godwitpass_testkit/experiments/membership.py
+++ b/testkit/src/godwitpass_testkit/experiments/membership.py
@@ -1,8 +1,8 @@
 """Measures membership: bytes, messages, detection, drains, a herd, processor time and memory."""
 
+import argparse
 import math
 import statistics
-import sys
 import time
 from collections.abc import Callable, Iterable
 from pathlib import Path
@@ -36,6 +36,8 @@
 HERD_LIMIT_S = 180.0
 FAULTS = 8
 LOSS = 0.02
+REGIONS = 9
+APART_S = 180.0
 CHURN_INTERVAL_S = 10.0
 """One daemon is killed and started again in each; the target has one in eleven minutes."""
 
@@ -331,16 +333,66 @@
     return rows
 
 
-def main(arguments: list[str]) -> None:
-    """Measure; arguments: `--members N... | --full-detail N`, `--output FILE`."""
-    if "--output" not in arguments or arguments[:1] not in (["--members"], ["--full-detail"]):
-        sys.exit("usage: membership (--members N [N ...] | --full-detail N) --output FILE.json")
-    position = arguments.index("--output")
-    numbers = [int(text) for text in arguments[1:position]]
-    measure = measure_all if arguments[0] == "--members" else measure_memory
-    rows = [row for number in numbers for row in measure(number)]
-    write_rows(Path(arguments[position + 1]), rows)
+def measure_regions(members: int) -> list[Row]:
+    """Run nine regions of `members` daemons, and let one lose the others for minutes."""
+    mesh = Mesh(8, members)
+    addresses = mesh.start_joined(REGIONS * members)
+    mesh.queue.run(4 * WARM_UP_S)
+    total = len(addresses)
+    rows = measure_traffic(
+        "nine regions, idle", mesh, total, lambda: mesh.queue.run(mesh.queue.now + OBSERVED_S)
+    )
+    drained = [addresses[index] for index in range(0, members, max(1, members // 5))]
+    others = addresses[members:]
+    times: list[float] = []
+    for address in drained[:2]:
+        mesh.drain(address)
+        gone = mesh.places[address]
+        times += time_spread(mesh, others, lambda node, gone=gone: holds_ready(node, gone))  # type: ignore[misc]
+    rows += summarize("drain known in other regions", times, total)
+    apart = set(addresses[:members])
+    mesh.queue.blocked = lambda sender, to: (sender in apart) != (to in apart)
+    mesh.queue.run(mesh.queue.now + APART_S)
+    for address in drained[2:]:
+        mesh.drain(address)
+    mesh.queue.run(mesh.queue.now + OBSERVED_S)
+    mesh.queue.blocked = lambda sender, to: False
+    left = [mesh.places[address] for address in drained[2:]]
+
+    def join_again() -> None:
+        start = mesh.queue.now
+        rejoined: list[float] = []
+        for gone in left:
+            rejoined += time_spread(
+                mesh, others, lambda node, gone=gone: holds_ready(node, gone)  # type: ignore[misc]
+            )
+        assert max(rejoined) <= FAULT_LIMIT_S, "the regions have not joined again"
+        known_after_s.append(mesh.queue.now - start)
+        mesh.queue.run(start + OBSERVED_S)
+
+    known_after_s: list[float] = []
+    rows += measure_traffic("nine regions, one joins again", mesh, total, join_again)
+    params: dict[str, Param] = {"members": total, "apart_s": APART_S, "changes": len(left)}
+    return [*rows, Row("region joined again: all changes known", params, known_after_s[0], "s")]
+
+
+def main() -> None:
+    """Measure and write the rows as JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    chosen = parser.add_mutually_exclusive_group(required=True)
+    chosen.add_argument("--members", type=int, nargs="+", help="daemons in one region")
+    chosen.add_argument("--regions", type=int, nargs="+", help="daemons in each of nine regions")
+    chosen.add_argument("--full-detail", type=int, nargs=1, help="of 13,000 upstreams, for memory")
+    parser.add_argument("--output", type=Path, required=True)
+    options = parser.parse_args()
+    if options.members:
+        rows = [row for members in options.members for row in measure_all(members)]
+    elif options.regions:
+        rows = [row for members in options.regions for row in measure_regions(members)]
+    else:
+        rows = measure_memory(options.full_detail[0])
+    write_rows(options.output, rows)
 
 
 if __name__ == "__main__":
-    main(sys.argv[1:])
+    main()
