--- a/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
@@ -139,7 +139,7 @@
             actions += self._perform_reader(self._reader.start(now), now)
         if now >= self._digest_at:
             self._digest_at = now + self._draw_digest_period()
-            actions += self._reporter.repeat()
+            actions += self._pusher.ask_incomplete()
             actions += self._send_digest(self._random.random() < REMOTE_DIGEST_SHARE)
         return actions
 
@@ -158,6 +158,8 @@
         return [Wake(self._wake_at)]
 
     def _change_view(self, view: View, now: float) -> list[Action]:
+        if view == self._view:
+            return []
         first, self._view = self._view is None, view
         self._pusher.change_view(view)
         self._reporter.change_view(view, self._tree_parent())
--- a/packages/godwitpass/src/godwitpass/internal/distribution/fetcher.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/fetcher.py
@@ -51,10 +51,12 @@
 
     def start(self, view: View, now: float) -> list[Send[Message]]:
         """Ask several peers what they hold, and decide when all or enough time has answered."""
+        self._ask_at = now + self._backoff_s * self._random.uniform(1.5, 2.5)
+        if self._source is not None:
+            return []
         peers = self._choose_peers(view)
         self._asked = set(peers)
         self._deadline = now + BOOTSTRAP_S
-        self._ask_at = now + self._backoff_s * self._random.uniform(1.5, 2.5)
         self._backoff_s = min(self._backoff_s * 2, STORE_RETRY_MAX_S)
         return [Send(peer, Announce(NO_VERSION, b"", acknowledge=True)) for peer in peers]
 
--- a/packages/godwitpass/src/godwitpass/internal/distribution/pusher.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/pusher.py
@@ -14,7 +14,12 @@
 from godwitpass.internal.distribution.events import PEER_SILENT
 from godwitpass.internal.distribution.messages import MAX_LAGGARDS, Announce, Holding, Message
 from godwitpass.internal.distribution.tuning import MAX_TRIES, ZONE_LINKS, Tuning
-from godwitpass.internal.distribution.view import View, child_positions, parent_position
+from godwitpass.internal.distribution.view import (
+    View,
+    child_positions,
+    parent_position,
+    subtree_size,
+)
 
 Actions = list[Send[Message] | Report]
 
@@ -164,6 +169,20 @@
         """Note that `sender` is being served; its acknowledgement follows."""
         self.record_heard(sender, max(bases, default=NO_VERSION))
 
+    def ask_incomplete(self) -> Actions:
+        """Ask the children whose part of the tree is not known to hold the newest version."""
+        version = self._contents.version
+        if self._view is None or version == NO_VERSION:
+            return []
+        size = len(self._view.order)
+        announce = Announce(version, self._contents.digest, acknowledge=True)
+        return [
+            Send(target.address, announce)
+            for target in self._targets.values()
+            if target.role is Role.CHILD
+            and (target.held < version or target.holders < subtree_size(target.position, size))
+        ]
+
     def sum_up(self, version: Version) -> Holding:
         """Return the holdings of `version` at and below this daemon."""
         holders, laggards = 1, list[InstanceId]()
--- a/packages/godwitpass/src/godwitpass/internal/distribution/reporting.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/reporting.py
@@ -13,8 +13,6 @@
 from godwitpass.internal.distribution.tuning import Tuning
 from godwitpass.internal.distribution.view import View, subtree_size
 
-REPORT_REPEATS = 2
-
 Actions = list[Send[Message] | Report]
 
 
@@ -33,7 +31,7 @@
         self._report_at = math.inf
         self._publish_at = math.inf
         self._report_to: Address | None = None
-        self._repeats_left = 0
+        self._tree_parent: Address | None = None
         self.zones = ZoneTable()
 
     @property
@@ -45,8 +43,9 @@
         """Report anew to the daemon now above."""
         self._view = view
         self.zones.limit_to([view.zone, *view.remote])
-        self._report_to = parent
-        self._reported = Holding(NO_VERSION, 0)
+        if parent is None or parent != self._tree_parent:
+            self._reported = Holding(NO_VERSION, 0)
+        self._tree_parent = self._report_to = parent
 
     def sum_up(self) -> Holding:
         """Return the holdings at and below this daemon."""
@@ -60,13 +59,6 @@
         self._reported = self.sum_up()
         return Send(sender, self._reported)
 
-    def repeat(self) -> Actions:
-        """Send the last report of several daemons again, in case it was lost."""
-        if not self._repeats_left or self._report_to is None or self._reported.holders < 2:
-            return []
-        self._repeats_left -= 1
-        return [] if self._pusher.acts_as_root else [Send(self._report_to, self._reported)]
-
     def run(self, now: float, tuning: Tuning) -> Actions:
         """Report at once when all below hold the version, else after a while."""
         if self._view is None or self._contents.current is None:
@@ -93,7 +85,6 @@
     def _report(self, holding: Holding, completed: bool, now: float, tuning: Tuning) -> Actions:
         self._report_at, self._publish_at = math.inf, math.inf
         self._reported = holding
-        self._repeats_left = REPORT_REPEATS
         if not self._pusher.acts_as_root:
             return [Send(self._report_to, holding)] if self._report_to else []
         self._publish_at = now + tuning.publish_s * self._random.uniform(0.75, 1.25)
--- a/testkit/src/godwitpass_testkit/fleet.py
+++ b/testkit/src/godwitpass_testkit/fleet.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable, Iterable
+from typing import Any, Protocol
 
 import msgspec
 
@@ -38,6 +39,7 @@
 from godwitpass.internal.distribution.tuning import Tuning
 from godwitpass.internal.distribution.view import View, build_view
 from godwitpass.mesh import Member, MemberState
+from godwitpass.snapshot import Snapshot
 from godwitpass_testkit.virtual import Link, VirtualQueue
 from godwitpass_testkit.virtual_store import VirtualStore
 
@@ -90,6 +92,22 @@
     return Codec(encode_delta_once, encode_full_once, decode_delta_once, decode_full_once)
 
 
+class FleetNode(Protocol):
+    """A decision object that holds a version."""
+
+    @property
+    def current(self) -> Snapshot | None:
+        """Return the version in force."""
+        ...
+
+    def handle(self, event: Any, now: float) -> list[Any]:
+        """Decide on `event` and return actions."""
+        ...
+
+
+BuildNode = Callable[[Address, random.Random, Codec], FleetNode]
+
+
 class Fleet:
     """Daemons in availability zones, a store, and the times of activation."""
 
@@ -99,19 +117,20 @@
         zones: int,
         seed: int = 1,
         tuning: Tuning | None = None,
-        link: Callable[["Fleet", Address, Address], Link] | None = None,
+        build_node: BuildNode | None = None,
     ) -> None:
+        self._build_node = build_node or (
+            lambda address, generator, codec: Distributor(address, generator, codec, tuning)
+        )
         self.store = VirtualStore()
         self.queue = VirtualQueue(seed, perform=self._perform)
-        choose_link = link or default_link
-        self.queue.link = lambda sender, to: choose_link(self, sender, to)
+        self.queue.link = lambda sender, to: default_link(self, sender, to)
         self.members = [_build_member(index, zones) for index in range(daemons)]
         self.by_address = {member.address: member for member in self.members}
         self.activated: dict[Version, dict[Address, float]] = {}
         self.on_activate: Callable[[Address, Activate], None] = lambda address, action: None
         self._newest = Document(1)
         self._codec = remember_codec()
-        self._tuning = tuning
         self._random = random.Random(seed)
         self.views: dict[ZoneId, View] = {}
         self.change_views(self.members)
@@ -125,7 +144,7 @@
         """Start a daemon that knows nothing at each of `addresses`."""
         for address in addresses:
             seed = self._random.getrandbits(32)
-            node = Distributor(address, random.Random(seed), self._codec, self._tuning)
+            node = self._build_node(address, random.Random(seed), self._codec)
             self.queue.attach(address, node)
             self.queue.post(address, ViewChanged(self.views[self.by_address[address].zone]))
 
@@ -166,6 +185,11 @@
         self.store.write(ROOT_KEY, encode_root(append_version(root, accepted, delta)))
         return version
 
+    def control_bytes(self) -> dict[Address, int]:
+        """Return the bytes that each daemon has sent, and exchanged with the store."""
+        addresses = self.by_address
+        return {item: self.queue.sent_bytes[item] + self.store.bytes[item] for item in addresses}
+
     def versions(self) -> set[Version]:
         """Return the versions in force on the living daemons, 0 for none."""
         nodes = [self.queue.node(address) for address in self.queue.addresses()]
--- a/testkit/src/godwitpass_testkit/virtual_store.py
+++ b/testkit/src/godwitpass_testkit/virtual_store.py
@@ -19,6 +19,9 @@
 from godwitpass.store import MAX_VALUE_BYTES, Entry, PutResult, WatchResult
 from godwitpass_testkit.virtual import VirtualQueue
 
+CALL_OVERHEAD_BYTES = 400
+"""Bytes of HTTP, TCP and IP around one call and its answer."""
+
 
 class MemoryStore:
     """Keys, values and revisions, without time or faults."""
@@ -87,6 +90,7 @@
         self.cut_off: Callable[[Address], bool] = lambda address: False
         self.calls: Counter[str] = Counter()
         self.calls_by_second: Counter[int] = Counter()
+        self.bytes: Counter[Address] = Counter()
         self._waiters: list[_Waiter] = []
 
     def perform(self, queue: VirtualQueue, address: Address, action: Any) -> None:
@@ -95,6 +99,9 @@
             return
         self.calls[type(action).__name__] += 1
         self.calls_by_second[int(queue.now)] += 1
+        self.bytes[address] += CALL_OVERHEAD_BYTES
+        if isinstance(action, Put):
+            self.bytes[address] += len(action.value)
         queue.at(queue.now + self.delay_s / 2, lambda: self._execute(queue, address, action))
 
     def set_down(self, down: bool) -> None:
@@ -116,6 +123,7 @@
         def answer(event: Any) -> None:
             if self.cut_off(address):
                 event = RequestFailed(action.tag, unknown=isinstance(action, Put | Delete))
+            self.bytes[address] += _count_bytes(event)
             queue.post_at(queue.now + self.delay_s / 2, address, event)
 
         if self.down or self.cut_off(address):
@@ -162,3 +170,12 @@
         if not waiter.done:
             waiter.done = True
             waiter.answer(event)
+
+
+def _count_bytes(event: Any) -> int:
+    """Return the size of the values in an answer."""
+    if isinstance(event, GotEntry):
+        return len(event.entry.value or b"")
+    if isinstance(event, Listed):
+        return sum(len(entry.value or b"") for entry in event.result.entries)
+    return 0
--- a/testkit/tests/test_spread.py
+++ b/testkit/tests/test_spread.py
@@ -16,9 +16,6 @@
 from godwitpass_testkit.virtual import Link
 
 TARGET_S = 6.0
-DETECTION_S = 5.0
-"""Time after which membership knows of a death in these tests."""
-
 BUDGET_BYTES_PER_S = 3_000
 
 
@@ -81,7 +78,6 @@
     def test_a_third_of_the_daemons_dying_unnoticed_holds_up_no_version(self) -> None:
         fleet = build_fleet(180)
         fleet.kill(random.Random(3).sample(fleet.queue.addresses(), 60))
-        fleet.queue.at(fleet.queue.now + DETECTION_S, fleet.detect_deaths)
         spread(fleet)
 
     def test_lost_repeated_and_overtaken_messages_hold_up_no_version(self) -> None:
@@ -148,6 +144,14 @@
         fleet.queue.run(fleet.queue.now + 30)
         assert root.convergence().complete
 
+    def test_convergence_is_known_although_reports_are_lost(self) -> None:
+        fleet = build_fleet()
+        link = Link(0.001, 0.01, loss=0.2)
+        fleet.queue.link = lambda sender, to: link
+        spread(fleet, limit=3 * TARGET_S)
+        fleet.queue.run(fleet.queue.now + 60)
+        assert all(root.convergence().complete for root in _roots(fleet))
+
     def test_an_idle_fleet_stays_far_below_its_budget(self) -> None:
         fleet = build_fleet()
         fleet.queue.sent_bytes.clear()
