--- a/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -8,6 +8,8 @@
 from godwitpass_daemon.metrics import collect_services
 from godwitpass_daemon.peers import PeerTransport
 from godwitpass_daemon.services.acceptance import AcceptanceService
+from godwitpass_daemon.services.claims import ClaimsService
+from godwitpass_daemon.services.crashes import CrashesService
 from godwitpass_daemon.services.distribution import DistributionService
 from godwitpass_daemon.services.membership import MembershipService
 from godwitpass_daemon.services.store import StoreClient
@@ -29,7 +31,12 @@
     )
     kernel.register(
         "membership",
-        lambda found: MembershipService(settings, found.find("store", StoreClient)),
+        lambda found: MembershipService(
+            settings,
+            found.find("store", StoreClient),
+            found.find("peers", PeerTransport),
+            found.find("events", EventLog),
+        ),
     )
     kernel.register(
         "acceptance",
@@ -49,6 +56,24 @@
             found.find("events", EventLog),
         ),
     )
+    kernel.register(
+        "claims",
+        lambda found: ClaimsService(
+            settings.region,
+            found.find("store", StoreClient),
+            found.find("peers", PeerTransport),
+            found.find("membership", MembershipService),
+            found.find("events", EventLog),
+        ),
+    )
+    kernel.register(
+        "crashes",
+        lambda found: CrashesService(
+            found.find("peers", PeerTransport),
+            found.find("membership", MembershipService),
+            found.find("events", EventLog),
+        ),
+    )
     kernel.register(
         "edge",
         lambda found: EdgeService(
--- a/testkit/src/godwitpass_testkit/demo/__main__.py
+++ b/testkit/src/godwitpass_testkit/demo/__main__.py
@@ -19,7 +19,7 @@
 CALLS_A_ROUND = 60
 ROUND_S = 1.0
 TIMELINE_LINES = 25
-READ_PATHS = ("/status/42", "/status/43", "/grants/7")
+READ_PATHS = ("/status/42", "/histories/7", "/grants/7")
 
 
 def main(
--- a/testkit/src/godwitpass_testkit/experiments/processes.py
+++ b/testkit/src/godwitpass_testkit/experiments/processes.py
@@ -35,6 +35,7 @@
 ACCEPTED_EVENT = "document-written"
 ACTIVATED_EVENT = "version-activated"
 KILLED_SHARE = 1 / 3
+CHANGE_INTERVAL_S = 1.0
 BYTES_PER_MB = 1_000_000
 PEER_BYTES = re.compile(r"godwitpass_peer_bytes_total\{[^}]*\} (\d+)")
 
@@ -77,7 +78,7 @@
     _apply(nodes[0], build_document(services, 0))
     deployment.wait_until("all hold the first", lambda: count_holders(nodes, 1) == count)
     start_s = time.monotonic() - started_at
-    rows = [Row("process_start_to_first_version", {"daemons": count}, start_s, "s")]
+    rows = [Row("start_to_first_version", {"daemons": count}, start_s, "s")]
     rows += _measure_usage(deployment, nodes, "idle", lambda: time.sleep(idle_seconds))
     spreads: list[list[float]] = []
     rows += _measure_usage(
@@ -86,13 +87,13 @@
         "changing",
         lambda: spreads.extend(_apply_changes(deployment, nodes, changes, services)),
     )
-    rows += _summarize("process_convergence", {"daemons": count, "killed": 0}, spreads)
+    rows += _summarize("convergence", {"daemons": count, "killed": 0}, spreads)
     killed = int(count * KILLED_SHARE)
     spreads = [
         _spread_under_kills(deployment, nodes, killed, round_number, services)
         for round_number in range(max(1, changes // 4))
     ]
-    rows += _summarize("process_convergence", {"daemons": count, "killed": killed}, spreads)
+    rows += _summarize("convergence", {"daemons": count, "killed": killed}, spreads)
     return rows
 
 
@@ -119,27 +120,30 @@
 def _apply_changes(
     deployment: Deployment, nodes: list[Settings], changes: int, services: int
 ) -> list[list[float]]:
-    spreads = []
+    """Apply a change a second, and look at the daemons only when all are applied."""
+    applied = []
     for mark in range(1, changes + 1):
         accepting = nodes[mark % len(nodes)]
         version = _apply(accepting, build_document(services, mark))
-        deployment.wait_until(
-            f"all hold {version}",
-            lambda version=version: count_holders(nodes, version) == len(nodes),  # type: ignore[misc]
-        )
-        spreads.append(_read_spread(accepting, nodes, version))
-    return spreads
+        applied.append((accepting, version))
+        time.sleep(CHANGE_INTERVAL_S)
+    _, last = applied[-1]
+    deployment.wait_until(f"all hold {last}", lambda: count_holders(nodes, last) == len(nodes))
+    return [_read_spread(accepting, nodes, version) for accepting, version in applied]
 
 
 def _spread_under_kills(
     deployment: Deployment, nodes: list[Settings], killed: int, seed: int, services: int
 ) -> list[float]:
+    """Kill half of the victims, which nobody noticed yet, then accept, then kill the rest."""
     chooser = random.Random(seed)
     accepting, *others = nodes
     victims = chooser.sample(others, killed)
     survivors = [node for node in nodes if node not in victims]
+    for node in victims[: killed // 2]:
+        deployment.kill(f"daemon-{node.instance}")
     version = _apply(accepting, build_document(services, 40 + seed))
-    for node in victims:
+    for node in victims[killed // 2 :]:
         deployment.kill(f"daemon-{node.instance}")
     deployment.wait_until(
         f"survivors hold {version}",
@@ -202,9 +206,9 @@
     params: dict[str, Param] = {"daemons": len(nodes), "phase": phase}
     rows = []
     for name, values, unit in (
-        ("process_cpu", cpu, "% of a core"),
-        ("process_peer_bytes", sent, "B/s"),
-        ("process_resident", resident, "MB"),
+        ("cpu", cpu, "% of a core"),
+        ("peer_bytes", sent, "B/s"),
+        ("resident", resident, "MB"),
     ):
         rows.append(Row(name, {**params, "of": "mean"}, sum(values) / len(values), unit))
         rows.append(Row(name, {**params, "of": "max"}, max(values), unit))
