Announce an upstream by what its port says, and drain it before the daemon stops

Cause: a daemon announced its upstream as ready when it started itself, whether or not the upstream was up, kept it listed after the upstream's death, and on SIGTERM told the others last. Change: a pure monitor decides from connection probes; service "upstream" performs them; the administration API drains through it; members and upstreams are on /metrics. Ruled out: health endpoints, which lag or mislead. Conclusion: withdrawal no longer waits for each caller's own ejection.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/admin/handlers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/admin/handlers.py
@@ -116,7 +116,7 @@
     if api.settings.upstream is None:
         problem = Problem(ProblemKind.NOT_FOUND, "no upstream beside this daemon", "ask another")
         raise Refusal(404, problem)
-    api.ports.announce(UpstreamState.DRAINING)
+    api.ports.drain()
     api.ports.events.emit(events.DRAIN_REQUESTED)
     return Answer(DrainResult(api.settings.instance, UpstreamState.DRAINING))
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/admin/ports.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/admin/ports.py
@@ -9,7 +9,6 @@
 from godwitpass.document import Document
 from godwitpass.events import EventKind, Field, TimelineEvent
 from godwitpass.ids import ChangeId, ContentHash, Version
-from godwitpass.mesh import UpstreamState
 from godwitpass.snapshot import Snapshot
 from godwitpass_daemon.admin.metrics import Metric
 
@@ -72,5 +71,5 @@
     events: Events
     snapshot: Callable[[], Snapshot | None]
     spread: Callable[[], Spread]
-    announce: Callable[[UpstreamState], None]
+    drain: Callable[[], None]
     metrics: Callable[[], Sequence[Metric]]
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/admin/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/admin/service.py
@@ -6,7 +6,6 @@
 from anyio.abc import TaskGroup
 
 from godwitpass.administration import Spread
-from godwitpass.mesh import UpstreamState
 from godwitpass.snapshot import Snapshot
 from godwitpass_daemon.admin.application import build_application
 from godwitpass_daemon.admin.handlers import Api
@@ -34,11 +33,11 @@
 
 
 @runtime_checkable
-class Membership(Protocol):
+class Upstream(Protocol):
     """Announces the upstream beside the daemon."""
 
-    def announce(self, state: UpstreamState) -> None:
-        """Change the announced state."""
+    def drain(self) -> None:
+        """Let the upstream get no new calls from now on."""
         ...
 
 
@@ -66,7 +65,7 @@
 ) -> AdminService:
     """Build the service from those registered; `sources` give further metrics."""
     distribution = kernel.find("distribution", Distribution)  # type: ignore[type-abstract]
-    membership = kernel.find("membership", Membership)  # type: ignore[type-abstract]
+    upstream = kernel.find("upstream", Upstream)  # type: ignore[type-abstract]
     meter = RequestMeter()
 
     def collect_metrics() -> list[Metric]:
@@ -80,7 +79,7 @@
         kernel.find("events", Events),  # type: ignore[type-abstract]
         distribution.snapshot,
         distribution.status,
-        membership.announce,
+        upstream.drain,
         collect_metrics,
     )
     return AdminService(settings, ports, meter)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -15,6 +15,7 @@
 from godwitpass_daemon.services.distribution import DistributionService
 from godwitpass_daemon.services.membership import MembershipService
 from godwitpass_daemon.services.store import StoreClient
+from godwitpass_daemon.services.upstream import UpstreamService
 from godwitpass_daemon.settings import PeerTlsSettings, Settings
 
 
@@ -86,6 +87,14 @@
             Place(settings.instance, settings.zone, settings.region),
         ),
     )
+    kernel.register(
+        "upstream",
+        lambda found: UpstreamService(
+            settings.upstream.address if settings.upstream else None,
+            found.find("membership", MembershipService),
+            found.find("events", EventLog),
+        ),
+    )
     kernel.register(
         "admin", lambda found: build_admin(found, settings, [lambda: collect_services(found)])
     )
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/metrics.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/metrics.py
@@ -1,23 +1,46 @@
 """Metrics of the daemon's services, collected when a scraper asks."""
 
+from collections import Counter
 from collections.abc import Iterator
 
+from godwitpass.mesh import UpstreamState
 from godwitpass_daemon.admin.metrics import Label, Metric, MetricKind, Sample, summarize
 from godwitpass_daemon.edge.service import EdgeService
 from godwitpass_daemon.kernel import Kernel
 from godwitpass_daemon.peers import PeerTransport
+from godwitpass_daemon.services.membership import MembershipService
 from godwitpass_daemon.services.store import StoreClient
 
 SECONDS_PER_US = 1e-6
 
 
 def collect_services(kernel: Kernel) -> Iterator[Metric]:
-    """Yield the metrics of the peer transport, the store client and the edge."""
+    """Yield the metrics of membership, the peer transport, the store client and the edge."""
+    yield from _collect_members(kernel.find("membership", MembershipService))
     yield from _collect_peers(kernel.find("peers", PeerTransport))
     yield from _collect_store(kernel.find("store", StoreClient))
     yield from _collect_edge(kernel.find("edge", EdgeService))
 
 
+def _collect_members(membership: MembershipService) -> Iterator[Metric]:
+    members = membership.members()
+    counts = Counter(member.upstream.state for member in members if member.upstream is not None)
+    yield Metric(
+        "godwitpass_members",
+        "Daemons known and not known to be gone.",
+        MetricKind.GAUGE,
+        (Sample(len(members)),),
+    )
+    yield Metric(
+        "godwitpass_upstreams",
+        "Upstreams known beside those daemons, by announced state.",
+        MetricKind.GAUGE,
+        tuple(
+            Sample(counts[state], (Label("state", state.name.lower()),)) for state in UpstreamState
+        ),
+    )
+
+
 def _collect_peers(peers: PeerTransport) -> Iterator[Metric]:
     directions = {"sent": peers.sent, "received": peers.received}
     byte_samples = []
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/membership.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/membership.py
@@ -59,8 +59,6 @@
         self._tasks = tasks
         self._peers.subscribe(Channel.MEMBERSHIP, self._receive)
         self._handle(Start())
-        if self._has_upstream:
-            self._handle(Announce(UpstreamState.READY))
         tasks.start_soon(self._run_timer)
         tasks.start_soon(self._notify)
 
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/monitoring/__init__.py
@@ -0,0 +1,1 @@
+"""What a daemon announces of the upstream beside it."""
--- a/testkit/src/godwitpass_testkit/administration.py
+++ b/testkit/src/godwitpass_testkit/administration.py
@@ -87,9 +87,13 @@
         """Return a spread of one in three."""
         return Spread(Version(len(self.versions)), 1, 3)
 
+    def drain(self) -> None:
+        """Note that the upstream was drained."""
+        self.announced.append(UpstreamState.DRAINING)
+
     def build_ports(self, meter: RequestMeter) -> Ports:
         """Return this as the services that the administration API needs."""
-        return Ports(self, self, self.snapshot, self.spread, self.announced.append, meter.collect)
+        return Ports(self, self, self.snapshot, self.spread, self.drain, meter.collect)
 
 
 def build_settings(admin: Address) -> Settings:
--- a/tests/cover/test_failures.py
+++ b/tests/cover/test_failures.py
@@ -1,5 +1,6 @@
 """Failures of real processes, seen from callers and operators."""
 
+import re
 import signal
 import threading
 import time
@@ -10,6 +11,7 @@
 import msgspec
 import pytest
 
+from godwitpass.administration import Timeline
 from godwitpass.document import Document, Execution, Policy, Route, Service
 from godwitpass.ids import PolicyName, RouteName, ServiceName
 from godwitpass_daemon.settings import Settings
@@ -131,6 +133,45 @@
         assert answer is not None and 400 <= answer.status < 500
 
 
+class TestUpstreamLoss:
+    def test_an_upstream_that_died_beside_a_living_daemon_gets_no_new_calls(
+        self, deployment: Deployment
+    ) -> None:
+        first, second, _ = deployment.nodes.values()
+        deployment.kill(f"upstream-{first.instance}")
+        deployment.wait_until("it is withdrawn", lambda: has_event(first, "upstream-withdrawn"))
+        deployment.wait_until("the others know", lambda: count_upstreams(second) == 2)
+        answers = [request("GET", second.listen.outer, "/histories/1") for _ in range(20)]
+        assert [answer.status for answer in answers if answer] == [200] * 20
+
+    def test_a_drained_upstream_gets_no_new_calls(self, deployment: Deployment) -> None:
+        first, second, _ = deployment.nodes.values()
+        answer = administer(first, "POST", "/v1/drain")
+        assert answer is not None and answer.status == 200
+        deployment.wait_until("the others know", lambda: count_upstreams(second) == 2)
+        for number in range(20):
+            headers = [("x-request", f"drained-{number}")]
+            request("GET", second.listen.outer, "/histories/1", headers=headers)
+        assert first.upstream is not None
+        runs = request("GET", first.upstream.address, "/runs")
+        assert runs is not None and b"drained" not in runs.body
+
+
+def has_event(node: Settings, name: str) -> bool:
+    answer = administer(node, "GET", "/v1/timeline")
+    assert answer is not None
+    events = msgspec.json.decode(answer.body, type=Timeline).events
+    return any(event.name == name for event in events)
+
+
+def count_upstreams(node: Settings) -> int:
+    """Return how many ready upstreams the daemon of `node` knows."""
+    answer = administer(node, "GET", "/metrics")
+    assert answer is not None
+    found = re.search(rb'godwitpass_upstreams\{state="ready"\} (\d+)', answer.body)
+    return int(found.group(1)) if found else -1
+
+
 class TestShutdown:
     def test_a_daemon_that_is_asked_to_stop_finishes_the_call_in_progress(
         self, deployment: Deployment
