Never call a key not run during an outage when its sending is known

Cause: after the first failure of the store a holder forgot its table, so a second sending of a key that had run was answered as not run. Change: the holder keeps the table it knew, less what was not stored, and answers from it while the store is away; a daemon remembers the last 4,096 keys that it sent. Neither ever grants. Conclusion: left is the case where holder and first daemon are both gone.

--- a/packages/godwitpass/src/godwitpass/internal/claims/batch.py
+++ b/packages/godwitpass/src/godwitpass/internal/claims/batch.py
@@ -42,13 +42,20 @@
         if found.token == request.token:
             return Decision(ClaimOutcome.UNAVAILABLE)
         return _grant(table, request, wall)
-    if found.status >= ANSWERED:
-        return Decision(ClaimOutcome.RAN, found.status)
-    if found.token == request.token:
+    if found.status == UNMARKED and found.token == request.token:
         return Decision(ClaimOutcome.GRANTED)
-    if wall - found.claimed_at < IN_PROGRESS_S:
-        return Decision(ClaimOutcome.IN_PROGRESS)
-    return Decision(ClaimOutcome.UNKNOWN)
+    return _describe(found, wall)
+
+
+def recall(table: ShardTable, request: ClaimRequest, wall: float) -> Decision | None:
+    """Tell what is known of an earlier sending from a table that may be out of date.
+
+    It never grants; None means that nothing is known of the key.
+    """
+    found = table.find(request.key.digest)
+    if found is None or found.status == RELEASED or found.token == request.token:
+        return None
+    return _describe(found, wall)
 
 
 def apply_mark(table: ShardTable, mark: Mark, wall: float) -> bool:
@@ -68,6 +75,14 @@
     return True
 
 
+def _describe(found: Claim, wall: float) -> Decision:
+    if found.status >= ANSWERED:
+        return Decision(ClaimOutcome.RAN, found.status)
+    if wall - found.claimed_at < IN_PROGRESS_S:
+        return Decision(ClaimOutcome.IN_PROGRESS)
+    return Decision(ClaimOutcome.UNKNOWN)
+
+
 def _grant(table: ShardTable, request: ClaimRequest, wall: float) -> Decision:
     key = request.key
     table.record(Claim(key.digest, request.token, key.time, int(wall), UNMARKED))
--- a/packages/godwitpass/src/godwitpass/internal/claims/claimant.py
+++ b/packages/godwitpass/src/godwitpass/internal/claims/claimant.py
@@ -6,7 +6,7 @@
 from godwitpass.internal.actions import Send, Wake
 from godwitpass.internal.claims.batch import is_acceptable
 from godwitpass.internal.claims.generations import Generations
-from godwitpass.internal.claims.keys import ClaimKey
+from godwitpass.internal.claims.keys import ClaimKey, Digest
 from godwitpass.internal.claims.messages import (
     ANSWERED,
     LAST_HTTP_STATUS,
@@ -27,6 +27,8 @@
 MARK_AGAIN_S = 3.0
 MARK_ATTEMPTS = 5
 MAX_MARKS = 4096
+MAX_REMEMBERED = 4096
+NOT_RUN = (ClaimOutcome.UNAVAILABLE, ClaimOutcome.UNSETTLED)
 
 
 class Resolve(msgspec.Struct, frozen=True):
@@ -63,6 +65,7 @@
         self._generations = generations
         self._questions: dict[int, _Question] = {}
         self._granted: dict[int, ClaimKey] = {}
+        self._sent: dict[Digest, None] = {}
         self._marks: dict[int, _OpenMark] = {}
 
     def ask(self, token: int, key: ClaimKey, now: float, wall: float, deadline: float) -> Actions:
@@ -79,7 +82,10 @@
         if question is not None:
             return self._open_mark(token, question.key, RELEASED, now)
         key = self._granted.pop(token, None)
-        return self._open_mark(token, key, RELEASED, now) if key is not None else []
+        if key is None:
+            return []
+        self._sent.pop(key.digest, None)
+        return self._open_mark(token, key, RELEASED, now)
 
     def complete(self, token: int, status: int, now: float) -> Actions:
         """Record that the granted call was answered, with an HTTP status or `ANSWERED`."""
@@ -102,8 +108,9 @@
         self._generations.record(question.key.shard, message.generation)
         if message.outcome is ClaimOutcome.GRANTED:
             self._granted[message.token] = question.key
+            self._remember(question.key)
             return [Resolve(message.token, message.outcome)]
-        actions: Actions = [Resolve(message.token, message.outcome, message.status)]
+        actions: Actions = [self._refuse(message.token, question.key, message)]
         # Another holder that was asked may still record this claim.
         if message.outcome is ClaimOutcome.UNSETTLED or question.asks > 1:
             actions += self._open_mark(message.token, question.key, RELEASED, now)
@@ -115,7 +122,8 @@
         for token, question in tuple(self._questions.items()):
             if question.deadline <= now:
                 del self._questions[token]
-                actions.append(Resolve(token, ClaimOutcome.UNSETTLED))
+                late = ClaimReply(token, ClaimOutcome.UNSETTLED, 0, 0)
+                actions.append(self._refuse(token, question.key, late))
                 actions += self._open_mark(token, question.key, RELEASED, now)
             elif question.ask_at <= now:
                 actions += self._send_question(token, now)
@@ -124,6 +132,17 @@
                 actions += self._send_mark(token, opened, now)
         return actions
 
+    def _remember(self, key: ClaimKey) -> None:
+        if len(self._sent) >= MAX_REMEMBERED:
+            del self._sent[next(iter(self._sent))]
+        self._sent[key.digest] = None
+
+    def _refuse(self, token: int, key: ClaimKey, reply: ClaimReply) -> Resolve:
+        """Answer what the holder did, except that a call sent from here is never "not run"."""
+        if reply.outcome in NOT_RUN and key.digest in self._sent:
+            return Resolve(token, ClaimOutcome.UNKNOWN)
+        return Resolve(token, reply.outcome, reply.status)
+
     def _send_question(self, token: int, now: float) -> Actions:
         question = self._questions[token]
         rank = question.asks // ASKS_PER_HOLDER
--- a/packages/godwitpass/src/godwitpass/internal/claims/holder.py
+++ b/packages/godwitpass/src/godwitpass/internal/claims/holder.py
@@ -61,6 +61,7 @@
         self._phase = Phase.EMPTY
         self._step = 0
         self._table: ShardTable | None = None
+        self._known: ShardTable | None = None
         self._head: tuple[Head, Revision] | None = None
         self._segments: dict[str, Segment] = {}
         self._planned: tuple[str, Segment] | None = None
@@ -79,7 +80,7 @@
         self._used_at = now
         known = self._generations.record(self.shard, request.generation)
         if now < self._backoff.until:
-            return [*self._inbox.refuse(request)]
+            return [*self._inbox.refuse(request, self._known, wall)]
         if self._phase is Phase.READY and self._table and self._table.generation < known:
             self._phase = Phase.EMPTY
         refusals = self._inbox.add_claim(request, now)
@@ -199,7 +200,7 @@
         try:
             head = decode_head(entry.value)
         except msgspec.DecodeError as error:
-            return self._refuse_corrupt(str(error), now)
+            return self._refuse_corrupt(str(error), now, wall)
         self._head = (head, entry.revision)
         if head.segments and not all(ref.name in self._segments for ref in head.segments):
             self._phase = Phase.LOADING_SEGMENTS
@@ -219,7 +220,7 @@
             try:
                 self._segments[name] = Segment(entry.value or b"")
             except ValueError as error:
-                return self._refuse_corrupt(str(error), now)
+                return self._refuse_corrupt(str(error), now, wall)
         return self._build_table(now, wall)
 
     def _build_table(self, now: float, wall: float) -> Actions:
@@ -236,29 +237,35 @@
             actions.append(Report(events.SHARD_ROLLED_BACK, dict(fields)))
             table.recover(int(wall) + MAX_SKEW_S, seen)
         self._table = table
+        self._known = None
         self._phase = Phase.READY
         return actions + self._proceed(now, wall)
 
-    def _refuse_corrupt(self, reason: str, now: float) -> Actions:
+    def _refuse_corrupt(self, reason: str, now: float, wall: float) -> Actions:
         report = Report(events.SHARD_CORRUPT, {"shard": self.shard, "reason": reason})
-        return [report, *self._refuse_all(now)]
+        return [report, *self._refuse_all(now, wall)]
 
     def _fail(self, failure: Failure, now: float, wall: float) -> Actions:
         """Handle a read that failed, or a write that failed or may have taken effect."""
         was_writing = self._phase is Phase.WRITING
+        if self._table is not None:
+            self._known = self._table
         self._phase = Phase.EMPTY
         self._table = None
         if was_writing and failure is Failure.UNKNOWN:
             self._inbox.note_unsettled()
             report = Report(events.SHARD_UNSETTLED, {"shard": self.shard})
             return [report, *self._proceed(now, wall)]
-        return [Report(events.SHARD_UNAVAILABLE, {"shard": self.shard}), *self._refuse_all(now)]
+        if was_writing and self._known is not None:
+            self._inbox.withdraw_decided(self._known)
+        report = Report(events.SHARD_UNAVAILABLE, {"shard": self.shard})
+        return [report, *self._refuse_all(now, wall)]
 
-    def _refuse_all(self, now: float) -> Actions:
+    def _refuse_all(self, now: float, wall: float) -> Actions:
         self._phase = Phase.EMPTY
         self._table = None
         self._backoff.record_failure(now)
-        return [*self._inbox.refuse_all()]
+        return [*self._inbox.refuse_all(self._known, wall)]
 
     def _check_idle(self, now: float) -> Actions:
         if now - self._used_at >= TABLE_IDLE_S:
--- a/packages/godwitpass/src/godwitpass/internal/claims/inbox.py
+++ b/packages/godwitpass/src/godwitpass/internal/claims/inbox.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from godwitpass.internal.actions import Send
-from godwitpass.internal.claims.batch import Decision, apply_claim, apply_mark
+from godwitpass.internal.claims.batch import Decision, apply_claim, apply_mark, recall
 from godwitpass.internal.claims.generations import Generations
 from godwitpass.internal.claims.keys import ShardId
 from godwitpass.internal.claims.messages import (
@@ -58,7 +58,7 @@
         if request.token in self._claims:
             return []
         if len(self._claims) >= MAX_PENDING:
-            return self.refuse(request)
+            return self.refuse(request, None, 0.0)
         self._claims[request.token] = _PendingClaim(request, now + PATIENCE_S)
         return []
 
@@ -92,6 +92,12 @@
         self._decisions, self._applied_marks = {}, ()
         return replies
 
+    def withdraw_decided(self, table: ShardTable) -> None:
+        """Take out of `table` what was decided and, as is known, not stored."""
+        for token, decision in self._decisions.items():
+            if decision.changed:
+                table.withdraw(self._claims[token].request.key.digest)
+
     def note_unsettled(self) -> None:
         """Remember that a write of the waiting claims may have taken effect."""
         for pending in self._claims.values():
@@ -104,27 +110,36 @@
             if pending.expires_at > now:
                 continue
             pending.is_unsettled |= is_writing
-            replies.append(self._give_up(pending))
+            replies += self.refuse(pending.request, None, 0.0, pending.is_unsettled)
             del self._claims[token]
             self._decisions.pop(token, None)
         return replies
 
-    def refuse_all(self) -> Replies:
+    def refuse_all(self, known: ShardTable | None, wall: float) -> Replies:
         """Answer all claims and drop the marks, whose senders repeat them."""
-        replies = [self._give_up(pending) for pending in self._claims.values()]
+        replies = [
+            reply
+            for pending in self._claims.values()
+            for reply in self.refuse(pending.request, known, wall, pending.is_unsettled)
+        ]
         self._claims.clear()
         self._marks.clear()
         self._decisions, self._applied_marks = {}, ()
         return replies
 
-    def refuse(self, request: ClaimRequest) -> Replies:
-        """Answer a claim that is not even kept."""
-        return [self._reply(request, ClaimOutcome.UNAVAILABLE)]
-
-    def _give_up(self, pending: _PendingClaim) -> Send[ClaimMessage]:
-        unsettled = pending.is_unsettled
-        outcome = ClaimOutcome.UNSETTLED if unsettled else ClaimOutcome.UNAVAILABLE
-        return self._reply(pending.request, outcome)
+    def refuse(
+        self,
+        request: ClaimRequest,
+        known: ShardTable | None,
+        wall: float,
+        is_unsettled: bool = False,
+    ) -> Replies:
+        """Answer a claim that can't be decided now, from the table last known if it tells."""
+        decision = recall(known, request, wall) if known is not None else None
+        if decision is not None:
+            return [self._reply(request, decision.outcome, decision.status)]
+        outcome = ClaimOutcome.UNSETTLED if is_unsettled else ClaimOutcome.UNAVAILABLE
+        return [self._reply(request, outcome)]
 
     def _reply(
         self, request: ClaimRequest, outcome: ClaimOutcome, status: int = 0
--- a/packages/godwitpass/src/godwitpass/internal/claims/table.py
+++ b/packages/godwitpass/src/godwitpass/internal/claims/table.py
@@ -112,6 +112,10 @@
         self._claims[claim.digest] = claim
         self._newest_key_time = max(self._newest_key_time, claim.key_time)
 
+    def withdraw(self, digest: Digest) -> None:
+        """Take a claim out again that was not stored."""
+        self._claims.pop(digest, None)
+
     def replace(self, claim: Claim) -> None:
         """Replace a claim of the head in its place."""
         assert claim.digest in self._claims
--- a/packages/godwitpass/tests/claims/test_failures.py
+++ b/packages/godwitpass/tests/claims/test_failures.py
@@ -4,6 +4,7 @@
 
 from godwitpass.ids import Address, RegionId, Revision
 from godwitpass.internal.claims import events, table
+from godwitpass.internal.claims.batch import recall
 from godwitpass.internal.claims.keys import (
     KEY_LIFETIME_S,
     MAX_SKEW_S,
@@ -12,16 +13,17 @@
     ShardId,
     parse_key,
 )
-from godwitpass.internal.claims.messages import ClaimOutcome
+from godwitpass.internal.claims.messages import ClaimOutcome, ClaimRequest
 from godwitpass.internal.claims.node import Cancel, Complete
 from godwitpass.internal.claims.placement import Peer, Placement
 from godwitpass.store import MAX_VALUE_BYTES
-from godwitpass_testkit.experiments.claims_world import World
+from godwitpass_testkit.experiments.claims_world import WALL_OFFSET_S, World
 from godwitpass_testkit.store import Faults
 
 FIRST, SECOND, THIRD = (Address(f"10.0.{zone}.1:7000") for zone in range(3))
 ADDRESSES = (FIRST, SECOND, THIRD)
 NO_REVISION = Revision(0)
+SENT_BEFORE = (ClaimOutcome.RAN, ClaimOutcome.IN_PROGRESS, ClaimOutcome.UNKNOWN)
 
 
 def build_world(seed: int = 1) -> World:
@@ -104,6 +106,40 @@
         world.run(world.now + 1)
         assert ask(world, b"k", SECOND) is ClaimOutcome.GRANTED
 
+    def test_a_key_sent_before_an_outage_is_never_called_not_run_by_its_holder(self) -> None:
+        world = build_world()
+        world.weather.cancelled_calls = 0.0
+        assert ask(world, b"warm", FIRST) is ClaimOutcome.GRANTED
+        holder = find_holder(world)
+        asker, other = (address for address in ADDRESSES if address != holder)
+        assert ask(world, b"k", asker) is ClaimOutcome.GRANTED
+        world.store.faults = Faults(down=True)
+        for digest in (b"x", b"x", b"y"):
+            assert ask(world, digest, other) is ClaimOutcome.UNAVAILABLE
+            assert ask(world, b"k", other, age=9) in SENT_BEFORE
+
+    def test_nor_by_the_daemon_that_sent_it_when_the_holder_has_died(self) -> None:
+        world = build_world()
+        world.weather.cancelled_calls = 0.0
+        assert ask(world, b"warm", FIRST) is ClaimOutcome.GRANTED
+        holder = find_holder(world)
+        asker, other = (address for address in ADDRESSES if address != holder)
+        assert ask(world, b"k", asker) is ClaimOutcome.GRANTED
+        world.store.faults = Faults(down=True)
+        world.kill(holder)
+        assert ask(world, b"k", asker, age=9) is ClaimOutcome.UNKNOWN
+        assert ask(world, b"k", other, age=9) is ClaimOutcome.UNAVAILABLE
+
+    def test_what_is_recalled_during_an_outage_never_grants(self) -> None:
+        world = build_world()
+        key, wall = world.wall_key(b"k"), WALL_OFFSET_S + world.now
+        claim = table.Claim(key.digest, 7, key.time, int(wall), 0)
+        known = table.ShardTable(table.EMPTY_HEAD, NO_REVISION, {})
+        known.record(claim)
+        assert recall(known, ClaimRequest(7, key, 0, FIRST), wall) is None
+        other = recall(known, ClaimRequest(8, key, 0, FIRST), wall)
+        assert other is not None and other.outcome is ClaimOutcome.IN_PROGRESS
+
 
 class TestTwoHolders:
     def test_a_paused_holder_that_wakes_grants_nothing_that_another_granted(self) -> None:
