--- a/packages/godwitpass/tests/claims/test_histories.py
+++ b/packages/godwitpass/tests/claims/test_histories.py
@@ -2,10 +2,12 @@
 
 import pytest
 
-from godwitpass.ids import Address
+from godwitpass.ids import Address, RegionId
 from godwitpass.internal.claims import events, table
 from godwitpass.internal.claims.keys import ClaimKey
-from godwitpass_testkit.experiments.claims_world import Weather, World
+from godwitpass.internal.claims.node import ClockChanged
+from godwitpass_testkit.experiments.claims_weather import Weather
+from godwitpass_testkit.experiments.claims_world import WALL_OFFSET_S, World
 from godwitpass_testkit.store import Faults
 
 ADDRESSES = tuple(Address(f"10.0.{zone}.{host}:7000") for zone in range(3) for host in range(2))
@@ -27,7 +29,8 @@
 def play(seed: int) -> World:
     """Play a random history: callers repeat keys anywhere while daemons and the store fail."""
     rng = random.Random(seed)
-    world = World(seed, ADDRESSES, writes_per_s=50.0)
+    regions = {address: RegionId(address[:6]) for address in ADDRESSES if seed % 2}
+    world = World(seed, ADDRESSES, writes_per_s=50.0, regions=regions)
     keys: list[ClaimKey] = [world.wall_key(bytes([n])) for n in range(12)]
     for _ in range(STEPS):
         address = rng.choice(ADDRESSES)
@@ -42,6 +45,9 @@
                 world.show_members(address, rng.sample(ADDRESSES, rng.randrange(1, 6)))
             case 4:
                 world.store.faults = Faults(down=rng.random() < 0.3)
+            case 5 if rng.random() < 0.3:
+                skew = rng.choice((-4000.0, -20.0, 0.0, 20.0, 4000.0, 1e6))
+                world.deliver(address, ClockChanged(WALL_OFFSET_S + skew))
             case _:
                 world.send(rng.choice(keys), address, rng.choice((0.3, 1.0, 5.0)))
         world.run(world.now + rng.choice((0.0, 0.001, 0.02, 0.5)))
--- a/testkit/src/godwitpass_testkit/experiments/claims_world.py
+++ b/testkit/src/godwitpass_testkit/experiments/claims_world.py
@@ -44,6 +44,7 @@
     StorePut,
 )
 from godwitpass.store import Entry, PutResult, WatchResult
+from godwitpass_testkit.experiments.claims_weather import Weather
 from godwitpass_testkit.store import StoreState
 
 WALL_OFFSET_S = 1_700_000_000.0
@@ -54,21 +55,6 @@
 Answer = Entry | WatchResult | PutResult | Failure
 
 
-class Weather(msgspec.Struct):
-    """How the network and the store behave from now on; delays in seconds, shares from 0 to 1."""
-
-    peer_delay: float = 0.001
-    peer_jitter: float = 0.001
-    message_loss: float = 0.0
-    message_repeat: float = 0.0
-    store_delay: float = 0.003
-    lost_requests: float = 0.0
-    late_requests: float = 0.0
-    lost_answers: float = 0.0
-    cancelled_calls: float = 0.1
-    unanswered_calls: float = 0.2
-
-
 class Sending(msgspec.Struct):
     """One sending by a caller, and what became of it."""
 
@@ -255,7 +241,12 @@
         incarnation = self.machines[address].incarnation
 
         def answer(result: Answer) -> None:
-            if self.machines[address].incarnation == incarnation:
+            machine = self.machines[address]
+            if machine.incarnation != incarnation:
+                return
+            if machine.paused_until > self.now:
+                self.at(machine.paused_until, partial(answer, result))
+            else:
                 self.deliver(address, StoreAnswered(call.shard, call.step, result))
 
         delay = self.weather.store_delay / 2
