--- a/packages/godwitpass-daemon/src/godwitpass_daemon/peers/replay.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/peers/replay.py
@@ -2,10 +2,10 @@
 
 from godwitpass_daemon.peers.frames import US_PER_SECOND, Frame, Refusal
 
-WINDOW_S = 60
+WINDOW_S = 30
 """How far a sender's clock and the network's delay together may be off."""
 
-MAX_TAGS = 16_384
+MAX_TAGS = 32_768
 """Tags kept of one window; the frames beyond it are refused rather than taken unchecked."""
 
 
--- a/testkit/tests/test_membership.py
+++ b/testkit/tests/test_membership.py
@@ -1,4 +1,5 @@
 import random
+from collections.abc import Callable
 
 import pytest
 
@@ -8,7 +9,21 @@
 from godwitpass.internal.membership import events as kinds
 from godwitpass.internal.membership.messages import DAEMONS, Gossip
 from godwitpass.mesh import MemberState, UpstreamState
+from godwitpass_testkit.bench.bounds import Bound, find_breaches
+from godwitpass_testkit.experiments.membership_bounds import (
+    FAULT_BOUNDS,
+    HERD_BOUNDS,
+    LOSS_BOUNDS,
+    TRAFFIC_BOUNDS,
+)
+from godwitpass_testkit.experiments.membership_faults import (
+    measure_faults,
+    measure_herd,
+    measure_idle_and_churn,
+    measure_loss,
+)
 from godwitpass_testkit.experiments.membership_mesh import START_S, Mesh, build_member_update
+from godwitpass_testkit.measurements import Row
 from godwitpass_testkit.virtual import Link
 
 DETECTION_LIMIT_S = 30.0
@@ -260,3 +275,19 @@
         mesh.queue.run(mesh.queue.now + 20)
         assert count_ready(mesh, addresses[1], addresses[15:]) == 0
         assert sum(mesh.queue.sent_bytes.values()) - before < 45 * 3_000 * 80
+
+
+class TestBounds:
+    @pytest.mark.parametrize(
+        ("measure", "bounds"),
+        [
+            (measure_idle_and_churn, TRAFFIC_BOUNDS),
+            (measure_faults, FAULT_BOUNDS),
+            (measure_loss, LOSS_BOUNDS),
+            (measure_herd, HERD_BOUNDS),
+        ],
+    )
+    def test_a_small_region_stays_within_the_target(
+        self, measure: Callable[[int], list[Row]], bounds: tuple[Bound, ...]
+    ) -> None:
+        assert not find_breaches(measure(40), bounds)
