--- a/packages/godwitpass/src/godwitpass/internal/membership/digest.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/digest.py
@@ -18,7 +18,7 @@
     """Holds a 32-bit hash for each key; a bucket's hash is the XOR of those in it."""
 
     def __init__(self) -> None:
-        self._items: list[dict[int, int]] = [{} for _ in range(BUCKETS)]
+        self._values: dict[int, int] = {}
         self._hashes = [0] * BUCKETS
         self.root = 0
 
@@ -34,20 +34,20 @@
     def put(self, key: int, value: int) -> None:
         """Set the hash of `key`."""
         self.remove(key)
-        bucket = key % BUCKETS
-        self._items[bucket][key] = value
-        self._change(bucket, value)
+        self._values[key] = value
+        self._change(key % BUCKETS, value)
 
     def remove(self, key: int) -> None:
         """Remove `key` if present."""
-        bucket = key % BUCKETS
-        value = self._items[bucket].pop(key, None)
+        value = self._values.pop(key, None)
         if value is not None:
-            self._change(bucket, value)
+            self._change(key % BUCKETS, value)
 
-    def items_of(self, bucket: int) -> dict[int, int]:
-        """Return keys and hashes of `bucket`."""
-        return self._items[bucket]
+    def items_of(self, buckets: frozenset[int]) -> Iterator[tuple[int, int]]:
+        """Yield keys and hashes of `buckets`, found by a scan to save memory."""
+        for key, value in self._values.items():
+            if key % BUCKETS in buckets:
+                yield key, value
 
     def _change(self, bucket: int, value: int) -> None:
         self._hashes[bucket] ^= value
@@ -77,12 +77,8 @@
 
     def items(self, buckets: bytes) -> dict[int, int]:
         """Return keys and hashes of `buckets`."""
-        return {
-            key: value
-            for part in self._parts
-            for bucket in buckets
-            for key, value in part.items_of(bucket).items()
-        }
+        chosen = frozenset(buckets)
+        return {key: value for part in self._parts for key, value in part.items_of(chosen)}
 
     def _combine(self) -> list[int]:
         hashes = [0] * BUCKETS
--- a/packages/godwitpass/src/godwitpass/internal/membership/regions.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/regions.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from godwitpass.ids import RegionId, ServiceName
+from godwitpass.ids import RegionId, ServiceName, ZoneId
 from godwitpass.internal.membership.digest import Buckets, DigestView, hash_numbers
 from godwitpass.internal.membership.messages import (
     DAEMONS,
@@ -60,8 +60,7 @@
         self.beats: dict[RegionId, Beat] = {}
         self.generation = 0
         self._sums: dict[int, HeldSum] = {}
-        self._keys: dict[ServiceName, dict[RegionId, int]] = {}
-        self._cached: dict[ServiceName, tuple[Upstream, ...]] = {}
+        self._keys: dict[ServiceName, tuple[int, ...]] = {}
 
     def buckets_of(self, region: RegionId) -> Buckets:
         """Return the digest of the sums of `region`."""
@@ -97,7 +96,6 @@
             return False
         if held is None or not held.reachable:
             self.generation += 1
-            self._cached.clear()
         self.beats[update.region] = Beat(update.beat, now)
         return True
 
@@ -111,7 +109,6 @@
         for region in lost:
             self.beats[region].reachable = False
             self.generation += 1
-            self._cached.clear()
         return lost
 
     def is_reachable(self, region: RegionId) -> bool:
@@ -140,40 +137,33 @@
 
     def others(self) -> list[RegionId]:
         """Return the other regions of which contacts are known."""
-        regions = self._keys.get(DAEMONS, {})
-        return [region for region in regions if region != self.own and self.contacts(region)]
+        return [held.region for held in self.sums(DAEMONS) if held.contacts]
 
     def sums(self, service: ServiceName) -> list[SumUpdate]:
         """Return the sums of `service` in the other regions where it was ever seen."""
-        return [
-            self._sums[key].build_update()
-            for region, key in self._keys.get(service, {}).items()
-            if region != self.own
-        ]
+        found = (self._sums[key] for key in self._keys.get(service, ()))
+        return [held.build_update() for held in found if held.region != self.own]
 
     def services_of(self, region: RegionId) -> list[ServiceName]:
         """Return the services that have a sum in `region`."""
-        return [service for service, regions in self._keys.items() if region in regions]
+        return [held.service for held in self._sums.values() if held.region == region]
 
     def upstreams(self, service: ServiceName) -> tuple[Upstream, ...]:
         """Return the known upstreams of `service` in other, reachable regions."""
-        cached = self._cached.get(service)
-        if cached is None:
-            cached = tuple(
-                build_remote_upstream(held, contact)
-                for held in self.sums(service)
-                if self.is_reachable(held.region)
-                for contact in held.contacts
-            )
-            self._cached[service] = cached
-        return cached
+        return tuple(
+            build_remote_upstream(held, contact)
+            for held in self.sums(service)
+            if self.is_reachable(held.region)
+            for contact in held.contacts
+        )
 
     def build_updates(self, keys: Iterable[int]) -> list[SumUpdate]:
         """Return the sums with these keys."""
         return [self._sums[key].build_update() for key in keys if key in self._sums]
 
     def _store(self, key: int, update: SumUpdate) -> None:
-        if key not in self._sums and len(self._sums) >= MAX_SUMS:
+        is_new = key not in self._sums
+        if is_new and len(self._sums) >= MAX_SUMS:
             return
         self.generation += 1
         region, service = _intern(update)
@@ -185,8 +175,8 @@
             update.slots,
             _encoder.encode(update.contacts),
         )
-        self._keys.setdefault(service, {})[region] = key
-        self._cached.pop(update.service, None)
+        if is_new:
+            self._keys[service] = (*self._keys.get(service, ()), key)
         value = hash_numbers(key, update.version, update.ready)
         self.buckets_of(region).put(key, value)
 
@@ -204,7 +194,7 @@
         contact.instance,
         held.service,
         contact.address,
-        contact.zone,
+        ZoneId(sys.intern(contact.zone)),
         held.region,
         UpstreamState.READY,
         contact.slots,
