Pass on other zones' holdings to the root and forget silent zones

Cause: membership knows only a few contacts in other regions, so an availability zone's holdings may reach a daemon that operators' questions don't, and zones without a known contact were dropped. Change: a daemon forwards them to the root of its own zone; a zone out of view is forgotten only when it says nothing for 200 s. Events and actions of the distributor have a module of their own. Conclusion: the root's answer counts all zones that speak.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
@@ -11,14 +11,14 @@
 from godwitpass.administration import Lag, Spread, ZoneSpread
 from godwitpass.ids import NO_VERSION, Address, RegionId, ZoneId
 from godwitpass.internal.actions import Received, Report, Send, Wake, Woken
-from godwitpass.internal.distribution.distributor import (
+from godwitpass.internal.distribution.distributor import Distributor
+from godwitpass.internal.distribution.holdings import Convergence
+from godwitpass.internal.distribution.interface import (
     Activate,
     ConvergenceWanted,
-    Distributor,
     Event,
     ViewChanged,
 )
-from godwitpass.internal.distribution.holdings import Convergence
 from godwitpass.internal.distribution.messages import (
     ZoneHoldings,
     decode_message,
--- a/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
@@ -3,8 +3,6 @@
 import math
 import random
 
-import msgspec
-
 from godwitpass.document import Favour
 from godwitpass.ids import NO_VERSION, Address, Version
 from godwitpass.internal.actions import Received, Report, Send, Wake, Woken
@@ -14,6 +12,13 @@
 from godwitpass.internal.distribution.delta import Codec, WrongContent
 from godwitpass.internal.distribution.fetcher import Fetcher
 from godwitpass.internal.distribution.holdings import Convergence
+from godwitpass.internal.distribution.interface import (
+    Action,
+    Activate,
+    ConvergenceWanted,
+    Event,
+    ViewChanged,
+)
 from godwitpass.internal.distribution.messages import (
     AllHoldings,
     Announce,
@@ -35,30 +40,10 @@
     choose_tuning,
 )
 from godwitpass.internal.distribution.view import View, parent_position
-from godwitpass.internal.requests import Answer, Get, GotEntry, Listed, RequestFailed, Watch
+from godwitpass.internal.requests import GotEntry, Listed, RequestFailed
 from godwitpass.snapshot import Snapshot
 
 
-class ViewChanged(msgspec.Struct, frozen=True):
-    """Event: the members known to this daemon changed; the first one starts distribution."""
-
-    view: View
-
-
-class ConvergenceWanted(msgspec.Struct, frozen=True):
-    """Event: an operator asks for the state of convergence."""
-
-
-class Activate(msgspec.Struct, frozen=True):
-    """Action: put `snapshot` into force, whole."""
-
-    snapshot: Snapshot
-
-
-Event = ViewChanged | ConvergenceWanted | Received[Message] | Woken | Answer
-Action = Send[Message] | Wake | Report | Get | Watch | Activate
-
-
 class Distributor:
     """Learns versions from the store and from peers, and passes them on.
 
@@ -139,6 +124,7 @@
             actions += self._perform_reader(self._reader.start(now), now)
         if now >= self._digest_at:
             self._digest_at = now + self._draw_digest_period()
+            self._reporter.zones.forget_silent(now)
             actions += self._pusher.ask_incomplete()
             actions += self._send_digest(self._random.random() < REMOTE_DIGEST_SHARE)
         return actions
@@ -249,9 +235,9 @@
         if isinstance(message, AskHoldings):
             return [Send(sender, AllHoldings(self._reporter.zones.zones()))]
         if isinstance(message, ZoneHoldings):
-            self._reporter.zones.record(message)
-        elif isinstance(message, AllHoldings):
-            self._reporter.zones.replace(message.zones)
+            return [*self._reporter.take_zone(sender, message, now)]
+        if isinstance(message, AllHoldings):
+            self._reporter.zones.replace(message.zones, now)
         return []
 
     def _contradicts(self, version: Version, digest: bytes) -> bool:
--- a/packages/godwitpass/src/godwitpass/internal/distribution/holdings.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/holdings.py
@@ -7,6 +7,9 @@
 from godwitpass.ids import NO_VERSION, InstanceId, Version, ZoneId
 from godwitpass.internal.distribution.messages import MAX_LAGGARDS, ZoneHoldings
 
+FORGET_S = 200.0
+"""Longer than three periods in which an availability zone repeats its holdings."""
+
 
 class Convergence(msgspec.Struct, frozen=True):
     """How many of the known daemons hold `version`; `laggards` names a few that don't.
@@ -36,27 +39,38 @@
 
 
 class ZoneTable:
-    """The newest known holdings of each availability zone."""
+    """The newest known holdings of each availability zone.
+
+    A zone with members in view stays, unheard of if need be; another one is forgotten when
+    nothing is heard of it for `FORGET_S`.
+    """
 
     def __init__(self) -> None:
         self._zones: dict[ZoneId, ZoneHoldings] = {}
+        self._heard_at: dict[ZoneId, float] = {}
         self._present: set[ZoneId] = set()
 
-    def record(self, holdings: ZoneHoldings) -> None:
-        """Keep `holdings` unless later ones are known."""
+    def record(self, holdings: ZoneHoldings, now: float) -> None:
+        """Keep `holdings` unless those of a later version are known."""
         known = self._zones.get(holdings.zone)
         if known is None or holdings.version >= known.version:
             self._zones[holdings.zone] = holdings
+            self._heard_at[holdings.zone] = now
 
-    def replace(self, zones: Iterable[ZoneHoldings]) -> None:
+    def replace(self, zones: Iterable[ZoneHoldings], now: float) -> None:
         """Take over the table of another daemon where it is newer."""
         for holdings in zones:
-            self.record(holdings)
+            self.record(holdings, now)
 
-    def limit_to(self, zones: Iterable[ZoneId]) -> None:
-        """Keep to the availability zones that have members."""
+    def change_view(self, zones: Iterable[ZoneId]) -> None:
+        """Expect to hear of the availability zones that have members in view."""
         self._present = set(zones)
-        self._zones = {zone: held for zone, held in self._zones.items() if zone in self._present}
+
+    def forget_silent(self, now: float) -> None:
+        """Drop availability zones that have no member in view and say nothing."""
+        for zone, heard_at in list(self._heard_at.items()):
+            if zone not in self._present and now - heard_at > FORGET_S:
+                del self._zones[zone], self._heard_at[zone]
 
     def zones(self) -> tuple[ZoneHoldings, ...]:
         """Return the holdings of all known availability zones."""
--- a/packages/godwitpass/src/godwitpass/internal/distribution/reporting.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/reporting.py
@@ -42,7 +42,7 @@
     def change_view(self, view: View, parent: Address | None) -> None:
         """Report anew to the daemon now above."""
         self._view = view
-        self.zones.limit_to([view.zone, *view.remote])
+        self.zones.change_view([view.zone, *view.remote])
         if parent is None or parent != self._tree_parent:
             self._reported = Holding(NO_VERSION, 0)
         self._tree_parent = self._report_to = parent
@@ -82,22 +82,30 @@
             self._report_at = math.inf
         return []
 
+    def take_zone(self, sender: Address, holdings: ZoneHoldings, now: float) -> Actions:
+        """Take in another availability zone's holdings, which may reach any daemon of this one."""
+        self.zones.record(holdings, now)
+        if self._view is None or sender in self._view.positions or not self._view.order:
+            return []
+        root = self._view.order[0]
+        return [Send(root, holdings)] if root != self._own else []
+
     def _report(self, holding: Holding, completed: bool, now: float, tuning: Tuning) -> Actions:
         self._report_at, self._publish_at = math.inf, math.inf
         self._reported = holding
         if not self._pusher.acts_as_root:
             return [Send(self._report_to, holding)] if self._report_to else []
         self._publish_at = now + tuning.publish_s * self._random.uniform(0.75, 1.25)
-        return self._publish(holding, completed)
+        return self._publish(holding, completed, now)
 
-    def _publish(self, holding: Holding, completed: bool) -> Actions:
+    def _publish(self, holding: Holding, completed: bool, now: float) -> Actions:
         """Tell the other availability zones what this one holds."""
         assert self._view is not None
         daemons = len(self._view.order)
         holders = min(holding.holders, daemons)
         laggards = holding.laggards if holders < daemons else ()
         sums = ZoneHoldings(self._view.zone, holding.version, holders, daemons, laggards)
-        self.zones.record(sums)
+        self.zones.record(sums, now)
         roots = [addresses[0] for addresses in self._view.remote.values() if addresses]
         actions: Actions = [Send(root, sums) for root in roots]
         if completed:
--- a/testkit/src/godwitpass_testkit/differential.py
+++ b/testkit/src/godwitpass_testkit/differential.py
@@ -9,7 +9,7 @@
 from godwitpass.document import Document, Route, Service
 from godwitpass.ids import Address, ContentHash, RouteName, ServiceName, Version
 from godwitpass.internal.acceptance.record import ROOT_KEY, decode_root
-from godwitpass.internal.distribution.distributor import Activate
+from godwitpass.internal.distribution.interface import Activate
 from godwitpass.internal.invariants import ConfigurationInvariants
 from godwitpass_testkit.experiments.naive_polling import PollingNode
 from godwitpass_testkit.fleet import BuildNode, Fleet
--- a/testkit/src/godwitpass_testkit/experiments/naive_polling.py
+++ b/testkit/src/godwitpass_testkit/experiments/naive_polling.py
@@ -13,7 +13,7 @@
 )
 from godwitpass.internal.actions import Wake, Woken
 from godwitpass.internal.distribution.delta import Codec
-from godwitpass.internal.distribution.distributor import Activate, ViewChanged
+from godwitpass.internal.distribution.interface import Activate, ViewChanged
 from godwitpass.internal.requests import Get, GotEntry
 from godwitpass.snapshot import Snapshot
 
--- a/testkit/src/godwitpass_testkit/fleet.py
+++ b/testkit/src/godwitpass_testkit/fleet.py
@@ -35,7 +35,8 @@
     encode_delta,
     encode_full,
 )
-from godwitpass.internal.distribution.distributor import Activate, Distributor, ViewChanged
+from godwitpass.internal.distribution.distributor import Distributor
+from godwitpass.internal.distribution.interface import Activate, ViewChanged
 from godwitpass.internal.distribution.tuning import Tuning
 from godwitpass.internal.distribution.view import View, build_view
 from godwitpass.mesh import Member, MemberState
--- a/testkit/tests/test_recovery.py
+++ b/testkit/tests/test_recovery.py
@@ -4,7 +4,8 @@
 
 from godwitpass.ids import Address, ChangeId, Version
 from godwitpass.internal.actions import Received, Send
-from godwitpass.internal.distribution.distributor import Activate, Distributor, ViewChanged
+from godwitpass.internal.distribution.distributor import Distributor
+from godwitpass.internal.distribution.interface import Activate, ViewChanged
 from godwitpass.internal.distribution.messages import Announce, Fetch, Message, Update
 from godwitpass.internal.invariants import ConfigurationInvariants
 from godwitpass_testkit.fleet import Fleet, build_document
--- a/testkit/tests/test_spread.py
+++ b/testkit/tests/test_spread.py
@@ -8,9 +8,10 @@
 from godwitpass.document import Favour
 from godwitpass.ids import Address, Version
 from godwitpass.internal.acceptance.record import ROOT_KEY, Root, decode_root, encode_root
+from godwitpass.internal.actions import Received
 from godwitpass.internal.distribution import events
-from godwitpass.internal.distribution.distributor import Activate
-from godwitpass.internal.distribution.messages import Update
+from godwitpass.internal.distribution.interface import Activate
+from godwitpass.internal.distribution.messages import Message, Update, ZoneHoldings
 from godwitpass.internal.distribution.tuning import FOR_CONVERGENCE
 from godwitpass.internal.invariants import ConfigurationInvariants
 from godwitpass_testkit.fleet import Fleet, build_document
@@ -157,6 +158,15 @@
         fleet.queue.run(fleet.queue.now + 10 * FOR_CONVERGENCE.publish_s)
         assert all(root.convergence().complete for root in _roots(fleet))
 
+    def test_holdings_of_other_zones_reach_the_root_whoever_gets_them(self) -> None:
+        fleet = build_fleet()
+        here, there = (fleet.views[zone] for zone in fleet.zones[:2])
+        news = ZoneHoldings(there.zone, Version(9), 1, 10)
+        fleet.queue.post(here.order[4], Received[Message](there.order[3], news))
+        fleet.queue.run(fleet.queue.now + 1)
+        root = fleet.queue.node(here.order[0])
+        assert news in root.zone_holdings()
+
     def test_an_idle_fleet_stays_far_below_its_budget(self) -> None:
         fleet = build_fleet()
         fleet.queue.sent_bytes.clear()
