--- a/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
@@ -3,8 +3,6 @@
 import math
 import random
 
-import msgspec
-
 from godwitpass.document import Favour
 from godwitpass.ids import NO_VERSION, Address, Version
 from godwitpass.internal.actions import Received, Report, Send, Wake, Woken
@@ -14,6 +12,13 @@
 from godwitpass.internal.distribution.delta import Codec, WrongContent
 from godwitpass.internal.distribution.fetcher import Fetcher
 from godwitpass.internal.distribution.holdings import Convergence
+from godwitpass.internal.distribution.interface import (
+    Action,
+    Activate,
+    ConvergenceWanted,
+    Event,
+    ViewChanged,
+)
 from godwitpass.internal.distribution.messages import (
     AllHoldings,
     Announce,
@@ -35,30 +40,10 @@
     choose_tuning,
 )
 from godwitpass.internal.distribution.view import View, parent_position
-from godwitpass.internal.requests import Answer, Get, GotEntry, Listed, RequestFailed, Watch
+from godwitpass.internal.requests import GotEntry, Listed, RequestFailed
 from godwitpass.snapshot import Snapshot
 
 
-class ViewChanged(msgspec.Struct, frozen=True):
-    """Event: the members known to this daemon changed; the first one starts distribution."""
-
-    view: View
-
-
-class ConvergenceWanted(msgspec.Struct, frozen=True):
-    """Event: an operator asks for the state of convergence."""
-
-
-class Activate(msgspec.Struct, frozen=True):
-    """Action: put `snapshot` into force, whole."""
-
-    snapshot: Snapshot
-
-
-Event = ViewChanged | ConvergenceWanted | Received[Message] | Woken | Answer
-Action = Send[Message] | Wake | Report | Get | Watch | Activate
-
-
 class Distributor:
     """Learns versions from the store and from peers, and passes them on.
 
@@ -139,7 +124,8 @@
             actions += self._perform_reader(self._reader.start(now), now)
         if now >= self._digest_at:
             self._digest_at = now + self._draw_digest_period()
-            actions += self._reporter.repeat()
+            self._reporter.zones.forget_silent(now)
+            actions += self._pusher.ask_incomplete()
             actions += self._send_digest(self._random.random() < REMOTE_DIGEST_SHARE)
         return actions
 
@@ -158,6 +144,8 @@
         return [Wake(self._wake_at)]
 
     def _change_view(self, view: View, now: float) -> list[Action]:
+        if view == self._view:
+            return []
         first, self._view = self._view is None, view
         self._pusher.change_view(view)
         self._reporter.change_view(view, self._tree_parent())
@@ -215,6 +203,7 @@
         self._fetcher.finish()
         favour = snapshot.document.distribution.favour
         self._tuning = self._fixed_tuning or choose_tuning(favour)
+        self._reader.rest_s = self._tuning.fold_s
         upwards = not self._is_above(source)
         actions: list[Action] = [
             Activate(snapshot),
@@ -246,9 +235,9 @@
         if isinstance(message, AskHoldings):
             return [Send(sender, AllHoldings(self._reporter.zones.zones()))]
         if isinstance(message, ZoneHoldings):
-            self._reporter.zones.record(message)
-        elif isinstance(message, AllHoldings):
-            self._reporter.zones.replace(message.zones)
+            return [*self._reporter.take_zone(sender, message, now)]
+        if isinstance(message, AllHoldings):
+            self._reporter.zones.replace(message.zones, now)
         return []
 
     def _contradicts(self, version: Version, digest: bytes) -> bool:
