--- a/packages/godwitpass/src/godwitpass/internal/calls/dispatcher.py
+++ b/packages/godwitpass/src/godwitpass/internal/calls/dispatcher.py
@@ -1,5 +1,6 @@
 """The dispatcher of one service: admits calls, chooses upstreams, learns from outcomes."""
 
+import math
 import random
 
 import msgspec
@@ -36,6 +37,9 @@
 SLOW_RATIO = 2.0
 """An upstream whose answers take this many times the usual latency gets fewer calls at a time."""
 
+TIMER_SLACK_S = 0.002
+"""Timers may fire this much too early."""
+
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 5.0
 NO_UPSTREAM_RETRY_AFTER_S = 1.0
@@ -73,6 +77,7 @@
         self._queue = FairQueue()
         self._started: dict[CallNumber, _Started] = {}
         self._shed_at: float | None = None
+        self._wake_at = math.inf
 
     @property
     def in_flight(self) -> int:
@@ -101,6 +106,8 @@
             case UpstreamsChanged():
                 return self._change_upstreams(event, now)
             case Tick():
+                if now + TIMER_SLACK_S >= self._wake_at:
+                    self._wake_at = math.inf
                 return self._serve_queue(now)
 
     def _admit(self, event: Arrived, now: float) -> list[Action]:
@@ -121,17 +128,21 @@
         evicted = self._queue.push(event)
         actions = self._refuse(evicted, now, wait) if evicted is not None else []
         if evicted is not event:
-            actions.append(Wake(self._choose_wake(now, latest)))
+            actions += self._request_wake(now, latest)
         return actions
 
-    def _choose_wake(self, now: float, latest: float) -> float:
-        """Return when the queue can change without an answer: a pause ends or a call expires."""
+    def _request_wake(self, now: float, latest: float) -> list[Action]:
+        """Ask for a tick when a pause ends or a call expires, unless one comes sooner."""
         pauses = (
             max(record.limit.paused_until, record.ejected_until)
             for record in self._records.values()
             if not record.is_usable(now)
         )
-        return min((latest, *(at for at in pauses if at > now)))
+        at = min((latest, *(at for at in pauses if at > now)))
+        if at >= self._wake_at:
+            return []
+        self._wake_at = at
+        return [Wake(at)]
 
     def _refuse(self, event: Arrived, now: float, wait: float) -> list[Action]:
         retry_after = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, 2.0 * wait))
@@ -227,7 +238,7 @@
             record = choose_upstream(self._tiers, now, self._rng, waiting.upload, waiting.avoid)
             if record is None:
                 self._queue.push_back(waiting)
-                actions.append(Wake(self._choose_wake(now, self._find_latest())))
+                actions += self._request_wake(now, self._find_latest())
                 break
             actions.append(self._start(waiting, record))
         return actions
