Spare the hot path the garbage collector and two slow calls

Cause: the edge spent more processor time a call than the bare forwarder by a factor of three. Change: modules are frozen out of collections, generations grow larger, two upstreams are drawn without Random.sample, host names are remembered.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/service.py
@@ -1,6 +1,7 @@
 """The edge as a service of the kernel: two listeners, one for each side of the mesh's border."""
 
 import asyncio
+import gc
 import random
 from collections.abc import Callable, Sequence
 from typing import Protocol, runtime_checkable
@@ -26,6 +27,8 @@
 """Membership changes are taken in together after this time."""
 
 LISTEN_BACKLOG = 512
+COLLECTOR_THRESHOLDS = (20_000, 20, 50)
+"""Allocations between collections of each generation; the defaults collect every few calls."""
 
 
 @runtime_checkable
@@ -124,6 +127,7 @@
         distribution.subscribe(core.apply_snapshot)
         membership.subscribe(self._note_membership)
         await self._listen(loop, core)
+        _relieve_collector()
         tasks.start_soon(self._sweep)
         tasks.start_soon(self._follow_membership)
 
@@ -183,3 +187,9 @@
             return self._kernel.find("crashes", CrashGuard)  # type: ignore[type-abstract]
         except KernelError:
             return None
+
+
+def _relieve_collector() -> None:
+    """Keep the collector off modules, which live as long as the process, and off the hot path."""
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
--- a/packages/godwitpass/src/godwitpass/internal/balancing/choice.py
+++ b/packages/godwitpass/src/godwitpass/internal/balancing/choice.py
@@ -47,5 +47,8 @@
 ) -> UpstreamRecord | None:
     if len(records) <= 1:
         return records[0] if records else None
-    first, second = rng.sample(records, 2)
+    # `Random.sample` costs several times as much.
+    one = int(rng.random() * len(records))
+    other = int(rng.random() * (len(records) - 1))
+    first, second = records[one], records[other + (other >= one)]
     return first if first.estimate_cost(now) <= second.estimate_cost(now) else second
--- a/packages/godwitpass/src/godwitpass/internal/routing/target.py
+++ b/packages/godwitpass/src/godwitpass/internal/routing/target.py
@@ -6,11 +6,13 @@
 
 import re
 from enum import Enum
+from functools import lru_cache
 from urllib.parse import unquote_to_bytes
 
 import msgspec
 
 MAX_TARGET_BYTES = 8 * 1024
+MAX_HOST_BYTES = 255 + len(":65535")
 
 _ALLOWED = re.compile(rb"[A-Za-z0-9\-._~!$&'()*+,;=:@/%]*")
 _ESCAPE = re.compile(rb"%(?![0-9A-Fa-f]{2})")
@@ -66,8 +68,11 @@
     return Target(raw, _decode_path(path), host)
 
 
+@lru_cache(maxsize=256)
 def normalise_host(raw: bytes) -> str:
     """Return a Host header's name in lower case, without port and final dot."""
+    if len(raw) > MAX_HOST_BYTES:
+        raise InvalidTarget(TargetFault.HOST)
     try:
         text = raw.decode("ascii").lower()
     except UnicodeDecodeError:
