Start nothing for a call that ended meanwhile, and refuse misfit guards loudly

Cause: a batch of decisions could start an attempt whose call an earlier one of the batch had ended, which raised inside the connection; and a guard of the wrong shape was taken for a missing one. Change: such an attempt is reported as cancelled; Kernel.has tells absent from misfit; tests of heads that never end and of callers that read slowly.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/core.py
@@ -18,8 +18,10 @@
 from godwitpass.internal.calls.messages import (
     CallerKey,
     CallNumber,
+    Ended,
     Event,
     Refuse,
+    Result,
     Start,
     Tick,
     UpstreamsChanged,
@@ -175,15 +177,27 @@
         for action in dispatcher.handle(event, self.now()):
             match action:
                 case Start():
-                    self._attempts.pop(action.call).start(action.upstream)
+                    self._start(dispatcher, action)
                 case Refuse():
-                    attempt = self._attempts.pop(action.call)
-                    attempt.call.refuse_attempt(attempt, action.reason, action.retry_after_s)
+                    self._refuse(action)
                 case Wake():
                     self.loop.call_at(action.at, self.dispatch, dispatcher, Tick())
                 case Report():
                     self.report(action.kind, action.fields)
 
+    def _start(self, dispatcher: Dispatcher, action: Start) -> None:
+        attempt = self._attempts.pop(action.call, None)
+        if attempt is None:
+            # Its call ended while an earlier action of the same batch was carried out.
+            self.dispatch(dispatcher, Ended(action.call, Result.CANCELLED, 0.0))
+        else:
+            attempt.start(action.upstream)
+
+    def _refuse(self, action: Refuse) -> None:
+        attempt = self._attempts.pop(action.call, None)
+        if attempt is not None:
+            attempt.call.refuse_attempt(attempt, action.reason, action.retry_after_s)
+
     def add_connection(self, connection: CallerConnection, listener: Listener) -> bool:
         """Count a caller's connection; False when there are too many."""
         self._connections[listener].add(connection)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/service.py
@@ -20,7 +20,7 @@
 from godwitpass_daemon.edge.core import EdgeCore
 from godwitpass_daemon.edge.guards import ClaimGuard, CrashGuard
 from godwitpass_daemon.edge.limits import SWEEP_INTERVAL_S
-from godwitpass_daemon.kernel import Kernel, KernelError
+from godwitpass_daemon.kernel import Kernel
 
 DEFAULT_GRACE_S = 30.0
 COALESCE_S = 0.05
@@ -177,16 +177,14 @@
             self.core.update_upstreams()
 
     def _find_claim_guard(self) -> ClaimGuard | None:
-        try:
-            return self._kernel.find("claims", ClaimGuard)  # type: ignore[type-abstract]
-        except KernelError:
+        if not self._kernel.has("claims"):
             return None
+        return self._kernel.find("claims", ClaimGuard)  # type: ignore[type-abstract]
 
     def _find_crash_guard(self) -> CrashGuard | None:
-        try:
-            return self._kernel.find("crashes", CrashGuard)  # type: ignore[type-abstract]
-        except KernelError:
+        if not self._kernel.has("crashes"):
             return None
+        return self._kernel.find("crashes", CrashGuard)  # type: ignore[type-abstract]
 
 
 def _relieve_collector() -> None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/kernel.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/kernel.py
@@ -47,6 +47,10 @@
             raise KernelError(f"service {name!r} is registered twice")
         self._services[name] = build(self)
 
+    def has(self, name: str) -> bool:
+        """Tell whether a service called `name` is registered."""
+        return name in self._services
+
     def find(self, name: str, kind: type[T]) -> T:
         """Return the service called `name`, which must be a `kind`."""
         service = self._services.get(name)
--- a/packages/godwitpass-daemon/tests/edge/test_answers.py
+++ b/packages/godwitpass-daemon/tests/edge/test_answers.py
@@ -1,8 +1,9 @@
+import anyio
 import pytest
 
-from godwitpass_testkit.caller import request
+from godwitpass_testkit.caller import connect, encode_request, request
 from godwitpass_testkit.edge import run_async, run_mesh
-from godwitpass_testkit.upstream import Fault
+from godwitpass_testkit.upstream import BIG_ANSWER_BYTES, Fault
 
 
 class TestAnswers:
@@ -23,6 +24,21 @@
 
         run_async(check)(self)
 
+    @run_async
+    async def test_a_slow_caller_holds_the_upstream_back_and_gets_the_whole_answer(self) -> None:
+        async with run_mesh() as mesh:
+            caller = await connect(mesh.inner)
+            assert caller.transport is not None
+            pending = caller.send(encode_request("/scans", headers={"x-fault": "big"}))
+            caller.transport.pause_reading()
+            await anyio.sleep(0.2)
+            (upstream,) = mesh.upstreams[0].connections
+            assert upstream.transport is not None
+            assert upstream.transport.get_write_buffer_size() > 0, "nothing waits at the edge"
+            caller.transport.resume_reading()
+            answer = await pending
+            assert answer.whole and len(answer.body) == BIG_ANSWER_BYTES
+
     @run_async
     async def test_without_a_snapshot_calls_are_answered_not_run(self) -> None:
         async with run_mesh(configured=False) as mesh:
--- a/packages/godwitpass-daemon/tests/edge/test_bad_input.py
+++ b/packages/godwitpass-daemon/tests/edge/test_bad_input.py
@@ -1,6 +1,8 @@
+import time
+
 import pytest
 
-from godwitpass_daemon.edge.limits import MAX_HEAD_BYTES
+from godwitpass_daemon.edge.limits import HEAD_TIMEOUT_S, MAX_HEAD_BYTES
 from godwitpass_testkit.caller import connect, encode_request, request
 from godwitpass_testkit.edge import run_async, run_mesh
 
@@ -49,6 +51,20 @@
 
         run_async(check)(self)
 
+    @run_async
+    async def test_a_head_that_never_ends_is_refused_after_its_time(self) -> None:
+        async with run_mesh() as mesh:
+            caller = await connect(mesh.outer)
+            pending = caller.send(HEAD + b"x: y")
+            idle = await connect(mesh.outer)
+            silence = idle.send(b"")
+            assert (await mesh.get("/books")).status == 200
+            for connection in mesh.edge.core.connections:
+                connection.sweep(time.monotonic() + HEAD_TIMEOUT_S + 1)
+            answer = await pending
+            assert (answer.status, answer.reason, answer.closed) == (408, "head-timeout", True)
+            assert (await silence).closed
+
     @run_async
     async def test_smuggled_bytes_are_requests_of_their_own(self) -> None:
         async with run_mesh() as mesh:
--- a/testkit/src/godwitpass_testkit/upstream.py
+++ b/testkit/src/godwitpass_testkit/upstream.py
@@ -21,7 +21,8 @@
 
 IDLE_TIMEOUT_S = 5.0
 LATE_S = 0.2
-BIG_ANSWER_BYTES = 4 * 1024 * 1024
+BIG_ANSWER_BYTES = 32 * 1024 * 1024
+"""More than the sockets on the way hold together."""
 RUNS_PATH = b"/runs"
 """Asked directly, an upstream answers how often it ran each `x-request`, as JSON."""
 
