Split guards and timers off the call

Change: edge/checks.py asks and tells the guards, edge/timers.py keeps the deadline; no behaviour changes.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
@@ -18,7 +18,8 @@
 from godwitpass_daemon.edge.answers import encode_refusal
 from godwitpass_daemon.edge.attempts import Attempt
 from godwitpass_daemon.edge.bodies import RequestBody
-from godwitpass_daemon.edge.guards import CallFacts, Verdict
+from godwitpass_daemon.edge.checks import CallChecks
+from godwitpass_daemon.edge.guards import Verdict
 from godwitpass_daemon.edge.heads import (
     AnswerHead,
     Framing,
@@ -26,6 +27,7 @@
     encode_answer_head,
 )
 from godwitpass_daemon.edge.limits import STALL_NOTICE_S
+from godwitpass_daemon.edge.timers import CallTimers
 
 if TYPE_CHECKING:
     from godwitpass_daemon.edge.callers import CallerConnection
@@ -37,7 +39,6 @@
     Certainty.REFUSED: Reason.UPSTREAM_REFUSED,
     Certainty.UNCERTAIN: Reason.UPSTREAM_BROKEN,
 }
-_NEVER = float("inf")
 
 
 class Call:
@@ -47,18 +48,15 @@
         "_arrived_at",
         "_attempts",
         "_body_progress_at",
+        "_checks",
         "_claim",
-        "_claimed",
-        "_deadline",
         "_ended",
-        "_facts",
         "_framing",
-        "_hedge_timer",
         "_last_failure",
         "_maybe_ran",
         "_out",
         "_sent",
-        "_timer",
+        "_timers",
         "_unsent",
         "_waits_for_body",
         "_winner",
@@ -93,7 +91,10 @@
         self.is_idempotent = route.policy.execution is Execution.IDEMPOTENT
         self._arrived_at = now
         self._body_progress_at = now
-        self._deadline = _NEVER
+        self._timers = CallTimers(edge.loop)
+        self._checks = CallChecks(
+            edge.claim_guard, edge.crash_guard, head, body, route, self._timers
+        )
         self._attempts: list[Attempt] = []
         self._winner: Attempt | None = None
         self._framing = Framing.NONE
@@ -104,18 +105,14 @@
         self._last_failure: Reason | None = None
         self._waits_for_body = True
         self._ended = False
-        self._timer: asyncio.TimerHandle | None = None
-        self._hedge_timer: asyncio.TimerHandle | None = None
         self._claim: asyncio.Task[None] | None = None
-        self._claimed = False
-        self._facts: CallFacts | None = None
 
     def begin(self) -> None:
         """Start as soon as enough of the body came."""
         timeout_ms = self.head.context.timeout_ms
         if timeout_ms is not None:
-            self._deadline = self._arrived_at + timeout_ms / 1000
-            self._arm_deadline()
+            self._timers.deadline = self._arrived_at + timeout_ms / 1000
+            self._timers.watch_deadline(self.expire)
         if self.head.expects_continue and not self.body.complete:
             self.connection.write(CONTINUE)
         self.body.on_change = self._change_body
@@ -127,9 +124,7 @@
 
     def measure_remaining(self) -> float | None:
         """Return the seconds left until the deadline, None without one."""
-        if self._deadline == _NEVER:
-            return None
-        return self._deadline - self.edge.now()
+        return self._timers.measure_remaining()
 
     def cancel(self) -> None:
         """Stop because the caller left; upstreams see their connections close."""
@@ -201,14 +196,14 @@
             self._attempts.remove(attempt)
             self._try(avoid=attempt)
             return
-        if not stale and not invalid and self.edge.crash_guard is not None:
-            self.edge.crash_guard.report_crash(self._collect_facts())
+        if not stale and not invalid:
+            self._checks.report_crash()
         self.fail_attempt(attempt, Certainty.UNCERTAIN)
 
     def receive_head(self, attempt: Attempt, head: AnswerHead) -> None:
         """Pass the first answer's head on and drop the other attempts."""
         self._winner = attempt
-        self._stop_timers()
+        self._timers.stop()
         for other in [found for found in self._attempts if found is not attempt]:
             self._drop(other)
         self._framing = head.framing
@@ -272,7 +267,7 @@
             return
         if body.complete and self._winner is None:
             timeout_s = self.route.policy.timeout_ms / 1000
-            self._deadline = min(self._deadline, self._body_progress_at + timeout_s)
+            self._timers.deadline = min(self._timers.deadline, self._body_progress_at + timeout_s)
         if self._waits_for_body:
             if body.complete or body.is_full:
                 self._waits_for_body = False
@@ -283,11 +278,10 @@
         if body.is_full:
             self.connection.pause_body()
         if body.complete and not self._ended and self._winner is None:
-            self._arm_deadline()
+            self._timers.watch_deadline(self.expire)
 
     def _check_guards(self) -> None:
-        guard = self.edge.crash_guard
-        if guard is not None and guard.is_refused(self._collect_facts()):
+        if self._checks.is_refused():
             self._refuse(Reason.CRASH_SUSPECT)
             return
         if self.route.policy.execution is Execution.ONCE:
@@ -296,16 +290,11 @@
         self._try(avoid=None)
 
     async def _claim_then_try(self) -> None:
-        guard = self.edge.claim_guard
-        verdict = Verdict.UNAVAILABLE
-        if guard is not None:
-            verdict = await guard.claim(self._collect_facts())
+        verdict = await self._checks.claim()
         if self._ended:
-            if verdict is Verdict.FIRST and guard is not None:
-                guard.settle(self._collect_facts(), Outcome.NOT_RUN)
+            self._checks.settle(Outcome.NOT_RUN)
             return
         if verdict is Verdict.FIRST:
-            self._claimed = True
             self._try(avoid=None)
             return
         self._maybe_ran = verdict is Verdict.REPEATED
@@ -328,7 +317,7 @@
                 caller=self.caller,
                 route=self.route.route.name,
                 queue_until=now + queue_s,
-                deadline=self._deadline,
+                deadline=self._timers.deadline,
                 upload=not self.body.complete,
                 avoid=failed.instance if failed is not None else None,
             )
@@ -341,20 +330,14 @@
             return
         delay = self.dispatcher.latencies.choose_hedge_delay(self.route.route.name)
         if delay is not None:
-            self._hedge_timer = self.edge.loop.call_later(delay, self._hedge)
+            self._timers.start_hedge(delay, self._hedge)
 
     def _hedge(self) -> None:
-        self._hedge_timer = None
         pending = self._winner is None and len(self._attempts) == 1
         if pending and not self._ended and self.dispatcher.budget.withdraw():
             self.edge.count("hedged")
             self._try(avoid=self._attempts[0])
 
-    def _arm_deadline(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer = self.edge.loop.call_at(self._deadline, self.expire)
-
     def _may_have_run(self) -> bool:
         return self._maybe_ran or any(attempt.wrote for attempt in self._attempts)
 
@@ -379,12 +362,11 @@
     def _end(self, outcome: Outcome | None) -> None:
         assert not self._ended, "a call ends once"
         self._ended = True
-        self._stop_timers()
+        self._timers.stop()
         self.body.on_change = None
         for attempt in list(self._attempts):
             self._drop(attempt)
-        if self._claimed and self.edge.claim_guard is not None:
-            self.edge.claim_guard.settle(self._collect_facts(), outcome)
+        self._checks.settle(outcome)
         self.edge.end_call(self)
 
     def _drop(self, attempt: Attempt) -> None:
@@ -394,24 +376,3 @@
         else:
             self.edge.forget(attempt)
             self.dispatch(Abandoned(attempt.number))
-
-    def _stop_timers(self) -> None:
-        for timer in (self._timer, self._hedge_timer):
-            if timer is not None:
-                timer.cancel()
-        self._timer = None
-        self._hedge_timer = None
-
-    def _collect_facts(self) -> CallFacts:
-        if self._facts is None:
-            remaining = self.measure_remaining()
-            self._facts = CallFacts(
-                service=self.route.service.name,
-                route=self.route.route.name,
-                method=self.head.method,
-                target=self.head.target.raw,
-                idempotency_key=self.head.idempotency_key,
-                body=self.body.peek(),
-                timeout_s=self.route.policy.timeout_ms / 1000 if remaining is None else remaining,
-            )
-        return self._facts
