--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
@@ -32,6 +32,11 @@
     from godwitpass_daemon.edge.core import EdgeCore
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+FAILURE_REASONS = {
+    Certainty.UNSENT: Reason.CONNECT_FAILED,
+    Certainty.REFUSED: Reason.UPSTREAM_REFUSED,
+    Certainty.UNCERTAIN: Reason.UPSTREAM_BROKEN,
+}
 _NEVER = float("inf")
 
 
@@ -49,6 +54,7 @@
         "_facts",
         "_framing",
         "_hedge_timer",
+        "_last_failure",
         "_maybe_ran",
         "_out",
         "_sent",
@@ -95,6 +101,7 @@
         self._sent = 0
         self._unsent = 0
         self._maybe_ran = False
+        self._last_failure: Reason | None = None
         self._waits_for_body = True
         self._ended = False
         self._timer: asyncio.TimerHandle | None = None
@@ -107,7 +114,8 @@
         """Start as soon as enough of the body came."""
         timeout_ms = self.head.context.timeout_ms
         if timeout_ms is not None:
-            self._set_deadline(self._arrived_at + timeout_ms / 1000)
+            self._deadline = self._arrived_at + timeout_ms / 1000
+            self._arm_deadline()
         if self.head.expects_continue and not self.body.complete:
             self.connection.write(CONTINUE)
         self.body.on_change = self._change_body
@@ -156,7 +164,7 @@
         """Answer that no upstream took the call, unless another attempt still runs."""
         self._attempts.remove(attempt)
         if not self._attempts and not self._ended:
-            self._refuse(reason, retry_after_s)
+            self._refuse(self._last_failure or reason, retry_after_s)
 
     # Called by attempts.
 
@@ -169,6 +177,7 @@
             self._sent += 1
         if self._attempts or self._ended:
             return
+        self._last_failure = FAILURE_REASONS[certainty]
         failed = FailedAttempt(
             certainty=certainty,
             sent=self._sent,
@@ -179,12 +188,7 @@
         if may_retry(failed, self.route.policy, self.dispatcher.budget):
             self._try(avoid=attempt)
             return
-        reasons = {
-            Certainty.UNSENT: Reason.CONNECT_FAILED,
-            Certainty.REFUSED: Reason.UPSTREAM_REFUSED,
-            Certainty.UNCERTAIN: Reason.UPSTREAM_BROKEN,
-        }
-        self._refuse(reasons[certainty])
+        self._refuse(self._last_failure)
 
     def lose_attempt(self, attempt: Attempt, stale: bool, invalid: bool) -> None:
         """Take in that an attempt's connection broke before its answer was whole."""
@@ -219,12 +223,16 @@
         else:
             self._out.append(chunk)
 
-    def finish_answer(self, attempt: Attempt) -> None:
-        """Finish after a whole answer."""
+    def complete_answer(self, attempt: Attempt) -> None:
+        """Write the end of a whole answer."""
         assert attempt is self._winner
         if self._framing is Framing.CHUNKED:
             self._out.append(b"0\r\n\r\n")
         self.flush()
+
+    def finish_answer(self, attempt: Attempt) -> None:
+        """Finish after a whole answer."""
+        assert attempt is self._winner
         self._attempts.clear()
         self._end(None)
         self.edge.record_answer(self._arrived_at)
@@ -262,6 +270,9 @@
         if body.broken:
             self._refuse(Reason.MALFORMED)
             return
+        if body.complete and self._winner is None:
+            timeout_s = self.route.policy.timeout_ms / 1000
+            self._deadline = min(self._deadline, self._body_progress_at + timeout_s)
         if self._waits_for_body:
             if body.complete or body.is_full:
                 self._waits_for_body = False
@@ -272,8 +283,7 @@
         if body.is_full:
             self.connection.pause_body()
         if body.complete and not self._ended and self._winner is None:
-            timeout_s = self.route.policy.timeout_ms / 1000
-            self._set_deadline(min(self._deadline, self._body_progress_at + timeout_s))
+            self._arm_deadline()
 
     def _check_guards(self) -> None:
         guard = self.edge.crash_guard
@@ -301,7 +311,7 @@
         self._maybe_ran = verdict is Verdict.REPEATED
         self._refuse(Reason.CLAIM_REFUSED)
 
-    def _try(self, avoid: Attempt | None, hedge: bool = False) -> None:
+    def _try(self, avoid: Attempt | None) -> None:
         now = self.edge.now()
         is_first = avoid is None
         if is_first:
@@ -309,7 +319,8 @@
         attempt = Attempt(self, self.edge.create_number(), is_repeat=not is_first)
         self._attempts.append(attempt)
         self.edge.register(attempt)
-        queue_s = 0.0 if hedge else self.route.policy.queue_ms / 1000
+        # Only a first attempt waits: of any other one, the answer is decided already.
+        queue_s = self.route.policy.queue_ms / 1000 if is_first else 0.0
         failed = avoid.upstream if avoid is not None else None
         self.dispatch(
             Arrived(
@@ -337,15 +348,12 @@
         pending = self._winner is None and len(self._attempts) == 1
         if pending and not self._ended and self.dispatcher.budget.withdraw():
             self.edge.count("hedged")
-            self._try(avoid=self._attempts[0], hedge=True)
+            self._try(avoid=self._attempts[0])
 
-    def _set_deadline(self, deadline: float) -> None:
-        if deadline >= self._deadline:
-            return
-        self._deadline = deadline
+    def _arm_deadline(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self.edge.loop.call_at(deadline, self.expire)
+        self._timer = self.edge.loop.call_at(self._deadline, self.expire)
 
     def _may_have_run(self) -> bool:
         return self._maybe_ran or any(attempt.wrote for attempt in self._attempts)
