Count claims by outcome and show them to scrapers

Cause: operators could not see how many at-most-once calls were refused, and why. Change: godwitpass_claims_total by outcome, callers with unusable keys included. Conclusion: nothing else changes.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/metrics.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/metrics.py
@@ -6,16 +6,18 @@
 from godwitpass_daemon.edge.service import EdgeService
 from godwitpass_daemon.kernel import Kernel
 from godwitpass_daemon.peers import PeerTransport
+from godwitpass_daemon.services.claims import ClaimsService
 from godwitpass_daemon.services.store import StoreClient
 
 SECONDS_PER_US = 1e-6
 
 
 def collect_services(kernel: Kernel) -> Iterator[Metric]:
-    """Yield the metrics of the peer transport, the store client and the edge."""
+    """Yield the metrics of the peer transport, the store client, the edge and the claims."""
     yield from _collect_peers(kernel.find("peers", PeerTransport))
     yield from _collect_store(kernel.find("store", StoreClient))
     yield from _collect_edge(kernel.find("edge", EdgeService))
+    yield from _collect_claims(kernel.find("claims", ClaimsService))
 
 
 def _collect_peers(peers: PeerTransport) -> Iterator[Metric]:
@@ -94,3 +96,15 @@
         statistics.latency_us,
         SECONDS_PER_US,
     )
+
+
+def _collect_claims(claims: ClaimsService) -> Iterator[Metric]:
+    yield Metric(
+        "godwitpass_claims_total",
+        "At-most-once calls with a key, by the outcome of their claim.",
+        MetricKind.COUNTER,
+        tuple(
+            Sample(count, (Label("outcome", outcome),))
+            for outcome, count in sorted(claims.counts.items())
+        ),
+    )
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/claims.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/claims.py
@@ -3,6 +3,7 @@
 import random
 import secrets
 import time
+from collections import Counter
 
 import anyio
 import msgspec
@@ -51,6 +52,7 @@
 
 CLAIM_PATIENCE_S = 1.0
 HOUSEKEEPING_INTERVAL_S = 1.0
+INVALID_KEY = "invalid_key"
 VERDICTS = {
     ClaimOutcome.GRANTED: Verdict.FIRST,
     ClaimOutcome.UNAVAILABLE: Verdict.UNAVAILABLE,
@@ -66,7 +68,10 @@
 
 
 class ClaimsService:
-    """Runs a `ClaimsNode` on the real clock, store and peer transport."""
+    """Runs a `ClaimsNode` on the real clock, store and peer transport.
+
+    `counts` has the claims of this daemon's callers by outcome.
+    """
 
     def __init__(
         self,
@@ -76,6 +81,7 @@
         membership: Membership,
         events: Events,
     ) -> None:
+        self.counts: Counter[str] = Counter()
         self._store = store
         self._peers = peers
         self._membership = membership
@@ -109,6 +115,7 @@
         try:
             key = _parse_key(facts)
         except InvalidKey:
+            self.counts[INVALID_KEY] += 1
             return Verdict.UNAVAILABLE
         token = self._random.getrandbits(63)
         waiter = self._waiters[token] = _Waiter()
@@ -122,6 +129,7 @@
             raise
         finally:
             del self._waiters[token]
+        self.counts[waiter.outcome.name.lower()] += 1
         if waiter.outcome is ClaimOutcome.GRANTED:
             self._sent[key.digest] = token
         return VERDICTS.get(waiter.outcome, Verdict.REPEATED)
--- a/packages/godwitpass-daemon/tests/claims/test_processes.py
+++ b/packages/godwitpass-daemon/tests/claims/test_processes.py
@@ -94,6 +94,9 @@
         assert first is not None and first.status == 200
         for node in nodes:
             assert read_outcome(approve(node, key)) == Outcome.UNKNOWN.value.encode()
+        metrics = administer(nodes[0], "GET", "/metrics")
+        assert metrics is not None
+        assert b'godwitpass_claims_total{outcome="granted"}' in metrics.body
 
     def test_a_request_that_breaks_its_upstream_is_refused_by_another_daemon(
         self, deployment: Deployment
