--- a/testkit/tests/test_membership.py
+++ b/testkit/tests/test_membership.py
@@ -1,11 +1,13 @@
 import random
 from collections.abc import Callable
 
+import msgspec
 import pytest
 
 from godwitpass.events import EventKind
 from godwitpass.ids import Address
 from godwitpass.internal.actions import Received
+from godwitpass.internal.membership import Membership, Start
 from godwitpass.internal.membership import events as kinds
 from godwitpass.internal.membership.messages import DAEMONS, Gossip
 from godwitpass.mesh import MemberState, UpstreamState
@@ -22,7 +24,13 @@
     measure_idle_and_churn,
     measure_loss,
 )
-from godwitpass_testkit.experiments.membership_mesh import START_S, Mesh, build_member_update
+from godwitpass_testkit.experiments.membership_mesh import (
+    START_S,
+    Mesh,
+    build_member_update,
+    identify,
+    place,
+)
 from godwitpass_testkit.measurements import Row
 from godwitpass_testkit.virtual import Link
 
@@ -136,6 +144,16 @@
         assert count_reports(mesh, kinds.MEMBER_DEAD) == 0
         assert mesh.settle(10) is not None
 
+    def test_two_daemons_with_one_instance_id_disturb_the_others_little(self) -> None:
+        mesh, _ = join(17, 30)
+        twin = msgspec.structs.replace(identify(place(3, 30)), address=Address("10.9.9.9:70"))
+        mesh.queue.attach(twin.address, Membership(twin, random.Random(17)))
+        mesh.queue.post(twin.address, Start())
+        before = sum(mesh.queue.sent_bytes.values())
+        mesh.queue.run(mesh.queue.now + 60)
+        assert count_reports(mesh, kinds.SUSPICION_REFUTED) <= 2 * 2 * 60
+        assert sum(mesh.queue.sent_bytes.values()) - before < 31 * 60 * 3_000
+
     def test_a_daemon_cut_off_for_minutes_starts_no_storm_when_it_returns(self) -> None:
         mesh, addresses = join(10, 40)
         alone = addresses[3]
