--- a/packages/godwitpass-daemon/tests/admin/test_processes.py
+++ b/packages/godwitpass-daemon/tests/admin/test_processes.py
@@ -103,8 +103,8 @@
         for content in MALFORMED_BYTES:
             # The daemon may close before all is sent.
             with (
-                socket.create_connection((host, int(port)), timeout=30) as connection,
                 contextlib.suppress(ConnectionError),
+                socket.create_connection((host, int(port)), timeout=30) as connection,
             ):
                 connection.sendall(content)
         assert list_versions(node) == before
