--- a/packages/godwitpass/src/godwitpass/internal/membership/regions.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/regions.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from godwitpass.ids import RegionId, ServiceName
-from godwitpass.internal.membership.digest import Buckets, hash_numbers
+from godwitpass.ids import RegionId, ServiceName, ZoneId
+from godwitpass.internal.membership.digest import Buckets, DigestView, hash_numbers
 from godwitpass.internal.membership.messages import (
     DAEMONS,
     BeatUpdate,
@@ -17,11 +17,28 @@
 from godwitpass.mesh import Member, MemberState, Upstream, UpstreamState
 
 _encoder = msgspec.msgpack.Encoder()
+_contacts_decoder = msgspec.msgpack.Decoder(tuple[Contact, ...])
 
 MAX_SUMS = 100_000
 """Bounds what a faulty daemon can make others hold: 2,500 services in nine regions, four times."""
 
 
+class HeldSum(msgspec.Struct, gc=False):
+    """A sum as it is kept: its contacts stay encoded, since most are never asked for."""
+
+    region: RegionId
+    service: ServiceName
+    version: int
+    ready: int
+    slots: int
+    contacts: bytes
+
+    def build_update(self) -> SumUpdate:
+        """Return the update that tells others of this sum."""
+        contacts = _contacts_decoder.decode(self.contacts)
+        return SumUpdate(self.region, self.service, self.version, self.ready, self.slots, contacts)
+
+
 class Beat(msgspec.Struct):
     """The highest beat heard of a region; `reachable` until none came for too long."""
 
@@ -33,31 +50,43 @@
 class Regions:
     """Holds the sums of every region and knows which other regions are reachable.
 
-    `buckets` covers the sums of the other regions. Those of the own region are held by its
-    delegates only, since everybody there knows the members themselves.
+    The sums of the own region are held by its delegates only, since everybody there knows the
+    members themselves.
     """
 
     def __init__(self, own: RegionId) -> None:
         self.own = own
-        self.buckets = Buckets()
         self._buckets: dict[RegionId, Buckets] = {}
         self.beats: dict[RegionId, Beat] = {}
         self.generation = 0
-        self._sums: dict[int, SumUpdate] = {}
-        self._keys: dict[ServiceName, dict[RegionId, int]] = {}
-        self._cached: dict[ServiceName, tuple[Upstream, ...]] = {}
+        self._sums: dict[int, HeldSum] = {}
+        self._keys: dict[ServiceName, tuple[int, ...]] = {}
 
     def buckets_of(self, region: RegionId) -> Buckets:
         """Return the digest of the sums of `region`."""
         return self._buckets.setdefault(region, Buckets())
 
+    @property
+    def root(self) -> int:
+        """Return the root of the digest of the sums of all other regions."""
+        root = 0
+        for region, buckets in self._buckets.items():
+            root ^= buckets.root if region != self.own else 0
+        return root
+
+    def digest(self) -> DigestView:
+        """Return the digest of the sums of all other regions."""
+        return DigestView(
+            buckets for region, buckets in self._buckets.items() if region != self.own
+        )
+
     def merge_sum(self, update: SumUpdate) -> bool:
         """Keep `update` if it is newer than what is held; tell whether it was."""
         key = hash_sum(update.region, update.service)
         held = self._sums.get(key)
         if held is not None and not _is_newer(update, held):
             return False
-        self._store(key, intern_sum(update))
+        self._store(key, update)
         return True
 
     def merge_beat(self, update: BeatUpdate, now: float) -> bool:
@@ -67,7 +96,6 @@
             return False
         if held is None or not held.reachable:
             self.generation += 1
-            self._cached.clear()
         self.beats[update.region] = Beat(update.beat, now)
         return True
 
@@ -81,7 +109,6 @@
         for region in lost:
             self.beats[region].reachable = False
             self.generation += 1
-            self._cached.clear()
         return lost
 
     def is_reachable(self, region: RegionId) -> bool:
@@ -91,7 +118,8 @@
 
     def get(self, region: RegionId, service: ServiceName) -> SumUpdate | None:
         """Return the sum of `service` in `region`."""
-        return self._sums.get(hash_sum(region, service))
+        held = self._sums.get(hash_sum(region, service))
+        return None if held is None else held.build_update()
 
     def contacts(self, region: RegionId) -> tuple[Contact, ...]:
         """Return a few daemons of `region`."""
@@ -109,49 +137,48 @@
 
     def others(self) -> list[RegionId]:
         """Return the other regions of which contacts are known."""
-        regions = self._keys.get(DAEMONS, {})
-        return [region for region in regions if region != self.own and self.contacts(region)]
+        return [held.region for held in self.sums(DAEMONS) if held.contacts]
 
     def sums(self, service: ServiceName) -> list[SumUpdate]:
         """Return the sums of `service` in the other regions where it was ever seen."""
-        return [
-            self._sums[key]
-            for region, key in self._keys.get(service, {}).items()
-            if region != self.own
-        ]
+        found = (self._sums[key] for key in self._keys.get(service, ()))
+        return [held.build_update() for held in found if held.region != self.own]
 
     def services_of(self, region: RegionId) -> list[ServiceName]:
         """Return the services that have a sum in `region`."""
-        return [service for service, regions in self._keys.items() if region in regions]
+        return [held.service for held in self._sums.values() if held.region == region]
 
     def upstreams(self, service: ServiceName) -> tuple[Upstream, ...]:
         """Return the known upstreams of `service` in other, reachable regions."""
-        cached = self._cached.get(service)
-        if cached is None:
-            cached = tuple(
-                build_remote_upstream(held, contact)
-                for held in self.sums(service)
-                if self.is_reachable(held.region)
-                for contact in held.contacts
-            )
-            self._cached[service] = cached
-        return cached
+        return tuple(
+            build_remote_upstream(held, contact)
+            for held in self.sums(service)
+            if self.is_reachable(held.region)
+            for contact in held.contacts
+        )
 
     def build_updates(self, keys: Iterable[int]) -> list[SumUpdate]:
         """Return the sums with these keys."""
-        return [self._sums[key] for key in keys if key in self._sums]
+        return [self._sums[key].build_update() for key in keys if key in self._sums]
 
     def _store(self, key: int, update: SumUpdate) -> None:
-        if key not in self._sums and len(self._sums) >= MAX_SUMS:
+        is_new = key not in self._sums
+        if is_new and len(self._sums) >= MAX_SUMS:
             return
         self.generation += 1
-        self._sums[key] = update
-        self._keys.setdefault(update.service, {})[update.region] = key
-        self._cached.pop(update.service, None)
+        region, service = _intern(update)
+        self._sums[key] = HeldSum(
+            region,
+            service,
+            update.version,
+            update.ready,
+            update.slots,
+            _encoder.encode(update.contacts),
+        )
+        if is_new:
+            self._keys[service] = (*self._keys.get(service, ()), key)
         value = hash_numbers(key, update.version, update.ready)
-        self.buckets_of(update.region).put(key, value)
-        if update.region != self.own:
-            self.buckets.put(key, value)
+        self.buckets_of(region).put(key, value)
 
 
 def build_remote_member(held: SumUpdate, contact: Contact) -> Member:
@@ -167,23 +194,20 @@
         contact.instance,
         held.service,
         contact.address,
-        contact.zone,
+        ZoneId(sys.intern(contact.zone)),
         held.region,
         UpstreamState.READY,
         contact.slots,
     )
 
 
-def intern_sum(update: SumUpdate) -> SumUpdate:
-    """Return `update` with shared service and region strings."""
-    return msgspec.structs.replace(
-        update,
-        region=RegionId(sys.intern(update.region)),
-        service=ServiceName(sys.intern(update.service)),
-    )
+def _intern(update: SumUpdate) -> tuple[RegionId, ServiceName]:
+    """Return region and service as strings that all sums share."""
+    return RegionId(sys.intern(update.region)), ServiceName(sys.intern(update.service))
 
 
-def _is_newer(update: SumUpdate, held: SumUpdate) -> bool:
+def _is_newer(update: SumUpdate, held: HeldSum) -> bool:
     if update.version != held.version:
         return update.version > held.version
-    return update != held and _encoder.encode(update) > _encoder.encode(held)
+    told = (update.ready, update.slots, _encoder.encode(update.contacts))
+    return told > (held.ready, held.slots, held.contacts)
