--- a/testkit/src/godwitpass_testkit/experiments/spread.py
+++ b/testkit/src/godwitpass_testkit/experiments/spread.py
@@ -254,7 +254,8 @@
 def extrapolate(rows: list[Row]) -> list[Row]:
     """Return what lines through the measured sizes give at the target.
 
-    Times grow with the depth of the trees, thus are fitted over the logarithm of the size.
+    Times grow with the depth of the trees, thus are fitted over the logarithm of the size. Means
+    of bytes hold a share of what the readers of each availability zone spend, whatever the size.
     """
     found: list[Row] = []
     for row in rows:
@@ -265,14 +266,24 @@
         same = select_rows(rows, row.name, **given)
         # Smaller fleets have fewer availability zones, on which most figures depend.
         sizes = [item for item in same if int(item.params["daemons"]) >= MIN_FITTED_DAEMONS]
-        scale = math.log if row.name == "convergence" else float
-        points = [(scale(int(item.params["daemons"])), item.value) for item in sizes]
+        scale = _choose_scale(row)
+        points = [(scale(float(item.params["daemons"])), item.value) for item in sizes]
         if len(points) >= 2:
             value = fit_slope(points).at(scale(TARGET_DAEMONS))
             found.append(Row(name, {**given, "daemons": TARGET_DAEMONS}, value, row.unit))
     return found
 
 
+def _choose_scale(row: Row) -> Callable[[float], float]:
+    if row.name == "convergence":
+        return math.log
+    return _invert if row.params.get("of") == "mean" else float
+
+
+def _invert(size: float) -> float:
+    return 1 / size
+
+
 def measure_all(daemons: list[int], services: int) -> list[Row]:
     """Measure all sizes, changes, faults and both systems."""
     rows: list[Row] = []
