Test acceptance and distribution as services over real sockets

Cause: the shells around the pure objects had only the whole path as a test. Change: two daemons over the peer transport, one without the store; garbage on the channel; the errors that tell an operator whether something was accepted. Conclusion: the shells do what the objects decide.

--- /dev/null
+++ b/packages/godwitpass-daemon/tests/configuration/test_services.py
@@ -0,0 +1,195 @@
+from collections.abc import Awaitable, Callable, Sequence
+
+import anyio
+import msgspec
+import pytest
+
+from godwitpass.document import Document, Service
+from godwitpass.errors import (
+    AcceptanceUnknown,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+    VersionConflict,
+)
+from godwitpass.ids import (
+    Address,
+    ChangeId,
+    InstanceId,
+    RegionId,
+    Revision,
+    ServiceName,
+    Version,
+    ZoneId,
+)
+from godwitpass.internal.acceptance import acceptor
+from godwitpass.internal.acceptance.record import ROOT_KEY
+from godwitpass.mesh import Member, MemberState
+from godwitpass.store import PutResult
+from godwitpass_daemon.eventlog.service import EventLog
+from godwitpass_daemon.peers import Channel, PeerTransport
+from godwitpass_daemon.services.acceptance import AcceptanceService
+from godwitpass_daemon.services.distribution import DistributionService
+from godwitpass_daemon.settings import ListenSettings, Settings
+from godwitpass_testkit.ports import AddressAllocator
+from godwitpass_testkit.store.fake import FakeStore
+from godwitpass_testkit.store.faults import Faults
+from godwitpass_testkit.store.state import StoreState
+
+LIMIT_S = 20.0
+UNUSED = Address("127.0.0.1:1")
+
+
+def build_document(slots: int) -> Document:
+    return Document(1, (Service(ServiceName("maal"), slots=slots),))
+
+
+async def put_and_go_down(
+    store: FakeStore, key: str, value: bytes, expected: Revision | None
+) -> PutResult:
+    """Write, and lose the answer and the store itself if the root was written."""
+    result = store.state.put(key, value, expected, None, anyio.current_time())
+    if key == ROOT_KEY:
+        store.state.faults = Faults(down=True)
+        raise StoreOutcomeUnknown("the answer is lost")
+    return result
+
+
+class KnownMembers:
+    """A membership that never changes."""
+
+    def __init__(self, members: Sequence[Member]) -> None:
+        self._members = members
+
+    def members(self) -> Sequence[Member]:
+        return self._members
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Nothing ever changes."""
+
+
+class Daemon:
+    """Acceptance and distribution over a store state that daemons may share."""
+
+    def __init__(self, number: int, addresses: Sequence[Address], state: StoreState) -> None:
+        unused = (UNUSED,) * 3
+        self.settings = Settings(
+            InstanceId(f"maal-{number}"),
+            ZoneId("bergen"),
+            RegionId("vest"),
+            ListenSettings(*unused, addresses[number]),
+            (UNUSED,),
+            peer_key="k" * 32,
+        )
+        self.events = EventLog(self.settings)
+        store = FakeStore(state, anyio.current_time)
+        self.peers = PeerTransport(addresses[number], (b"k" * 32,), self.events.emit)
+        members = [
+            Member(
+                InstanceId(f"maal-{index}"),
+                ZoneId("bergen"),
+                RegionId("vest"),
+                address,
+                1,
+                1,
+                MemberState.ALIVE,
+            )
+            for index, address in enumerate(addresses)
+        ]
+        self.distribution = DistributionService(
+            self.settings, store, self.peers, KnownMembers(members), self.events
+        )
+        self.acceptance = AcceptanceService(store, self.events, self.distribution.snapshot)
+        self.services = (self.peers, self.acceptance, self.distribution)
+
+    @property
+    def version(self) -> int:
+        snapshot = self.distribution.snapshot()
+        return snapshot.version if snapshot else 0
+
+
+def run_daemons(
+    states: Sequence[StoreState], use: Callable[[Sequence[Daemon]], Awaitable[None]]
+) -> None:
+    async def run() -> None:
+        allocator = AddressAllocator()
+        addresses = [allocator.allocate() for _ in states]
+        daemons = [Daemon(number, addresses, state) for number, state in enumerate(states)]
+        async with anyio.create_task_group() as tasks:
+            for daemon in daemons:
+                for service in daemon.services:
+                    await service.start(tasks)
+            await use(daemons)
+            for daemon in daemons:
+                for service in reversed(daemon.services):
+                    await service.stop()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+async def wait_for(daemon: Daemon, version: int) -> None:
+    reached = anyio.Event()
+
+    def check(_: object) -> None:
+        if daemon.version >= version:
+            reached.set()
+
+    daemon.distribution.subscribe(check)
+    check(None)
+    with anyio.fail_after(LIMIT_S):
+        await reached.wait()
+
+
+class TestConfigurationServices:
+    def test_a_daemon_without_the_store_learns_from_its_peer(self) -> None:
+        up, down = StoreState(), StoreState()
+        down.faults = Faults(down=True)
+
+        async def use(daemons: Sequence[Daemon]) -> None:
+            first, second = daemons
+            for slots in (1, 2):
+                accepted = await first.acceptance.accept(
+                    build_document(slots), ChangeId(f"change-{slots}"), None
+                )
+                await wait_for(second, accepted.version)
+            held = second.distribution.snapshot()
+            assert held is not None and held.document == build_document(2)
+            assert await first.acceptance.content(Version(1)) == build_document(1)
+            assert [item.version for item in await first.acceptance.history()] == [1, 2]
+
+        run_daemons([up, down], use)
+
+    def test_garbage_is_dropped_and_counted_and_nothing_is_applied(self) -> None:
+        async def use(daemons: Sequence[Daemon]) -> None:
+            first, second = daemons
+            for payload in (b"", b"\xff" * 500, msgspec.msgpack.encode([2, -1, "c", b"", 0, b""])):
+                first.peers.send(Channel.DISTRIBUTION, second.peers.address, payload)
+            await first.acceptance.accept(build_document(1), ChangeId("change"), None)
+            await wait_for(second, 1)
+            assert second.peers.refused.totals["malformed"] == 3
+
+        run_daemons([StoreState()] * 2, use)
+
+    def test_errors_tell_whether_something_was_accepted(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(acceptor, "DEADLINE_S", 0.5)
+        state = StoreState()
+
+        async def use(daemons: Sequence[Daemon]) -> None:
+            accept = daemons[0].acceptance.accept
+            await accept(build_document(1), ChangeId("first"), Version(0))
+            with pytest.raises(VersionConflict) as conflict:
+                await accept(build_document(2), ChangeId("second"), Version(0))
+            assert conflict.value.winner == "first"
+            with monkeypatch.context() as patched:
+                patched.setattr(FakeStore, "put", put_and_go_down)
+                with pytest.raises(AcceptanceUnknown):
+                    await accept(build_document(3), ChangeId("third"), None)
+            with pytest.raises(StoreUnavailable):
+                await accept(build_document(4), ChangeId("fourth"), None)
+            state.faults = Faults()
+            settled = await accept(build_document(3), ChangeId("third"), None)
+            assert settled.version == 2
+
+        run_daemons([state], use)
