Read valid documents without their plain values, and give memory back

Cause: the daemon that accepted a document of target size grew from 54.5 to 73 MB and stayed there. Change: a valid document is decoded straight to its types, after a scan for repeated keys that keeps nothing; only refused ones are parsed into plain values.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/admin/application.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/admin/application.py
@@ -24,6 +24,7 @@
     read_head,
     send_answer,
 )
+from godwitpass_daemon.admin.memory import release_freed_memory
 from godwitpass_daemon.admin.meter import RequestMeter
 from godwitpass_daemon.listeners import Application, Receive, Scope, Send
 
@@ -70,7 +71,11 @@
         if endpoint.body is None:
             return await endpoint.handler(api, request)
         async with body_lock:
-            return await _handle_body(api, endpoint, request, receive)
+            try:
+                return await _handle_body(api, endpoint, request, receive)
+            finally:
+                # Otherwise the memory that a large document took would never be given back.
+                release_freed_memory()
     except Exception as error:
         return _explain(api, error)
 
--- a/packages/godwitpass/src/godwitpass/internal/validation/reader.py
+++ b/packages/godwitpass/src/godwitpass/internal/validation/reader.py
@@ -10,9 +10,10 @@
 from godwitpass.internal.codec import compress, encode_canonical
 from godwitpass.internal.validation.findings import Findings, find_no_line
 from godwitpass.internal.validation.places import Places
-from godwitpass.internal.validation.rules import check_document
+from godwitpass.internal.validation.rules import check_entries, collect_entries, place_entries
 from godwitpass.internal.validation.structure import convert_value
 from godwitpass.internal.validation.text import (
+    decode_strictly,
     decode_text,
     parse_text,
 )
@@ -56,15 +57,31 @@
 
 def read_checked_document(content: bytes | str, source: str) -> Document:
     """Return the document in `content`; raises `InvalidDocument` with all findings."""
+    document = _read_valid(content)
+    if document is not None:
+        return document
     document, findings = read_struct(content, source, Document, _check)
     if document is None:
         raise InvalidDocument(findings)
     return document
 
 
+def _read_valid(content: bytes | str) -> Document | None:
+    """Return a valid document without the plain values, which take most of the memory."""
+    findings = Findings()
+    text = decode_text(content, findings)
+    document = decode_strictly(text, Document) if text is not None else None
+    if document is None:
+        return None
+    check_entries(place_entries(document), findings)
+    if not findings:
+        _check_size(document, findings)
+    return None if findings else document
+
+
 def _check(value: Any, document: Document | None, findings: Findings) -> None:
     if isinstance(value, dict) and not findings.is_full:
-        check_document(value, document, findings)
+        check_entries(collect_entries(value), findings)
     if document is not None and not findings:
         _check_size(document, findings)
 
--- a/packages/godwitpass/src/godwitpass/internal/validation/rules.py
+++ b/packages/godwitpass/src/godwitpass/internal/validation/rules.py
@@ -13,6 +13,8 @@
 
 T = TypeVar("T", Service, Route, Policy)
 
+SECTIONS = ("services", "routes", "policies")
+
 
 class Placed(msgspec.Struct, Generic[T], frozen=True):
     """An entry of the document and its JSON pointer."""
@@ -21,24 +23,69 @@
     entry: T
 
 
-def check_document(value: dict[str, Any], document: Document | None, findings: Findings) -> None:
-    """Check the entries that fit their types, also when others do not and there is no document."""
-    if document is None:
-        services = _collect(value, "services", Service)
-        routes = _collect(value, "routes", Route)
-        policies = _collect(value, "policies", Policy)
-    else:
-        services = _place("services", document.services)
-        routes = _place("routes", document.routes)
-        policies = _place("policies", document.policies)
-    _check_format(value, findings)
-    for section in ("services", "routes", "policies"):
-        _check_unique_names(value, section, findings)
-    _check_references(value, routes, policies, findings)
-    _check_used(value, services, findings)
-    _check_overlaps(routes, findings)
-    if _check_ancestry(policies, findings):
-        _check_attempts(policies, findings)
+class Named(msgspec.Struct, frozen=True):
+    """The name that an entry has at an index of its section, whether or not the rest fits."""
+
+    index: int
+    name: str
+
+
+class Entries(msgspec.Struct, frozen=True):
+    """What the rules look at: entries that fit their types, and all names that were given."""
+
+    format: int
+    services: list[Placed[Service]]
+    routes: list[Placed[Route]]
+    policies: list[Placed[Policy]]
+    names: dict[str, list[Named]]
+    used_services: frozenset[str]
+
+
+def place_entries(document: Document) -> Entries:
+    """Return the entries of a document whose types fit."""
+    sections = {name: getattr(document, name) for name in SECTIONS}
+    names = {
+        section: [Named(index, entry.name) for index, entry in enumerate(entries)]
+        for section, entries in sections.items()
+    }
+    return Entries(
+        document.format,
+        _place("services", document.services),
+        _place("routes", document.routes),
+        _place("policies", document.policies),
+        names,
+        frozenset(route.service for route in document.routes),
+    )
+
+
+def collect_entries(value: dict[str, Any]) -> Entries:
+    """Return those entries of a plain value whose types fit."""
+    given = value.get("format")
+    return Entries(
+        given if isinstance(given, int) else FORMAT,
+        _collect(value, "services", Service),
+        _collect(value, "routes", Route),
+        _collect(value, "policies", Policy),
+        {section: _list_names(value, section) for section in SECTIONS},
+        frozenset(item.name for item in _list_names(value, "routes", "service")),
+    )
+
+
+def check_entries(entries: Entries, findings: Findings) -> None:
+    """Check all rules."""
+    if entries.format != FORMAT:
+        findings.add("/format", f"format {entries.format} is unknown", f"write {FORMAT}")
+    for section in SECTIONS:
+        _check_unique_names(section, entries.names[section], findings)
+    _check_references(entries, findings)
+    _check_used(entries, findings)
+    _check_overlaps(entries.routes, findings)
+    if _check_ancestry(entries.policies, findings):
+        _check_attempts(entries.policies, findings)
+
+
+def _place(section: str, entries: Sequence[T]) -> list[Placed[T]]:
+    return [Placed(f"/{section}/{index}", entry) for index, entry in enumerate(entries)]
 
 
 def _collect(value: dict[str, Any], section: str, kind: type[T]) -> list[Placed[T]]:
@@ -52,47 +99,32 @@
     return placed
 
 
-def _place(section: str, entries: Sequence[T]) -> list[Placed[T]]:
-    return [Placed(f"/{section}/{index}", entry) for index, entry in enumerate(entries)]
-
-
 def _list_members(value: dict[str, Any], section: str) -> Iterator[tuple[int, Any]]:
     members = value.get(section)
     return enumerate(members if isinstance(members, list) else [])
 
 
-def _list_names(value: dict[str, Any], section: str, key: str = "name") -> list[tuple[int, str]]:
+def _list_names(value: dict[str, Any], section: str, key: str = "name") -> list[Named]:
     return [
-        (index, member[key])
+        Named(index, member[key])
         for index, member in _list_members(value, section)
         if isinstance(member, dict) and isinstance(member.get(key), str)
     ]
 
 
-def _check_format(value: dict[str, Any], findings: Findings) -> None:
-    given = value.get("format")
-    if isinstance(given, int) and given != FORMAT:
-        findings.add("/format", f"format {given} is unknown", f"write {FORMAT}")
+def _check_unique_names(section: str, names: list[Named], findings: Findings) -> None:
+    first: dict[str, int] = {}
+    for item in names:
+        if item.name in first:
+            message = f"name {item.name!r} is taken by /{section}/{first[item.name]}"
+            findings.add(f"/{section}/{item.index}/name", message, "rename one of the two")
+        first.setdefault(item.name, item.index)
 
 
-def _check_unique_names(value: dict[str, Any], section: str, findings: Findings) -> None:
-    first: dict[str, int] = {}
-    for index, name in _list_names(value, section):
-        if name in first:
-            message = f"name {name!r} is taken by /{section}/{first[name]}"
-            findings.add(f"/{section}/{index}/name", message, "rename one of the two")
-        first.setdefault(name, index)
-
-
-def _check_references(
-    value: dict[str, Any],
-    routes: list[Placed[Route]],
-    policies: list[Placed[Policy]],
-    findings: Findings,
-) -> None:
-    services = {name for _, name in _list_names(value, "services")}
-    known = {name for _, name in _list_names(value, "policies")}
-    for route in routes:
+def _check_references(entries: Entries, findings: Findings) -> None:
+    services = {item.name for item in entries.names["services"]}
+    known = {item.name for item in entries.names["policies"]}
+    for route in entries.routes:
         service, policy = route.entry.service, route.entry.policy
         if service not in services:
             message = f"service {service!r} is not in the document"
@@ -100,17 +132,16 @@
         if policy is not None and policy not in known:
             message = f"policy {policy!r} is not in the document"
             findings.add(f"{route.pointer}/policy", message, "add it to policies or correct it")
-    for placed in policies:
+    for placed in entries.policies:
         parent = placed.entry.extends
         if parent is not None and parent not in known:
             message = f"policy {parent!r} is not in the document"
             findings.add(f"{placed.pointer}/extends", message, "add it to policies or correct it")
 
 
-def _check_used(value: dict[str, Any], services: list[Placed[Service]], findings: Findings) -> None:
-    used = {name for _, name in _list_names(value, "routes", "service")}
-    for service in services:
-        if service.entry.name not in used:
+def _check_used(entries: Entries, findings: Findings) -> None:
+    for service in entries.services:
+        if service.entry.name not in entries.used_services:
             message = f"no route leads to service {service.entry.name!r}"
             findings.add(service.pointer, message, "add a route to it or remove it")
 
--- a/packages/godwitpass/src/godwitpass/internal/validation/text.py
+++ b/packages/godwitpass/src/godwitpass/internal/validation/text.py
@@ -7,12 +7,14 @@
 import json
 import re
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
 from godwitpass.internal.validation.findings import Findings
 
+T = TypeVar("T", bound=msgspec.Struct)
+
 MAX_TEXT_BYTES = 4 * 1024 * 1024
 MAX_DEPTH = 32
 """Deepest nesting of objects and arrays that is read."""
@@ -73,6 +75,24 @@
     return parsed
 
 
+def decode_strictly(text: str, kind: type[T]) -> T | None:
+    """Return `text` as a `kind` if it has no fault of any sort; else None, without a reason."""
+    try:
+        has_duplicates = _scan_duplicates(text)
+    except (ValueError, RecursionError):
+        text = blank_comments(text)
+        try:
+            has_duplicates = _scan_duplicates(text)
+        except (ValueError, RecursionError):
+            return None
+    if has_duplicates:
+        return None
+    try:
+        return msgspec.json.decode(text, type=kind)
+    except (msgspec.DecodeError, ValueError, RecursionError):
+        return None
+
+
 def blank_comments(text: str) -> str:
     r"""Replace comments and trailing commas by spaces.
 
@@ -113,6 +133,23 @@
     return ParsedText(value, plain, has_duplicates)
 
 
+def _scan_duplicates(plain: str) -> bool:
+    """Tell whether an object repeats a key; raises `ValueError` and `RecursionError`."""
+    has_duplicates = False
+
+    def drop_object(pairs: list[tuple[str, Any]]) -> None:
+        nonlocal has_duplicates
+        has_duplicates = has_duplicates or len({key for key, _ in pairs}) != len(pairs)
+
+    json.loads(
+        plain,
+        object_pairs_hook=drop_object,
+        parse_constant=_refuse_constant,
+        parse_int=_read_integer,
+    )
+    return has_duplicates
+
+
 def _check_depth(value: Any, findings: Findings) -> bool:
     level = [value]
     for _ in range(MAX_DEPTH + 1):
