Compress content at level 3

Cause: acceptance at level 9 took 7.8 MB for the compressor's tables. Change: COMPRESSION_LEVEL 9 to 3.

--- a/packages/godwitpass/src/godwitpass/internal/codec.py
+++ b/packages/godwitpass/src/godwitpass/internal/codec.py
@@ -12,7 +12,7 @@
 T = TypeVar("T")
 
 HASH_BYTES = 16
-COMPRESSION_LEVEL = 9
+COMPRESSION_LEVEL = 3
 MAX_DECOMPRESSED_BYTES = 16 * 1024 * 1024
 
 
