--- a/testkit/src/godwitpass_testkit/upstream.py
+++ b/testkit/src/godwitpass_testkit/upstream.py
@@ -9,11 +9,12 @@
 import os
 from collections import Counter
 from enum import Enum
-from typing import cast
+from typing import Annotated, cast
 
 import httptools
 import msgspec
 import typer
+import uvloop
 
 from godwitpass.ids import Address
 from godwitpass.internal.calls.outcomes import CALL_HEADER, DEADLINE_HEADER, NOT_RUN_HEADER
@@ -297,17 +298,20 @@
 
 
 def main(
-    port: int, host: str = "127.0.0.1", slots: int = 12, work_ms: float = 0.0, sheds: bool = True
+    port: Annotated[int, typer.Argument()] = 0,
+    host: str = "127.0.0.1",
+    slots: int = 12,
+    work_ms: float = 0.0,
+    sheds: bool = True,
 ) -> None:
-    """Serve on `host` until the process is ended."""
+    """Serve on `host` until the process is ended; prints the address."""
 
     async def serve() -> None:
         options = UpstreamOptions(slots=slots, work_s=work_ms / 1000, sheds=sheds)
-        await StandInUpstream(options, exit_on_crash=True).start(host, port)
+        upstream = StandInUpstream(options, exit_on_crash=True)
+        print(await upstream.start(host, port), flush=True)
         await asyncio.Event().wait()
 
-    import uvloop
-
     uvloop.run(serve())
 
 
