--- a/packages/godwitpass-daemon/tests/claims/test_service.py
+++ b/packages/godwitpass-daemon/tests/claims/test_service.py
@@ -84,7 +84,7 @@
 
 
 async def claim_until_first(service: ClaimsService, facts: CallFacts) -> None:
-    while await service.claim(facts) is not Verdict.FIRST:  # noqa: ASYNC110 (asking is the point)
+    while await service.claim(facts) is not Verdict.FIRST:
         await anyio.sleep(0.05)
 
 
@@ -129,6 +129,8 @@
             assert await services[0].claim(build_facts(key, b"/payments?y")) is Verdict.REPEATED
             assert await services[0].claim(build_facts("")) is Verdict.FIRST
             assert await services[0].claim(build_facts("order-17")) is Verdict.UNAVAILABLE
+            assert services[0].counts["granted"] == 2
+            assert services[0].counts["invalid_key"] == 1
 
         run_services(scenario)
 
