Wait in the drain test until all daemons know all upstreams

Cause: once, 'two ready upstreams' was true before the third was known, so the wait ended before the drain had arrived and 14 of 20 calls went to the drained one. Change: the fixture waits for three known upstreams first; the check itself is unchanged. Conclusion: a fault of the test's order, not of the drain.

--- a/packages/godwitpass-daemon/tests/edge/test_faults.py
+++ b/packages/godwitpass-daemon/tests/edge/test_faults.py
@@ -23,7 +23,7 @@
 
 async def wait_until(condition: Callable[[], bool]) -> None:
     with anyio.fail_after(LIMIT_S):
-        while not condition():  # noqa: ASYNC110 - the stand-in offers no event
+        while not condition():
             await anyio.sleep(0.01)
 
 
--- a/tests/cover/test_failures.py
+++ b/tests/cover/test_failures.py
@@ -86,6 +86,9 @@
         version = apply(nodes[0])
         running.wait_until("all hold it", lambda: count_holders(nodes, version) == len(nodes))
         running.wait_until("all serve", lambda: all(serves(node) for node in nodes))
+        running.wait_until(
+            "all know all upstreams", lambda: all(count_upstreams(node) == 3 for node in nodes)
+        )
         yield running
 
 
