--- a/testkit/src/godwitpass_testkit/bench/__main__.py
+++ b/testkit/src/godwitpass_testkit/bench/__main__.py
@@ -70,11 +70,18 @@
 def read_folder(folder: Path) -> list[Row]:
     """Return the rows of every result file in `folder`, named `experiment.row`."""
     return [
-        msgspec.structs.replace(row, name=f"{path.stem}.{row.name}")
+        name_row(path.stem, row)
         for path in sorted(folder.glob("*.json"))
         for row in read_rows(path)
     ]
 
 
+def name_row(experiment: str, row: Row) -> Row:
+    """Return `row` under a name that starts with its experiment's."""
+    if row.name.startswith(f"{experiment}."):
+        return row
+    return msgspec.structs.replace(row, name=f"{experiment}.{row.name}")
+
+
 if __name__ == "__main__":
     app()
