--- a/testkit/src/godwitpass_testkit/bench/__main__.py
+++ b/testkit/src/godwitpass_testkit/bench/__main__.py
@@ -9,8 +9,9 @@
 import typer
 
 from godwitpass_testkit.bench.bounds import find_breaches
-from godwitpass_testkit.bench.capacity import BOUNDS, derive_page
+from godwitpass_testkit.bench.capacity import derive_page
 from godwitpass_testkit.bench.catalogue import EXPERIMENTS, find_experiment
+from godwitpass_testkit.bench.limits import BOUNDS
 from godwitpass_testkit.bench.plots import draw_plots
 from godwitpass_testkit.measurements import Row, read_rows
 
--- a/testkit/src/godwitpass_testkit/experiments/processes.py
+++ b/testkit/src/godwitpass_testkit/experiments/processes.py
@@ -37,6 +37,8 @@
 KILLED_SHARE = 1 / 3
 CHANGE_INTERVAL_S = 1.0
 BYTES_PER_MB = 1_000_000
+LARGE_DOCUMENT_DAEMONS = 6
+TARGET_SERVICES = 2_500
 PEER_BYTES = re.compile(r"godwitpass_peer_bytes_total\{[^}]*\} (\d+)")
 
 
@@ -57,12 +59,17 @@
 ) -> None:
     """Measure fleets of the given sizes and write the rows."""
     rows: list[Row] = []
-    for count in daemons:
+    sizes = [(count, services) for count in daemons]
+    for count, held in [*sizes, (LARGE_DOCUMENT_DAEMONS, TARGET_SERVICES)]:
         with (
             tempfile.TemporaryDirectory(prefix="godwitpass-processes-") as folder,
             run_deployment(Path(folder)) as deployment,
         ):
-            rows += measure_fleet(deployment, count, changes, idle_seconds, services)
+            measured = measure_fleet(deployment, count, changes, idle_seconds, held)
+        rows += [
+            msgspec.structs.replace(row, params={**row.params, "services": held})
+            for row in measured
+        ]
         write_rows(output, rows)
     for row in rows:
         print(f"{row.name:34} {row.params} {row.value:.4g} {row.unit}")
