--- a/testkit/src/godwitpass_testkit/bench/capacity.py
+++ b/testkit/src/godwitpass_testkit/bench/capacity.py
@@ -36,9 +36,8 @@
     def render(self) -> str:
         """Return the line as a row of a Markdown table."""
         if self.spent is None:
-            return (
-                f"| {self.what} | not measured | {self.allowed:g} {self.unit} | – | {self.source} |"
-            )
+            allowed = f"{self.allowed:g} {self.unit}"
+            return f"| {self.what} | not measured | {allowed} | unknown | {self.source} |"
         verdict = "yes" if self.spent <= self.allowed else f"**no, {self.factor:.2f} times**"
         return (
             f"| {self.what} | {self.spent:.3g} {self.unit} | {self.allowed:g} {self.unit} "
@@ -171,7 +170,8 @@
 
 
 def _render_sums(lines: Sequence[Line]) -> str:
-    head = "\n## Sums\n\n| What | Spent at the target | Allowed | Fits | From |\n|---|---|---|---|---|\n"
+    head = "\n## Sums\n\n| What | Spent at the target | Allowed | Fits | From |\n"
+    head += "|---|---|---|---|---|\n"
     return head + "".join(f"{line.render()}\n" for line in lines)
 
 
