Name a daemon's life by its object in the invariant checks

Cause: the nightly histories reported a daemon that moved from version 1 to 1, in the polling baseline too: a dead node's memory address was used again by the next one, and the checks named lives by address. Change: the node object itself names its life; the check is as strict for each life as before. Conclusion: the fault was in the harness.

--- a/testkit/src/godwitpass_testkit/differential.py
+++ b/testkit/src/godwitpass_testkit/differential.py
@@ -65,7 +65,7 @@
     checks = ConfigurationInvariants()
 
     def check(address: Address, action: Activate) -> None:
-        checks.check_activation(id(fleet.queue.node(address)), action.snapshot)
+        checks.check_activation(fleet.queue.node(address), action.snapshot)
 
     fleet.on_activate = check
     fleet.accept(_build_document(0), "first")
--- a/testkit/tests/test_spread.py
+++ b/testkit/tests/test_spread.py
@@ -27,7 +27,7 @@
     checks = ConfigurationInvariants()
 
     def check(address: Address, action: Activate) -> None:
-        checks.check_activation(id(fleet.queue.node(address)), action.snapshot)
+        checks.check_activation(fleet.queue.node(address), action.snapshot)
 
     fleet.on_activate = check
     fleet.accept(build_document(40, favour), "first")
