--- a/testkit/src/godwitpass_testkit/bench/__main__.py
+++ b/testkit/src/godwitpass_testkit/bench/__main__.py
@@ -9,8 +9,9 @@
 import typer
 
 from godwitpass_testkit.bench.bounds import find_breaches
-from godwitpass_testkit.bench.capacity import BOUNDS, derive_page
+from godwitpass_testkit.bench.capacity import derive_page
 from godwitpass_testkit.bench.catalogue import EXPERIMENTS, find_experiment
+from godwitpass_testkit.bench.limits import BOUNDS
 from godwitpass_testkit.bench.plots import draw_plots
 from godwitpass_testkit.measurements import Row, read_rows
 
@@ -70,11 +71,18 @@
 def read_folder(folder: Path) -> list[Row]:
     """Return the rows of every result file in `folder`, named `experiment.row`."""
     return [
-        msgspec.structs.replace(row, name=f"{path.stem}.{row.name}")
+        name_row(path.stem, row)
         for path in sorted(folder.glob("*.json"))
         for row in read_rows(path)
     ]
 
 
+def name_row(experiment: str, row: Row) -> Row:
+    """Return `row` under a name that starts with its experiment's."""
+    if row.name.startswith(f"{experiment}."):
+        return row
+    return msgspec.structs.replace(row, name=f"{experiment}.{row.name}")
+
+
 if __name__ == "__main__":
     app()
