--- a/tests/nightly/test_many_histories.py
+++ b/tests/nightly/test_many_histories.py
@@ -1,6 +1,7 @@
 import random
 
 import pytest
+
 from godwitpass_testkit.histories import Fault, History
 
 SEEDS = range(1_000, 1_200)
