Never call an older key not run while it can't be looked up

Cause: with the store away, and the shard's holder and the first daemon gone, a second sending was answered "not run" although the first may have run; a test with a killed holder failed once so. Change: a key whose own time is two seconds old or more is answered "unknown" then; a claim waits 1.5 s, so that the second-ranked holder has 0.7 s to load the shard in place of 0.2 s. Ruled out: "unknown" always, which would tell a first sender nothing though nothing ran.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/claims.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/claims.py
@@ -14,7 +14,13 @@
 from godwitpass.internal.actions import Report, Send, Wake
 from godwitpass.internal.calls.outcomes import Outcome
 from godwitpass.internal.claims.claimant import Resolve
-from godwitpass.internal.claims.keys import ClaimKey, Digest, InvalidKey, parse_key
+from godwitpass.internal.claims.keys import (
+    ClaimKey,
+    Digest,
+    InvalidKey,
+    may_be_repeated,
+    parse_key,
+)
 from godwitpass.internal.claims.messages import (
     ANSWERED,
     ClaimOutcome,
@@ -50,7 +56,7 @@
 from godwitpass_daemon.peers.channels import Channel
 from godwitpass_daemon.services.ports import Events, Membership, Peers
 
-CLAIM_PATIENCE_S = 1.0
+CLAIM_PATIENCE_S = 1.5
 HOUSEKEEPING_INTERVAL_S = 1.0
 INVALID_KEY = "invalid_key"
 VERDICTS = {
@@ -117,6 +123,7 @@
         except InvalidKey:
             self.counts[INVALID_KEY] += 1
             return Verdict.UNAVAILABLE
+        is_old = may_be_repeated(key, time.time())
         token = self._random.getrandbits(63)
         waiter = self._waiters[token] = _Waiter()
         patience = min(CLAIM_PATIENCE_S, facts.timeout_s)
@@ -132,7 +139,11 @@
         self.counts[waiter.outcome.name.lower()] += 1
         if waiter.outcome is ClaimOutcome.GRANTED:
             self._sent[key.digest] = token
-        return VERDICTS.get(waiter.outcome, Verdict.REPEATED)
+        verdict = VERDICTS.get(waiter.outcome, Verdict.REPEATED)
+        if verdict is Verdict.UNAVAILABLE and is_old:
+            # An earlier sending may have run, which nobody can look up now.
+            return Verdict.REPEATED
+        return verdict
 
     def settle(self, facts: CallFacts, outcome: Outcome | None) -> None:
         """Take in how a first call ended; None means that it was answered."""
--- a/packages/godwitpass-daemon/tests/claims/test_service.py
+++ b/packages/godwitpass-daemon/tests/claims/test_service.py
@@ -15,6 +15,7 @@
 
 ADDRESSES = tuple(Address(f"10.0.0.{host}:7000") for host in range(3))
 LIMIT_S = 30
+AN_OLDER_KEY_MS = 30_000
 LATEST_KEY_PART = "-774b-bcce-b302099a8057"
 
 
@@ -35,7 +36,8 @@
 
     def send(self, channel: Channel, to: Address, payload: bytes) -> None:
         assert channel is Channel.CLAIMS
-        self._network[to](self.address, payload)
+        if to in self._network:
+            self._network[to](self.address, payload)
 
     def subscribe(self, channel: Channel, handler: Handler) -> None:
         self._network[self.address] = handler
@@ -83,6 +85,15 @@
     anyio.run(run)
 
 
+async def claim_alone(service: ClaimsService, facts: CallFacts) -> Verdict:
+    """Claim through a service whose peers are all silent."""
+    async with anyio.create_task_group() as tasks:
+        await service.start(tasks)
+        verdict = await service.claim(facts)
+        tasks.cancel_scope.cancel()
+    return verdict
+
+
 async def claim_until_first(service: ClaimsService, facts: CallFacts) -> None:
     while await service.claim(facts) is not Verdict.FIRST:
         await anyio.sleep(0.05)
@@ -157,6 +168,25 @@
 
         run_services(scenario)
 
+    def test_an_older_key_that_can_not_be_looked_up_is_never_called_not_run(self) -> None:
+        async def scenario(state: StoreState, services: Sequence[ClaimsService]) -> None:
+            facts = build_facts(build_key(AN_OLDER_KEY_MS))
+            await claim_until_first(services[0], facts)
+            # The daemon that sent it and the holder are gone with all that they remembered.
+            state.faults = Faults(down=True)
+            restarted = ClaimsService(
+                RegionId("great-lakes"),
+                FakeStore(state, time.monotonic),
+                MemoryPeers(Address("10.0.0.9:7000"), {}),
+                FixedMembership(),
+                NoEvents(),
+            )
+            assert await claim_alone(restarted, facts) is Verdict.REPEATED
+            fresh = build_facts(build_key(0))
+            assert await claim_alone(restarted, fresh) is Verdict.UNAVAILABLE
+
+        run_services(scenario)
+
     def test_messages_that_are_not_claims_are_dropped(self) -> None:
         async def scenario(state: StoreState, services: Sequence[ClaimsService]) -> None:
             for payload in (b"", b"\xc1", msgspec.msgpack.encode([1, 2]), b"x" * 1000):
--- a/packages/godwitpass/src/godwitpass/internal/claims/keys.py
+++ b/packages/godwitpass/src/godwitpass/internal/claims/keys.py
@@ -23,6 +23,10 @@
 """Difference of clocks up to which a key from the future is accepted."""
 
 
+FRESH_KEY_S = 2
+"""Age from which a key that can't be looked up counts as possibly sent before."""
+
+
 class InvalidKey(GodwitpassError):
     """An idempotency key was refused before anything was claimed or sent."""
 
@@ -60,3 +64,15 @@
         )
     hashed = hashlib.blake2b(value.bytes + scope.encode(), digest_size=DIGEST_BYTES)
     return ClaimKey(Digest(hashed.digest()), (value.int >> 80) // 1000)
+
+
+def may_be_repeated(key: ClaimKey, wall: float) -> bool:
+    """Tell whether `key` may have been sent before the time `wall`, judged by its age alone.
+
+    Callers make a key for a request and send it at once; only a repeated sending comes later.
+
+    >>> key = parse_key("01890a5d-ac96-774b-bcce-b302099a8057", "POST /approvals")
+    >>> may_be_repeated(key, key.time + 0.5), may_be_repeated(key, key.time + 30.0)
+    (False, True)
+    """
+    return wall - key.time >= FRESH_KEY_S
