--- a/testkit/src/godwitpass_testkit/bench/__main__.py
+++ b/testkit/src/godwitpass_testkit/bench/__main__.py
@@ -12,6 +12,7 @@
 from godwitpass_testkit.bench.capacity import derive_page
 from godwitpass_testkit.bench.catalogue import EXPERIMENTS, find_experiment
 from godwitpass_testkit.bench.limits import BOUNDS
+from godwitpass_testkit.bench.pictures import PICTURES
 from godwitpass_testkit.bench.plots import draw_plots
 from godwitpass_testkit.measurements import Row, read_rows
 
@@ -37,8 +38,8 @@
     for experiment in chosen:
         module = f"godwitpass_testkit.experiments.{experiment.module}"
         arguments = experiment.quick if quick else experiment.arguments
-        output = folder / f"{experiment.module}.json"
-        print(f"== {experiment.module}", flush=True)
+        output = folder / f"{experiment.name}.json"
+        print(f"== {experiment.name}", flush=True)
         subprocess.run(
             [sys.executable, "-m", module, *arguments, "--output", str(output)], check=True
         )
@@ -58,7 +59,7 @@
 @app.command()
 def plot(folder: Folder = RECORDED) -> None:
     """Draw the plots beside the results."""
-    for path in draw_plots(read_folder(folder), folder):
+    for path in draw_plots(read_folder(folder), folder, PICTURES):
         print(path)
 
 
--- a/testkit/src/godwitpass_testkit/bench/capacity.py
+++ b/testkit/src/godwitpass_testkit/bench/capacity.py
@@ -89,7 +89,7 @@
             TARGET.bytes_per_s,
             "B/s",
             "membership, mean over the return",
-            "a slower join would fit the budget and hold calls up for longer; the budget is taken "
+            "A slower join would fit the budget and hold calls up for longer; the budget is taken "
             "as one for running, the excess lasts for the return only",
         ),
         Line(
@@ -111,8 +111,8 @@
             figures.memory_mb,
             TARGET.memory_mb,
             "MB",
-            "real daemons, mean while idle; other daemons' records not included",
-            "the libraries alone take about 45 MB, of which gRPC 10: without it, or without the "
+            "real daemons, mean while idle, and the records of a region with sums of the others",
+            "The libraries alone take about 45 MB, of which gRPC 10: without it, or without the "
             "bases kept for deltas, the rest fits",
         ),
         Line(
@@ -120,8 +120,8 @@
             figures.memory_accepting_mb,
             TARGET.memory_mb,
             "MB",
-            "real daemons, highest while a change a second is accepted",
-            "checking and encoding a whole document is what adds; it could go by parts",
+            "real daemons, highest while a change a second is accepted, and the same records",
+            "Checking and encoding a whole document is what adds; it could go by parts",
         ),
         Line(
             "convergence, small change, 99 in 100",
@@ -164,7 +164,7 @@
             TARGET.added_latency_ms,
             "ms",
             "latency, beside direct calls in one run",
-            "what is left is the interpreter's time a call; see docs/design/edge.md for the layers",
+            "What is left is the interpreter's time a call; see docs/design/edge.md for the layers",
         ),
     ]
 
--- a/testkit/src/godwitpass_testkit/bench/catalogue.py
+++ b/testkit/src/godwitpass_testkit/bench/catalogue.py
@@ -4,12 +4,13 @@
 
 
 class Experiment(msgspec.Struct, frozen=True):
-    """A module of `godwitpass_testkit.experiments` with its arguments.
+    """A module of `godwitpass_testkit.experiments` with its arguments; `name` names its results.
 
     `quick` replaces `arguments` where a run of a minute is wanted. A `timed` experiment reads the
     wall clock, so its figures vary with the machine; the others are counts under virtual time.
     """
 
+    name: str
     module: str
     arguments: tuple[str, ...] = ()
     quick: tuple[str, ...] = ()
@@ -18,19 +19,33 @@
 
 EXPERIMENTS = (
     Experiment(
+        "spread",
         "spread",
         arguments=("--daemons", "30", "300", "3000"),
         quick=("--daemons", "30", "100"),
     ),
     Experiment(
+        "membership",
         "membership",
         arguments=("--members", "30", "300", "1450"),
         quick=("--members", "30", "100"),
     ),
-    Experiment("claims"),
-    Experiment("goodput", timed=True),
-    Experiment("latency", timed=True),
     Experiment(
+        "membership_regions",
+        "membership",
+        arguments=("--regions", "30", "--full-detail", "1450"),
+        quick=("--regions", "6"),
+    ),
+    Experiment("claims", "claims"),
+    Experiment("claims_crashes", "claims_crashes"),
+    Experiment("goodput", "goodput"),
+    Experiment("goodput_processes", "goodput_processes", timed=True),
+    Experiment("calls", "calls", timed=True),
+    Experiment("latency", "latency", timed=True),
+    Experiment("validation", "validation", timed=True),
+    Experiment("eventlog", "eventlog", timed=True),
+    Experiment(
+        "processes",
         "processes",
         arguments=("--daemons", "12", "--daemons", "48", "--daemons", "150"),
         quick=("--daemons", "6", "--changes", "4", "--idle-seconds", "5"),
@@ -39,14 +54,14 @@
 )
 
 
-def find_experiment(module: str) -> Experiment:
-    """Return the experiment in `module`.
+def find_experiment(name: str) -> Experiment:
+    """Return the experiment called `name`.
 
     >>> find_experiment("claims").timed
     False
     """
     for experiment in EXPERIMENTS:
-        if experiment.module == module:
+        if experiment.name == name:
             return experiment
-    known = ", ".join(experiment.module for experiment in EXPERIMENTS)
-    raise ValueError(f"no experiment {module!r}; choose from: {known}")
+    known = ", ".join(experiment.name for experiment in EXPERIMENTS)
+    raise ValueError(f"no experiment {name!r}; choose from: {known}")
--- a/testkit/src/godwitpass_testkit/bench/figures.py
+++ b/testkit/src/godwitpass_testkit/bench/figures.py
@@ -4,12 +4,18 @@
 
 import msgspec
 
+from godwitpass.internal.distribution.tuning import READERS_PER_ZONE
 from godwitpass_testkit.bench.target import SECONDS_PER_DAY, TARGET
 from godwitpass_testkit.measurements import Param, Row, select_rows
 
 CHURN_INTERVAL_S = 10.0
 """Time between restarts in the membership experiment's churn."""
 
+BYTES_PER_MIB = 1 << 20
+BYTES_PER_MB = 1_000_000
+WAITING_WATCHES = READERS_PER_ZONE * TARGET.zones
+"""A waiting watch counts as one call of the store."""
+
 IDLE = "idle"
 SPREAD: dict[str, Param] = {"system": "distribution", "favour": "convergence"}
 
@@ -26,6 +32,8 @@
     cpu_idle_percent: float | None
     cpu_percent_per_change_per_s: float | None
     cpu_percent: float | None
+    document_memory_mb: float | None
+    membership_memory_mb: float | None
     memory_mb: float | None
     memory_accepting_mb: float | None
     convergence_p99_s: float | None
@@ -33,6 +41,7 @@
     process_convergence_killed_s: float | None
     store_calls_per_s: float | None
     claim_writes_per_s: float | None
+    cpu_us_per_call: float | None
     added_latency_ms: float | None
 
 
@@ -46,6 +55,8 @@
     )
     cpu_idle = _find_largest(rows, "processes.cpu", "daemons", phase=IDLE, of="mean")
     cpu_slope = _find_cpu_slope(rows)
+    held = _find(rows, "processes.resident", phase=IDLE, of="mean", services=TARGET.services)
+    members = _find_membership_memory(rows)
     changes_per_s = TARGET.changes_per_day / SECONDS_PER_DAY
     return Figures(
         membership_idle_bytes_per_s=idle,
@@ -56,24 +67,36 @@
         herd_bytes_per_s=_find_largest(rows, "membership.herd sent", "members"),
         cpu_idle_percent=cpu_idle,
         cpu_percent_per_change_per_s=cpu_slope,
-        cpu_percent=(
-            None if cpu_idle is None or cpu_slope is None else cpu_idle + cpu_slope * changes_per_s
-        ),
-        memory_mb=_find(
-            rows, "processes.resident", phase=IDLE, of="mean", services=TARGET.services
-        ),
-        memory_accepting_mb=_find(
-            rows, "processes.resident", phase="changing", of="max", services=TARGET.services
+        cpu_percent=_add(cpu_idle, cpu_slope and cpu_slope * changes_per_s),
+        document_memory_mb=held,
+        membership_memory_mb=members,
+        memory_mb=_add(held, members),
+        memory_accepting_mb=_add(
+            _find(rows, "processes.resident", phase="changing", of="max", services=TARGET.services),
+            members,
         ),
         convergence_p99_s=_find_convergence(rows, "p99", "none"),
         convergence_killed_s=_find_convergence(rows, "max", "third-killed"),
         process_convergence_killed_s=_find_process_convergence(rows),
-        store_calls_per_s=_find(rows, "spread.idle_store_calls_at_target", **SPREAD),
+        store_calls_per_s=_add(
+            _find(rows, "spread.idle_store_calls_at_target", **SPREAD), WAITING_WATCHES
+        ),
         claim_writes_per_s=_find(rows, "claims.writes_per_s", way="batched", rate=3000),
+        cpu_us_per_call=_find(rows, "latency.cpu", path="edge"),
         added_latency_ms=_find(rows, "latency.added", path="edge", percentile=99.0),
     )
 
 
+def _add(first: float | None, second: float | None) -> float | None:
+    return None if first is None or second is None else first + second
+
+
+def _find_membership_memory(rows: Sequence[Row]) -> float | None:
+    """Return the memory of a region's records and the other regions' sums, in MB."""
+    mebibytes = _find(rows, "membership_regions.memory of membership")
+    return None if mebibytes is None else mebibytes * BYTES_PER_MIB / BYTES_PER_MB
+
+
 def _find(rows: Sequence[Row], name: str, **params: Param) -> float | None:
     selected = select_rows(rows, name, **params)
     return selected[0].value if selected else None
--- a/testkit/src/godwitpass_testkit/bench/plots.py
+++ b/testkit/src/godwitpass_testkit/bench/plots.py
@@ -37,7 +37,7 @@
     logarithmic_y: bool = False
 
 
-def draw_plots(rows: Iterable[Row], folder: Path, plots: Sequence[Plot] = ()) -> list[Path]:
+def draw_plots(rows: Iterable[Row], folder: Path, plots: Sequence[Plot]) -> list[Path]:
     """Draw each plot that has rows and return the files written."""
     measured = list(rows)
     drawn = (draw_plot(plot, measured, folder) for plot in plots)
--- a/testkit/src/godwitpass_testkit/experiments/calls.py
+++ b/testkit/src/godwitpass_testkit/experiments/calls.py
@@ -17,7 +17,7 @@
 
 from godwitpass_testkit.caller import CallerProtocol, connect, encode_request
 from godwitpass_testkit.edge import STOFFBOK, Mesh, run_mesh
-from godwitpass_testkit.experiments.rows import Row, write_rows
+from godwitpass_testkit.measurements import Param, Row, publish_rows
 from godwitpass_testkit.upstream import StandInUpstream, UpstreamOptions
 
 UPSTREAMS = 4
@@ -119,7 +119,7 @@
         runs: Counter[bytes] = Counter()
         for upstream in mesh.upstreams:
             runs.update(upstream.runs)
-    params: dict[str, str | int | float] = {"fault": name, "path": path}
+    params: dict[str, Param] = {"fault": name, "path": path}
     counts = {
         "answered": tally.outcomes["200"],
         "failed": tally.outcomes["500"],
@@ -129,11 +129,11 @@
         "foreign": tally.outcomes["foreign"],
         "doubled": sum(count > 1 for count in runs.values()),
     }
-    rows = [Row(f"calls.{kind}", params, value, "calls") for kind, value in counts.items()]
+    rows = [Row(f"{kind}", params, value, "calls") for kind, value in counts.items()]
     p99_ms = tally.latency_us.get_value_at_percentile(99) / 1000
-    rows.append(Row("calls.p99", params, p99_ms, "ms"))
+    rows.append(Row("p99", params, p99_ms, "ms"))
     if fault is drain_one:
-        rows.append(Row("calls.last_new_work", params, last_new, "s"))
+        rows.append(Row("last_new_work", params, last_new, "s"))
     return rows
 
 
@@ -149,7 +149,7 @@
 
 def main(output: Annotated[Path | None, typer.Option()] = None) -> None:
     """Measure and write rows."""
-    write_rows(uvloop.run(measure()), output)
+    publish_rows(uvloop.run(measure()), output)
 
 
 if __name__ == "__main__":
--- a/testkit/src/godwitpass_testkit/experiments/goodput.py
+++ b/testkit/src/godwitpass_testkit/experiments/goodput.py
@@ -35,7 +35,7 @@
 from godwitpass.internal.retrying.decision import Certainty, FailedAttempt, may_retry
 from godwitpass.mesh import Upstream, UpstreamState
 from godwitpass.policy import ResolvedPolicy
-from godwitpass_testkit.experiments.rows import Row, write_rows
+from godwitpass_testkit.measurements import Param, Row, publish_rows
 
 SLOTS = 12
 WORK_S = 0.02
@@ -326,26 +326,26 @@
         for load in (0.5, 0.8, 1.0, 1.5, 2.0, 3.0):
             totals = run(Scenario(load))
             goods[load] = totals.good
-            params: dict[str, str | int | float] = {"version": name, "load": load}
-            rows.append(Row("goodput.good", params, totals.good / 6.0, "calls/s"))
+            params: dict[str, Param] = {"version": name, "load": load}
+            rows.append(Row("good", params, totals.good / 6.0, "calls/s"))
             p99 = find_percentile(totals.latencies, 0.99)
-            rows.append(Row("goodput.p99", params, p99, "ms"))
+            rows.append(Row("p99", params, p99, "ms"))
             extra = totals.attempts / totals.offered
-            rows.append(Row("goodput.attempts", params, extra, "attempts/call"))
+            rows.append(Row("attempts", params, extra, "attempts/call"))
         kept = goods[3.0] / max(goods.values())
-        rows.append(Row("goodput.kept_at_3x", {"version": name}, kept, "of peak"))
+        rows.append(Row("kept_at_3x", {"version": name}, kept, "of peak"))
         outage = run(Scenario(0.8, outage=True))
         share = outage.outage_attempts / outage.outage_offered - 1
-        rows.append(Row("goodput.retry_share", {"version": name}, share, "of offered"))
+        rows.append(Row("retry_share", {"version": name}, share, "of offered"))
         slow = run(Scenario(0.4, slow=True))
         p99 = find_percentile(slow.latencies, 0.99)
-        rows.append(Row("goodput.p99_one_slow", {"version": name}, p99, "ms"))
+        rows.append(Row("p99_one_slow", {"version": name}, p99, "ms"))
     return rows
 
 
 def main(output: Annotated[Path | None, typer.Option()] = None) -> None:
     """Measure and write rows."""
-    write_rows(measure(), output)
+    publish_rows(measure(), output)
 
 
 if __name__ == "__main__":
--- a/testkit/src/godwitpass_testkit/experiments/goodput_processes.py
+++ b/testkit/src/godwitpass_testkit/experiments/goodput_processes.py
@@ -8,7 +8,7 @@
 import uvloop
 
 from godwitpass_testkit.caller import LoadReport, send_load
-from godwitpass_testkit.experiments.rows import Row, write_rows
+from godwitpass_testkit.measurements import Param, Row, publish_rows
 from godwitpass_testkit.processes import Processes, run_processes
 
 SLOTS = 12
@@ -37,7 +37,7 @@
     goods: dict[float, float] = {}
     for load in (0.5, 1.0, 2.0, 3.0):
         reports = await offer(load, SECONDS)
-        params: dict[str, str | int | float] = {"load": load}
+        params: dict[str, Param] = {"load": load}
         goods[load] = sum(found.outcomes.get("200", 0) / found.seconds for found in reports)
         other = sum(
             count
@@ -45,13 +45,11 @@
             for kind, count in found.outcomes.items()
             if kind not in ("200", "not-run")
         )
-        rows.append(Row("goodput_processes.good", params, goods[load], "calls/s"))
-        rows.append(Row("goodput_processes.untyped", params, other, "calls"))
+        rows.append(Row("good", params, goods[load], "calls/s"))
+        rows.append(Row("untyped", params, other, "calls"))
         p99_ms = max(found.p99_us for found in reports) / 1000
-        rows.append(Row("goodput_processes.p99", params, p99_ms, "ms"))
-    rows.append(
-        Row("goodput_processes.kept_at_3x", {}, goods[3.0] / max(goods.values()), "of peak")
-    )
+        rows.append(Row("p99", params, p99_ms, "ms"))
+    rows.append(Row("kept_at_3x", {}, goods[3.0] / max(goods.values()), "of peak"))
     return rows
 
 
@@ -59,7 +57,7 @@
     """Measure and write rows."""
     with run_processes() as processes:
         rows = uvloop.run(measure(processes))
-    write_rows(rows, output)
+    publish_rows(rows, output)
 
 
 if __name__ == "__main__":
--- a/testkit/src/godwitpass_testkit/experiments/latency.py
+++ b/testkit/src/godwitpass_testkit/experiments/latency.py
@@ -16,7 +16,7 @@
 
 from godwitpass.ids import Address
 from godwitpass_testkit.caller import CallerProtocol, connect, encode_request
-from godwitpass_testkit.experiments.rows import Row, write_rows
+from godwitpass_testkit.measurements import Param, Row, publish_rows
 from godwitpass_testkit.processes import Processes, run_processes
 
 RATE_PER_S = 315
@@ -96,13 +96,13 @@
     for path in paths:
         for percentile in PERCENTILES:
             value_us = path.histogram.get_value_at_percentile(percentile)
-            params: dict[str, str | int | float] = {"path": path.name, "percentile": percentile}
-            rows.append(Row("latency.call", params, value_us / 1000, "ms"))
+            params: dict[str, Param] = {"path": path.name, "percentile": percentile}
+            rows.append(Row("call", params, value_us / 1000, "ms"))
             if path.name != "direct":
                 added = value_us - direct.get_value_at_percentile(percentile)
-                rows.append(Row("latency.added", params, added / 1000, "ms"))
+                rows.append(Row("added", params, added / 1000, "ms"))
         cpu_us = path.cpu_s / path.calls * 1e6
-        rows.append(Row("latency.cpu", {"path": path.name}, cpu_us, "us/call"))
+        rows.append(Row("cpu", {"path": path.name}, cpu_us, "us/call"))
     return rows
 
 
@@ -112,7 +112,7 @@
     """Measure and write rows; `calls` are sent on each path in each round."""
     with run_processes() as processes:
         rows = uvloop.run(measure(processes, rounds, calls))
-    write_rows(rows, output)
+    publish_rows(rows, output)
 
 
 if __name__ == "__main__":
--- a/testkit/src/godwitpass_testkit/measurements.py
+++ b/testkit/src/godwitpass_testkit/measurements.py
@@ -37,6 +37,15 @@
     path.write_bytes(msgspec.json.format(msgspec.json.encode(list(rows)), indent=1) + b"\n")
 
 
+def publish_rows(rows: Sequence[Row], output: Path | None) -> None:
+    """Print `rows`, and write them when there is a place for them."""
+    for row in rows:
+        params = " ".join(f"{name}={value}" for name, value in row.params.items())
+        print(f"{row.name:<32} {params:<44} {row.value:>12.4g} {row.unit}")
+    if output is not None:
+        write_rows(output, rows)
+
+
 def read_rows(path: Path) -> list[Row]:
     """Read rows written by `write_rows`."""
     return msgspec.json.decode(path.read_bytes(), type=list[Row])
