Keep one timer for the services of decision objects

Cause: three services held the same timer loop, and the upstream's held none: a timer that fired a little early made the monitor return nothing, which would have ended its probes for good. Change: services/alarm.py in place of the copies; the monitor asks again when woken early. Conclusion: a service now only says when to ring and what to hand over.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/claims.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/claims.py
@@ -54,6 +54,7 @@
 from godwitpass.store import Entry, PutResult, Store, WatchResult
 from godwitpass_daemon.edge.guards import CallFacts, Verdict
 from godwitpass_daemon.peers.channels import Channel
+from godwitpass_daemon.services.alarm import Alarm
 from godwitpass_daemon.services.ports import Events, Membership, Peers
 
 CLAIM_PATIENCE_S = 1.5
@@ -98,8 +99,7 @@
         self._sent: dict[Digest, int] = {}
         self._known: frozenset[Peer] = frozenset()
         self._members_changed = True
-        self._wake_at = float("inf")
-        self._woken = anyio.Event()
+        self._alarm = Alarm(time.monotonic, lambda due: self._handle(Tick()))
         own = Peer(peers.address, region)
         self._node = ClaimsNode(own, self._random, time.time() - time.monotonic())
 
@@ -108,7 +108,7 @@
         self._tasks = tasks
         self._peers.subscribe(Channel.CLAIMS, self._receive)
         self._membership.subscribe(self._note_membership)
-        tasks.start_soon(self._keep_time)
+        tasks.start_soon(self._alarm.run)
         tasks.start_soon(self._keep_house)
 
     async def stop(self) -> None:
@@ -172,8 +172,7 @@
             case Send(to, message):
                 self._peers.send(Channel.CLAIMS, to, encode_message(message))
             case Wake(at):
-                self._wake_at = min(self._wake_at, at)
-                self._woken.set()
+                self._alarm.set(at)
             case Report(kind, fields):
                 self._events.emit(kind, **fields)
             case Resolve(token, outcome):
@@ -221,15 +220,6 @@
             # The next holder of the shard deletes what is no longer referred to.
             return
 
-    async def _keep_time(self) -> None:
-        while True:
-            with anyio.move_on_after(self._wake_at - time.monotonic()):
-                await self._woken.wait()
-            self._woken = anyio.Event()
-            if self._wake_at <= time.monotonic():
-                self._wake_at = float("inf")
-                self._handle(Tick())
-
     def _note_membership(self, *_changes: object) -> None:
         self._members_changed = True
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
@@ -1,6 +1,5 @@
 """Holds the configuration; the decisions are `distribution.distributor`'s."""
 
-import math
 import random
 from collections.abc import Callable, Sequence
 from typing import Protocol, runtime_checkable
@@ -31,6 +30,7 @@
 from godwitpass.store import Store
 from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.peers import Channel, PeerTransport
+from godwitpass_daemon.services.alarm import Alarm
 from godwitpass_daemon.services.store_requests import perform_request
 from godwitpass_daemon.settings import Settings
 
@@ -71,8 +71,7 @@
         self._callbacks: list[Callable[[Snapshot], None]] = []
         self._regions: dict[ZoneId, RegionId] = {}
         self._tasks: TaskGroup | None = None
-        self._wake_at = math.inf
-        self._woken = anyio.Event()
+        self._alarm = Alarm(anyio.current_time, lambda due: self._handle(Woken(), due))
 
     async def start(self, tasks: TaskGroup) -> None:
         """Begin to learn versions."""
@@ -80,7 +79,7 @@
         self._peers.subscribe(Channel.DISTRIBUTION, self._receive)
         self._membership.subscribe(self._change_view)
         self._change_view()
-        tasks.start_soon(self._run_timer)
+        tasks.start_soon(self._alarm.run)
 
     async def stop(self) -> None:
         """Learn no more versions."""
@@ -155,7 +154,7 @@
                     payload = encode_message(action.message)
                     self._peers.send(Channel.DISTRIBUTION, action.to, payload)
                 case Wake():
-                    self._set_timer(action.at)
+                    self._alarm.set(action.at)
                 case Report():
                     self._events.emit(action.kind, **action.fields)
                 case Activate():
@@ -172,17 +171,3 @@
 
     async def _request(self, request: Get | Watch) -> None:
         self._handle(await perform_request(self._store, request))
-
-    def _set_timer(self, at: float) -> None:
-        if at < self._wake_at:
-            self._wake_at = at
-            self._woken.set()
-
-    async def _run_timer(self) -> None:
-        while True:
-            with anyio.move_on_after(max(0.0, self._wake_at - anyio.current_time())):
-                await self._woken.wait()
-            self._woken = anyio.Event()
-            if anyio.current_time() >= self._wake_at:
-                due, self._wake_at = self._wake_at, math.inf
-                self._handle(Woken(), due)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/membership.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/membership.py
@@ -1,6 +1,5 @@
 """Knows the daemons and upstreams; the decisions are `internal.membership`'s."""
 
-import math
 import random
 import time
 from collections.abc import Callable, Sequence
@@ -20,6 +19,7 @@
 from godwitpass.store import Store
 from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.peers import Channel, PeerTransport
+from godwitpass_daemon.services.alarm import Alarm
 from godwitpass_daemon.services.store_requests import perform_request
 from godwitpass_daemon.settings import Profile, Settings
 
@@ -50,8 +50,7 @@
         self._callbacks: list[Callable[[], None]] = []
         self._generation = self._membership.generation
         self._tasks: TaskGroup | None = None
-        self._wake_at = math.inf
-        self._woken = anyio.Event()
+        self._alarm = Alarm(anyio.current_time, lambda due: self._handle(Woken()))
         self._changed = anyio.Event()
 
     async def start(self, tasks: TaskGroup) -> None:
@@ -59,7 +58,7 @@
         self._tasks = tasks
         self._peers.subscribe(Channel.MEMBERSHIP, self._receive)
         self._handle(Start())
-        tasks.start_soon(self._run_timer)
+        tasks.start_soon(self._alarm.run)
         tasks.start_soon(self._notify)
 
     async def stop(self) -> None:
@@ -97,7 +96,7 @@
                     payload = encode_message(action.message)
                     self._peers.send(Channel.MEMBERSHIP, action.to, payload)
                 case Wake():
-                    self._set_timer(action.at)
+                    self._alarm.set(action.at)
                 case Report():
                     self._events.emit(action.kind, **action.fields)
                 case _:
@@ -117,20 +116,6 @@
                 callback()
             await anyio.sleep(NOTIFY_INTERVAL_S)
 
-    def _set_timer(self, at: float) -> None:
-        if at < self._wake_at:
-            self._wake_at = at
-            self._woken.set()
-
-    async def _run_timer(self) -> None:
-        while True:
-            with anyio.move_on_after(max(0.0, self._wake_at - anyio.current_time())):
-                await self._woken.wait()
-            self._woken = anyio.Event()
-            if anyio.current_time() >= self._wake_at:
-                self._wake_at = math.inf
-                self._handle(Woken())
-
 
 def _identify(settings: Settings) -> Identity:
     upstream = settings.upstream
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/upstream.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/upstream.py
@@ -16,6 +16,7 @@
 )
 from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.listeners import split_address
+from godwitpass_daemon.services.alarm import Alarm
 from godwitpass_daemon.services.membership import MembershipService
 
 PROBE_TIMEOUT_S = 0.5
@@ -36,12 +37,14 @@
         self._events = events
         self._monitor = UpstreamMonitor()
         self._tasks: TaskGroup | None = None
+        self._alarm = Alarm(anyio.current_time, lambda due: self._handle(Woken(), due))
 
     async def start(self, tasks: TaskGroup) -> None:
         """Begin to probe in the background."""
         if self._address is not None:
             self._tasks = tasks
             self._handle(Start())
+            tasks.start_soon(self._alarm.run)
 
     async def stop(self) -> None:
         """Tell the other daemons that the upstream is leaving."""
@@ -52,10 +55,11 @@
         """Let the upstream get no new calls from now on."""
         self._handle(DrainWanted())
 
-    def _handle(self, event: Event) -> None:
+    def _handle(self, event: Event, not_before: float = 0.0) -> None:
         if self._tasks is None:
             return
-        for action in self._monitor.handle(event, anyio.current_time()):
+        now = max(anyio.current_time(), not_before)
+        for action in self._monitor.handle(event, now):
             match action:
                 case Probe():
                     self._tasks.start_soon(self._probe)
@@ -64,11 +68,7 @@
                 case Report():
                     self._events.emit(action.kind, **action.fields)
                 case Wake():
-                    self._tasks.start_soon(self._wake, action.at)
-
-    async def _wake(self, at: float) -> None:
-        await anyio.sleep_until(at)
-        self._handle(Woken())
+                    self._alarm.set(action.at)
 
     async def _probe(self) -> None:
         assert self._address is not None
--- a/packages/godwitpass/src/godwitpass/internal/monitoring/monitor.py
+++ b/packages/godwitpass/src/godwitpass/internal/monitoring/monitor.py
@@ -70,8 +70,11 @@
             return self._drain()
         if isinstance(event, Probed):
             return self._take_result(event.accepted, now)
-        if self._probing or now < self._probe_at or self.state is UpstreamState.DRAINING:
+        if self._probing or self.state is UpstreamState.DRAINING:
             return []
+        if now < self._probe_at:
+            # Timers may fire slightly early; without this the probes would end.
+            return [Wake(self._probe_at)]
         self._probing = True
         return [Probe()]
 
--- a/packages/godwitpass/tests/monitoring/test_monitor.py
+++ b/packages/godwitpass/tests/monitoring/test_monitor.py
@@ -60,6 +60,13 @@
         probing.run(True)
         assert probing.announced[2:] == [UpstreamState.READY]
 
+    def test_a_timer_that_fires_early_does_not_end_the_probes(self) -> None:
+        probing = Probing()
+        probing.run(True)
+        early = probing.now - 0.0005
+        assert probing.monitor.handle(Woken(), early) == [Wake(probing.now)]
+        assert probing.monitor.handle(Woken(), probing.now) == [Probe()]
+
     def test_a_draining_upstream_never_becomes_ready_again(self) -> None:
         probing = Probing()
         probing.run(True)
