Refuse an unusable idempotency key with how to mend it

Cause: a key that is no UUID of version 7 got 503 not-run with a Retry-After, each time, which sends its caller round for ever. Change: a verdict of its own; the edge answers 400, outcome refused, reason invalid-idempotency-key, and a remedy in the body. The test that expected UNAVAILABLE for such a key now expects INVALID, which is stricter: it tells the two apart.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/answers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/answers.py
@@ -14,14 +14,21 @@
 from godwitpass_daemon.edge.heads import Header, encode_own_answer
 
 DEFAULT_RETRY_AFTER_S = 1.0
+REMEDIES = {
+    Reason.INVALID_IDEMPOTENCY_KEY: "send a UUID of version 7, made anew for each new request",
+}
 
 
 class Refusal(msgspec.Struct, frozen=True):
-    """The body of a typed answer; `retry_after_ms` is 0 when coming back is of no use."""
+    """The body of a typed answer.
+
+    `retry_after_ms` is 0 when coming back is of no use; `remedy` says how to mend the request.
+    """
 
     outcome: Outcome
     reason: Reason
     retry_after_ms: int = 0
+    remedy: str = ""
 
 
 def encode_refusal(
@@ -38,5 +45,5 @@
         wait_s = retry_after_s if retry_after_s is not None else DEFAULT_RETRY_AFTER_S
         retry_after_ms = round(wait_s * 1000)
         headers.append((b"retry-after", b"%d" % max(1, math.ceil(wait_s))))
-    body = msgspec.json.encode(Refusal(outcome, reason, retry_after_ms))
+    body = msgspec.json.encode(Refusal(outcome, reason, retry_after_ms, REMEDIES.get(reason, "")))
     return encode_own_answer(status, headers, body, close)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
@@ -7,7 +7,7 @@
 from godwitpass.internal.calls import events as kinds
 from godwitpass.internal.calls.dispatcher import Dispatcher
 from godwitpass.internal.calls.messages import Abandoned, Arrived, CallerKey, Event
-from godwitpass.internal.calls.outcomes import Outcome, Reason
+from godwitpass.internal.calls.outcomes import STATUS_OF_REFUSED, Outcome, Reason
 from godwitpass.internal.retrying.decision import (
     Certainty,
     FailedAttempt,
@@ -298,7 +298,8 @@
             self._try(avoid=None)
             return
         self._maybe_ran = verdict is Verdict.REPEATED
-        self._refuse(Reason.CLAIM_REFUSED)
+        is_invalid = verdict is Verdict.INVALID
+        self._refuse(Reason.INVALID_IDEMPOTENCY_KEY if is_invalid else Reason.CLAIM_REFUSED)
 
     def _try(self, avoid: Attempt | None) -> None:
         now = self.edge.now()
@@ -344,7 +345,7 @@
     def _refuse(self, reason: Reason, retry_after_s: float | None = None) -> None:
         """Answer without an answer of an upstream."""
         outcome = Outcome.UNKNOWN if self._may_have_run() else Outcome.NOT_RUN
-        if reason in (Reason.CRASH_SUSPECT, Reason.MALFORMED) and outcome is Outcome.NOT_RUN:
+        if reason in STATUS_OF_REFUSED and outcome is Outcome.NOT_RUN:
             outcome = Outcome.REFUSED
         self._end(outcome)
         self.edge.count(outcome.value)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/guards.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/guards.py
@@ -33,6 +33,9 @@
     UNAVAILABLE = "unavailable"
     """It can't be recorded now; it isn't sent and did not run."""
 
+    INVALID = "invalid"
+    """Its idempotency key is of no use; it isn't sent, whenever it comes."""
+
 
 @runtime_checkable
 class ClaimGuard(Protocol):
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/claims.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/claims.py
@@ -122,7 +122,7 @@
             key = _parse_key(facts)
         except InvalidKey:
             self.counts[INVALID_KEY] += 1
-            return Verdict.UNAVAILABLE
+            return Verdict.INVALID
         is_old = may_be_repeated(key, time.time())
         token = self._random.getrandbits(63)
         waiter = self._waiters[token] = _Waiter()
--- a/packages/godwitpass-daemon/tests/claims/test_service.py
+++ b/packages/godwitpass-daemon/tests/claims/test_service.py
@@ -139,7 +139,7 @@
             assert await services[0].claim(build_facts(key, b"/payments")) is Verdict.FIRST
             assert await services[0].claim(build_facts(key, b"/payments?y")) is Verdict.REPEATED
             assert await services[0].claim(build_facts("")) is Verdict.FIRST
-            assert await services[0].claim(build_facts("order-17")) is Verdict.UNAVAILABLE
+            assert await services[0].claim(build_facts("order-17")) is Verdict.INVALID
             assert services[0].counts["granted"] == 2
             assert services[0].counts["invalid_key"] == 1
 
--- a/packages/godwitpass/src/godwitpass/internal/calls/outcomes.py
+++ b/packages/godwitpass/src/godwitpass/internal/calls/outcomes.py
@@ -47,6 +47,7 @@
     TARGET = "target"
     HOST = "host"
     INVALID_DEADLINE = "invalid-deadline"
+    INVALID_IDEMPOTENCY_KEY = "invalid-idempotency-key"
     NO_ROUTE = "no-route"
     METHOD = "method"
 
@@ -56,6 +57,7 @@
     Reason.TARGET: 400,
     Reason.HOST: 400,
     Reason.INVALID_DEADLINE: 400,
+    Reason.INVALID_IDEMPOTENCY_KEY: 400,
     Reason.NO_ROUTE: 404,
     Reason.METHOD: 405,
     Reason.HEAD_TIMEOUT: 408,
--- a/tests/cover/test_failures.py
+++ b/tests/cover/test_failures.py
@@ -125,6 +125,16 @@
         assert outcome(answer) == "not-run"
         assert count_runs(deployment, "paused") == 0
 
+    def test_a_key_without_a_time_is_refused_with_how_to_mend_it(
+        self, deployment: Deployment
+    ) -> None:
+        first, *_ = deployment.nodes.values()
+        answer = approve(first, "order-17", "unusable")
+        assert answer is not None and answer.status == 400
+        assert outcome(answer) == "refused"
+        assert b"UUID of version 7" in answer.body
+        assert count_runs(deployment, "unusable") == 0
+
 
 class TestInternalRoutes:
     @pytest.mark.parametrize(
