Let apply and rollback wait until a version is in force everywhere

Cause: scripts had to poll status by themselves; and the first try showed status counting 11 daemons of 14 just after a start, since availability zones that had not reported were left out of the total.

--- a/packages/godwitpass-cli/src/godwitpass_cli/documents.py
+++ b/packages/godwitpass-cli/src/godwitpass_cli/documents.py
@@ -22,8 +22,9 @@
 from godwitpass_cli.client import Call, write_headers
 from godwitpass_cli.exits import ExitCode
 from godwitpass_cli.failures import CommandError
-from godwitpass_cli.options import Change, IfVersion, Output, choose_change, find_session
+from godwitpass_cli.options import Change, IfVersion, Output, Wait, choose_change, find_session
 from godwitpass_cli.session import OutputForm, Session
+from godwitpass_cli.waiting import wait_until_in_force
 
 STANDARD_INPUT = "-"
 
@@ -47,12 +48,13 @@
     file: File,
     if_version: IfVersion = None,
     change_id: Change = None,
+    wait: Wait = None,
     output: Output = OutputForm.TABLE,
 ) -> None:
     """Make a document the next version."""
     content = _read_file(file)
     read_document(content, str(file))
-    _write(find_session(context), Call("PUT", "/v1/document", content), if_version, change_id)
+    _write(find_session(context), Call("PUT", "/v1/document", content), if_version, change_id, wait)
 
 
 def rollback(
@@ -60,11 +62,12 @@
     version: Annotated[int, typer.Argument(min=1, help="Version whose content comes back.")],
     if_version: IfVersion = None,
     change_id: Change = None,
+    wait: Wait = None,
     output: Output = OutputForm.TABLE,
 ) -> None:
     """Make the content of an earlier version the next version."""
     body = msgspec.json.encode(RollbackRequest(Version(version)))
-    _write(find_session(context), Call("POST", "/v1/rollback", body), if_version, change_id)
+    _write(find_session(context), Call("POST", "/v1/rollback", body), if_version, change_id, wait)
 
 
 def get(
@@ -123,7 +126,13 @@
         session.print_table(("VERSION", "CHANGE", "CONTENT"), rows)
 
 
-def _write(session: Session, call: Call, if_version: int | None, change_id: str | None) -> None:
+def _write(
+    session: Session,
+    call: Call,
+    if_version: int | None,
+    change_id: str | None,
+    wait_s: float | None,
+) -> None:
     change = choose_change(change_id)
     precondition = None if if_version is None else Version(if_version)
     headers = write_headers(change, precondition)
@@ -137,6 +146,10 @@
         raise CommandError(error.code, error.message, remedy) from error
     if not session.print_message(record):
         session.print_text(f"accepted as version {record.version} (change {record.change})")
+    if wait_s is not None:
+        status = wait_until_in_force(session, record.version, wait_s)
+        if session.output is OutputForm.TABLE:
+            session.print_text(f"in force on all {status.spread.total} daemons")
 
 
 def _fetch(session: Session, version: int | None) -> VersionedDocument:
--- a/packages/godwitpass-cli/src/godwitpass_cli/exits.py
+++ b/packages/godwitpass-cli/src/godwitpass_cli/exits.py
@@ -17,6 +17,7 @@
     OUTCOME_UNKNOWN = 6
     UNAUTHORIZED = 7
     NOT_FOUND = 8
+    NOT_YET_IN_FORCE = 9
 
 
 MEANINGS = {
@@ -29,6 +30,7 @@
     ExitCode.OUTCOME_UNKNOWN: "Not known whether it was done; repeat it with the same change id.",
     ExitCode.UNAUTHORIZED: "The token is missing or wrong.",
     ExitCode.NOT_FOUND: "The version, upstream or path does not exist.",
+    ExitCode.NOT_YET_IN_FORCE: "Accepted, but not in force everywhere within the time of --wait.",
 }
 
 CODES = {
--- a/packages/godwitpass-cli/src/godwitpass_cli/options.py
+++ b/packages/godwitpass-cli/src/godwitpass_cli/options.py
@@ -28,6 +28,10 @@
     str | None,
     typer.Option("--change-id", help="Makes a repeat take effect once; random by default."),
 ]
+Wait = Annotated[
+    float | None,
+    typer.Option("--wait", min=0.0, help="Seconds to wait until it is in force everywhere."),
+]
 
 
 def find_session(context: typer.Context) -> Session:
--- a/packages/godwitpass-cli/tests/test_commands.py
+++ b/packages/godwitpass-cli/tests/test_commands.py
@@ -74,6 +74,21 @@
         assert (code, len(operator.second.versions)) == (ExitCode.DONE, 1)
         assert "version 1" in out
 
+    def test_a_wait_ends_when_all_daemons_hold_the_version(self, operator: Operator) -> None:
+        operator.first.holding = operator.second.holding = 3
+        code, out, _ = operator.run("apply", operator.write(DOCUMENT), "--wait", "30")
+        assert code == ExitCode.DONE
+        assert "in force on all 3 daemons" in out
+
+    def test_a_wait_that_runs_out_says_that_the_version_is_accepted(
+        self, operator: Operator
+    ) -> None:
+        operator.run("apply", operator.write(DOCUMENT))
+        code, out, err = operator.run("rollback", "1", "--wait", "0")
+        assert code == ExitCode.NOT_YET_IN_FORCE
+        assert "accepted as version 2" in out
+        assert "held by 1 of 3" in err
+
     def test_an_unknown_outcome_is_not_hidden_by_a_later_failure(self, operator: Operator) -> None:
         operator.first.failure = AcceptanceUnknown(ChangeId("c1"))
         operator.second.failure = StoreUnavailable("down")
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
@@ -107,7 +107,8 @@
         return Spread(
             known.version,
             known.holders,
-            known.daemons,
+            # Zones that have not reported yet are known to membership only.
+            max(known.daemons, len(self._list_members())),
             tuple(self._describe_zone(held, known) for held in zones),
             tuple(
                 Lag(instance, held.zone, NO_VERSION, LAG_REASON)
--- a/testkit/src/godwitpass_testkit/administration.py
+++ b/testkit/src/godwitpass_testkit/administration.py
@@ -42,6 +42,7 @@
         self.emitted: list[str] = []
         self.events: list[TimelineEvent] = []
         self.announced: list[UpstreamState] = []
+        self.holding = 1
 
     async def accept(
         self, document: Document, change: ChangeId, if_version: Version | None
@@ -84,8 +85,8 @@
         return Snapshot(record.version, record.change, record.content_hash, document)
 
     def spread(self) -> Spread:
-        """Return a spread of one in three."""
-        return Spread(Version(len(self.versions)), 1, 3)
+        """Return a spread of `holding` in three."""
+        return Spread(Version(len(self.versions)), self.holding, 3)
 
     def drain(self) -> None:
         """Note that the upstream was drained."""
--- a/testkit/src/godwitpass_testkit/demo/fleet.py
+++ b/testkit/src/godwitpass_testkit/demo/fleet.py
@@ -59,17 +59,29 @@
             zone = plan.zones[number % len(plan.zones)]
             instance = f"{service.name}-{number + 1}"
             nodes.append(deployment.add_node(instance, zone, plan.region, service.name))
-    deployment.wait_until("all daemons answer", lambda: count_holders(nodes, 0) == len(nodes))
+    deployment.wait_until("all daemons know each other", lambda: know_each_other(nodes))
     return nodes
 
 
+def know_each_other(nodes: list[Settings]) -> bool:
+    """Tell whether every daemon of `nodes` counts all of them."""
+    statuses = [ask_status(node) for node in nodes]
+    return all(status is not None and status.spread.total == len(nodes) for status in statuses)
+
+
 def count_holders(nodes: list[Settings], version: int) -> int:
     """Return how many daemons hold `version` or a later one."""
     return sum(_ask_version(node) >= version for node in nodes)
 
 
-def _ask_version(node: Settings) -> int:
+def ask_status(node: Settings) -> Status | None:
+    """Return what the daemon of `node` holds and knows; None when it does not answer."""
     answer = administer(node, "GET", "/v1/status")
     if answer is None or answer.status != 200:
-        return -1
-    return msgspec.json.decode(answer.body, type=Status).version
+        return None
+    return msgspec.json.decode(answer.body, type=Status)
+
+
+def _ask_version(node: Settings) -> int:
+    status = ask_status(node)
+    return -1 if status is None else status.version
