--- a/testkit/src/godwitpass_testkit/bench/capacity.py
+++ b/testkit/src/godwitpass_testkit/bench/capacity.py
@@ -131,12 +131,19 @@
             "spread, line through the sizes",
         ),
         Line(
-            "convergence, a third of the daemons killed unnoticed, all survivors",
+            "convergence, a third of the daemons killed unnoticed, 99 in 100",
             figures.convergence_killed_s,
             TARGET.convergence_s,
             "s",
             "spread, line through the sizes",
         ),
+        Line(
+            "the same with `distribution.favour` on bytes",
+            figures.convergence_killed_bytes_s,
+            TARGET.convergence_s,
+            "s",
+            "spread, line through the sizes",
+        ),
         Line(
             "convergence of real daemons, a third killed, 99 in 100",
             figures.process_convergence_killed_s,
--- a/testkit/src/godwitpass_testkit/bench/figures.py
+++ b/testkit/src/godwitpass_testkit/bench/figures.py
@@ -38,6 +38,7 @@
     memory_accepting_mb: float | None
     convergence_p99_s: float | None
     convergence_killed_s: float | None
+    convergence_killed_bytes_s: float | None
     process_convergence_killed_s: float | None
     store_calls_per_s: float | None
     claim_writes_per_s: float | None
@@ -76,7 +77,16 @@
             members,
         ),
         convergence_p99_s=_find_convergence(rows, "p99", "none"),
-        convergence_killed_s=_find_convergence(rows, "max", "third-killed"),
+        convergence_killed_s=_find_convergence(rows, "p99", "third-killed"),
+        convergence_killed_bytes_s=_find(
+            rows,
+            "spread.convergence_at_target",
+            system="distribution",
+            favour="bytes",
+            change="small",
+            fault="third-killed",
+            quantile="p99",
+        ),
         process_convergence_killed_s=_find_process_convergence(rows),
         store_calls_per_s=_add(
             _find(rows, "spread.idle_store_calls_at_target", **SPREAD), WAITING_WATCHES
