Measure a daemon that holds all services and the whole mesh at once

Change: an experiment with all of a daemon's services and sockets, a document of 2,500 services from the store, then 1,450 members in full and sums of 11,550 upstreams; the daemon is silenced before, so that nothing is sent to addresses that don't exist.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/admin/meter.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/admin/meter.py
@@ -64,7 +64,7 @@
             "godwitpass_process_resident_bytes",
             "Memory that the process holds.",
             MetricKind.GAUGE,
-            _read_resident_bytes(),
+            read_resident_bytes(),
         ),
         _build_single(
             "godwitpass_version",
@@ -79,6 +79,7 @@
     return Metric(name, summary, kind, (Sample(value),))
 
 
-def _read_resident_bytes() -> int:
+def read_resident_bytes() -> int:
+    """Return the memory that this process holds."""
     pages = int(STATM.read_text().split()[1])
     return pages * resource.getpagesize()
--- a/testkit/src/godwitpass_testkit/bench/capacity.py
+++ b/testkit/src/godwitpass_testkit/bench/capacity.py
@@ -111,7 +111,7 @@
             figures.memory_mb,
             TARGET.memory_mb,
             "MB",
-            "real daemons, mean while idle, and the records of a region with sums of the others",
+            "a real daemon that holds them, the records of a region and sums of the others",
             "The libraries alone take about 45 MB, of which gRPC 10: without it, or without the "
             "bases kept for deltas, the rest fits",
         ),
--- a/testkit/src/godwitpass_testkit/bench/catalogue.py
+++ b/testkit/src/godwitpass_testkit/bench/catalogue.py
@@ -42,6 +42,7 @@
     Experiment("goodput_processes", "goodput_processes", timed=True),
     Experiment("calls", "calls", timed=True),
     Experiment("latency", "latency", timed=True),
+    Experiment("memory", "memory", timed=True),
     Experiment("validation", "validation", timed=True),
     Experiment("eventlog", "eventlog", timed=True),
     Experiment(
--- a/testkit/src/godwitpass_testkit/bench/figures.py
+++ b/testkit/src/godwitpass_testkit/bench/figures.py
@@ -71,7 +71,7 @@
         cpu_percent=_add(cpu_idle, cpu_slope and cpu_slope * changes_per_s),
         document_memory_mb=held,
         membership_memory_mb=members,
-        memory_mb=_add(held, members),
+        memory_mb=_find(rows, "memory.resident", at="document and mesh held"),
         memory_accepting_mb=_add(
             _find(rows, "processes.resident", phase="changing", of="max", services=TARGET.services),
             members,
--- a/testkit/src/godwitpass_testkit/bench/limits.py
+++ b/testkit/src/godwitpass_testkit/bench/limits.py
@@ -63,6 +63,7 @@
         at_most=TARGET.memory_mb,
         params={"phase": "idle", "of": "max"},
     ),
+    Bound("memory.resident", "64 MB a daemon", at_most=TARGET.memory_mb),
     Bound(
         "processes.convergence",
         "in force everywhere within 6 s, a third killed",
--- a/testkit/src/godwitpass_testkit/deployment.py
+++ b/testkit/src/godwitpass_testkit/deployment.py
@@ -55,20 +55,18 @@
             module = "godwitpass_testkit.upstream"
             self._spawn(f"upstream-{instance}", module, port, "--host", host)
             upstream = UpstreamSettings(ServiceName(service), address)
-        settings = Settings(
-            instance=InstanceId(instance),
-            zone=ZoneId(zone),
-            region=RegionId(region),
-            listen=ListenSettings(*(self._addresses.allocate() for _ in range(4))),
-            store=(self.store,),
-            admin_token=ADMIN_TOKEN,
-            peer_key=PEER_KEY,
-            upstream=upstream,
-        )
+        settings = self._build_settings(instance, zone, region, upstream)
         self.nodes[settings.instance] = settings
         self.start_daemon(settings.instance)
         return settings
 
+    def write_settings(self, instance: str, zone: str, region: str) -> Path:
+        """Write the settings of a daemon without upstream that the experiment runs itself."""
+        settings = self._build_settings(instance, zone, region, None)
+        path = self.folder / f"{instance}.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        return path
+
     def start_daemon(self, instance: InstanceId) -> None:
         """Start, or start again, the daemon of a node."""
         path = self.folder / f"{instance}.json"
@@ -107,6 +105,20 @@
             store.kill()
             store.wait()
 
+    def _build_settings(
+        self, instance: str, zone: str, region: str, upstream: UpstreamSettings | None
+    ) -> Settings:
+        return Settings(
+            instance=InstanceId(instance),
+            zone=ZoneId(zone),
+            region=RegionId(region),
+            listen=ListenSettings(*(self._addresses.allocate() for _ in range(4))),
+            store=(self.store,),
+            admin_token=ADMIN_TOKEN,
+            peer_key=PEER_KEY,
+            upstream=upstream,
+        )
+
     def _spawn(self, name: str, module: str, *arguments: str) -> None:
         log = (self.folder / f"{name}.log").open("ab")
         with log:
--- /dev/null
+++ b/testkit/src/godwitpass_testkit/experiments/memory.py
@@ -0,0 +1,60 @@
+"""Memory of one daemon that holds a document of all services and knows the whole mesh.
+
+The measured process runs all services of a daemon; a second daemon accepts the document. When it is
+held, the members and sums of the target are put into its membership.
+"""
+
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import typer
+
+from godwitpass_testkit.deployment import Deployment, administer, run_deployment
+from godwitpass_testkit.experiments.membership_memory import (
+    TARGET_SERVICES,
+    TARGET_UPSTREAMS,
+)
+from godwitpass_testkit.experiments.processes import build_document
+from godwitpass_testkit.measurements import Param, Row, publish_rows
+
+BYTES_PER_MB = 1_000_000
+STAGES = ("before start", "document held", "document and mesh held")
+
+
+def main(
+    output: Annotated[Path | None, typer.Option(help="File for the rows.")] = None,
+) -> None:
+    """Measure the resident memory and write the rows."""
+    with (
+        tempfile.TemporaryDirectory(prefix="godwitpass-memory-") as folder,
+        run_deployment(Path(folder)) as deployment,
+    ):
+        publish_rows(measure(deployment), output)
+
+
+def measure(deployment: Deployment) -> list[Row]:
+    """Let one daemon accept the document and another hold it together with the whole mesh."""
+    accepting = deployment.add_node("accepting", "zone-00", "region-0", "desk", with_upstream=False)
+    deployment.wait_until(
+        "it answers", lambda: administer(accepting, "GET", "/v1/status") is not None
+    )
+    document = msgspec.json.encode(build_document(TARGET_SERVICES - 1, 0))
+    answer = administer(accepting, "PUT", "/v1/document", document)
+    assert answer is not None and answer.status == 200, answer
+    settings = deployment.write_settings("measured", "zone-01", "region-0")
+    module = "godwitpass_testkit.experiments.memory_daemon"
+    command = [sys.executable, "-m", module, str(settings)]
+    done = subprocess.run(command, check=True, capture_output=True, text=True)
+    params: dict[str, Param] = {"services": TARGET_SERVICES, "upstreams": TARGET_UPSTREAMS}
+    return [
+        Row("resident", {**params, "at": at}, int(value) / BYTES_PER_MB, "MB")
+        for at, value in zip(STAGES, done.stdout.split(), strict=True)
+    ]
+
+
+if __name__ == "__main__":
+    typer.run(main)
