Test an answer that stalls in the middle

Change: the stand-in upstream can stop inside an answer and keep the connection; the test asks that the caller sees it broken off and that the upstream's connection is closed, not reused.

--- a/packages/godwitpass-daemon/tests/edge/test_answers.py
+++ b/packages/godwitpass-daemon/tests/edge/test_answers.py
@@ -5,6 +5,8 @@
 from godwitpass_testkit.edge import run_async, run_mesh
 from godwitpass_testkit.upstream import BIG_ANSWER_BYTES, Fault
 
+LIMIT_S = 20.0
+
 
 class TestAnswers:
     @run_async
@@ -24,6 +26,16 @@
 
         run_async(check)(self)
 
+    @run_async
+    async def test_an_answer_that_stalls_in_the_middle_is_broken_off(self) -> None:
+        async with run_mesh() as mesh:
+            answer = await mesh.get("/scans", x_fault="stall-answer")
+            assert answer.body == b"half"
+            assert not answer.whole
+            with anyio.fail_after(LIMIT_S):
+                while mesh.upstreams[0].connections:
+                    await anyio.sleep(0.01)
+
     @run_async
     async def test_a_slow_caller_holds_the_upstream_back_and_gets_the_whole_answer(self) -> None:
         async with run_mesh() as mesh:
--- a/testkit/src/godwitpass_testkit/upstream.py
+++ b/testkit/src/godwitpass_testkit/upstream.py
@@ -37,6 +37,9 @@
     TRUNCATE = b"truncate"
     TRUNCATE_CHUNKED = b"truncate-chunked"
     STALL = b"stall"
+    STALL_ANSWER = b"stall-answer"
+    """The answer stops in the middle and the connection stays open."""
+
     LATE = b"late"
     GARBAGE = b"garbage"
     TWO_ANSWERS = b"two-answers"
@@ -197,6 +200,8 @@
             case Fault.TRUNCATE:
                 write(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf")
                 self.transport.close()
+            case Fault.STALL_ANSWER:
+                write(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf")
             case Fault.TRUNCATE_CHUNKED:
                 write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n")
                 self.transport.close()
