Remove four members and a constant that nothing uses

Cause: a read of the whole change found names that stand only where they are declared. Conclusion: two finds are not dead but unwired, and stay: latencies of removed routes are never forgotten (keep_only has no caller), and event 403 is declared and never emitted.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/upstreams.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/upstreams.py
@@ -218,11 +218,6 @@
         self._idle: dict[Address, list[UpstreamConnection]] = {}
         self._idle_limits: dict[Address, float] = {}
 
-    @property
-    def idle_count(self) -> int:
-        """Connections that wait for use."""
-        return sum(len(idle) for idle in self._idle.values())
-
     def set_idle_limit(self, address: Address, seconds: float) -> None:
         """Keep unused connections to `address` for so long."""
         self._idle_limits[address] = seconds
--- a/packages/godwitpass/src/godwitpass/internal/claims/table.py
+++ b/packages/godwitpass/src/godwitpass/internal/claims/table.py
@@ -79,11 +79,6 @@
     def __len__(self) -> int:
         return len(self._claims) + sum(map(len, self._segments.values()))
 
-    @property
-    def head_length(self) -> int:
-        """Number of claims in the head."""
-        return len(self._claims)
-
     @property
     def segment_names(self) -> frozenset[str]:
         """Names of the segments in use."""
--- a/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
@@ -78,11 +78,6 @@
         """Return the version in force."""
         return self._contents.current
 
-    @property
-    def store_reachable(self) -> bool:
-        """Tell whether the store answered last; True on a daemon that doesn't read it."""
-        return self._reader.reachable
-
     def convergence(self) -> Convergence:
         """Return what is known of the convergence of the newest version."""
         return self._reporter.zones.sum_up()
--- a/packages/godwitpass/src/godwitpass/internal/membership/core.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/core.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from godwitpass.ids import Address, RegionId, ServiceName
+from godwitpass.ids import Address, ServiceName
 from godwitpass.internal.actions import Received, Report, Send, Wake, Woken
 from godwitpass.internal.membership.delegate import Delegate
 from godwitpass.internal.membership.detector import Detector
@@ -92,11 +92,6 @@
         """Return what each other region has of `service`; `DAEMONS` counts the daemons."""
         return self._state.regions.sums(service)
 
-    def lost_regions(self) -> list[RegionId]:
-        """Return the regions of which nothing was heard lately."""
-        beats = self._state.regions.beats.items()
-        return [region for region, beat in beats if not beat.reachable]
-
     def handle(self, event: Event, now: float) -> list[Action]:
         """Decide on `event` and return actions."""
         actions = self._notice_pause(now)
--- a/testkit/src/godwitpass_testkit/experiments/latency.py
+++ b/testkit/src/godwitpass_testkit/experiments/latency.py
@@ -20,7 +20,6 @@
 from godwitpass_testkit.processes import Processes, run_processes
 
 RATE_PER_S = 315
-TARGET_ADDED_P99_MS = 0.69
 MAX_LATENCY_US = 10_000_000
 WARM_UP_CALLS = 300
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
