--- /dev/null
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -0,0 +1,221 @@
+"""The relay as a service of the kernel: listeners for callers and for other daemons."""
+
+import asyncio
+import gc
+import random
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from godwitpass.events import EventKind, Field
+from godwitpass.ids import Address, InstanceId, ServiceName, ZoneId
+from godwitpass.internal.relay import events as kinds
+from godwitpass.internal.relay.budget import BudgetTerms
+from godwitpass.internal.relay.registration import Departure, Heartbeat, Verdict
+from godwitpass_daemon.eventlog.service import EventLog
+from godwitpass_daemon.listeners import split_address
+from godwitpass_daemon.relay.core import RelayCore
+from godwitpass_daemon.relay.headers import HeaderNames
+from godwitpass_daemon.relay.host import Host
+from godwitpass_daemon.relay.ingress import CallerConnection
+from godwitpass_daemon.relay.limits import SWEEP_INTERVAL_S
+from godwitpass_daemon.relay.reception import Reception
+from godwitpass_daemon.services.distribution import DistributionService
+from godwitpass_daemon.services.membership import MembershipService
+
+LISTEN_BACKLOG = 1024
+COLLECTOR_THRESHOLDS = (20_000, 20, 50)
+"""Allocations between collections of each generation; the defaults collect every few calls."""
+
+UNREADY_PROBES_S = 2.2
+"""Callers go elsewhere after two failed readiness checks, a second apart."""
+
+STOP_MARGIN_S = 0.6
+"""The process must have ended this much before its grace is over."""
+
+DRAIN_POLL_S = 0.05
+
+
+class RelayTerms(msgspec.Struct, frozen=True):
+    """What the deployment asks of the relay; durations in seconds.
+
+    `drain_s` is how long a leaving upstream still takes calls, `grace_s` the time between the
+    request to stop and the end of the process.
+    """
+
+    callers: Address
+    peers: Address
+    instance: InstanceId
+    zone: ZoneId
+    service: ServiceName
+    drain_s: float
+    grace_s: float
+    budget: BudgetTerms
+
+
+class RelayService:
+    """Takes calls of callers, hands them to other daemons and runs those handed over."""
+
+    def __init__(
+        self,
+        terms: RelayTerms,
+        names: HeaderNames,
+        distribution: DistributionService,
+        membership: MembershipService,
+        events: EventLog,
+    ) -> None:
+        self._terms = terms
+        self._names = names
+        self._distribution = distribution
+        self._membership = membership
+        self._events = events
+        self._servers: list[asyncio.Server] = []
+        self._core: RelayCore | None = None
+        self._silent = False
+
+    @property
+    def core(self) -> RelayCore:
+        """The shared state; exists once the service was started."""
+        assert self._core is not None, "start the service first"
+        return self._core
+
+    @property
+    def is_started(self) -> bool:
+        """Whether heartbeats can be taken."""
+        return self._core is not None
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether calls can be taken: a configuration is held and the daemon goes on."""
+        core = self._core
+        return core is not None and core.table is not None and not core.stopping
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Open the listeners; calls are refused until a configuration is held."""
+        loop = asyncio.get_running_loop()
+        terms = self._terms
+
+        def emit(kind: EventKind, fields: dict[str, Field]) -> None:
+            self._events.emit(kind, **fields)
+
+        host = Host(self._names, loop.time, emit, terms.drain_s)
+        core = RelayCore(
+            loop,
+            host,
+            terms.instance,
+            terms.zone,
+            self._names,
+            terms.budget,
+            random.Random(),
+            self._membership.upstreams,
+            lambda: max(1, len(self._membership.members())),
+            emit,
+        )
+        core.caller_service = terms.service.encode()
+        self._core = core
+        snapshot = self._distribution.snapshot()
+        if snapshot is not None:
+            core.apply_snapshot(snapshot)
+        self._distribution.subscribe(core.apply_snapshot)
+        self._membership.subscribe(core.update_upstreams)
+        await self._listen(loop, core)
+        gc.freeze()
+        gc.set_threshold(*COLLECTOR_THRESHOLDS)
+        tasks.start_soon(self._sweep)
+
+    async def stop(self) -> None:
+        """Let callers and other daemons go elsewhere, finish calls in progress, then close."""
+        core = self.core
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        core.stopping = True
+        core.host.stopping = True
+        self._membership.withdraw()
+        for reception in list(core.receptions):
+            reception.announce_leaving()
+        self._events.emit(
+            kinds.RELAY_DRAINING, calls=core.exchanges, jobs=core.host.jobs_in_progress
+        )
+        end = began + self._terms.grace_s - STOP_MARGIN_S
+        while loop.time() < end:
+            busy = core.exchanges or core.host.jobs_in_progress
+            if not busy and loop.time() - began > UNREADY_PROBES_S:
+                break
+            await anyio.sleep(DRAIN_POLL_S)
+        for server in self._servers:
+            server.close()
+        cut = core.exchanges
+        for caller in list(core.callers):
+            caller.close_if_idle()
+        core.close_links()
+        for reception in list(core.receptions):
+            reception.close()
+        core.host.pool.close_all()
+        self._events.emit(kinds.RELAY_DRAINED, cut=cut)
+
+    async def take_heartbeat(self, heartbeat: Heartbeat) -> Verdict:
+        """Take in what the upstream beside this daemon says of itself."""
+        core = self.core
+        registration = core.host.registration
+        before = (registration.current and registration.current.upstream, registration.state)
+        verdict = registration.take(heartbeat, core.now())
+        if verdict is Verdict.OUTDATED:
+            self._events.emit(
+                kinds.HEARTBEAT_DROPPED, upstream=heartbeat.upstream, reason="outdated"
+            )
+            return verdict
+        core.caller_service = heartbeat.service.encode()
+        core.host.note_registration()
+        self._announce()
+        if before != (heartbeat.upstream, registration.state):
+            self._events.emit(
+                kinds.UPSTREAM_REGISTERED,
+                upstream=heartbeat.upstream,
+                service=heartbeat.service,
+                state=registration.state.name.lower(),
+                slots=heartbeat.slots,
+                sequence=heartbeat.sequence,
+                started_ms=heartbeat.started_ms,
+            )
+        return verdict
+
+    async def take_departure(self, departure: Departure) -> Verdict:
+        """Take in that an upstream leaves."""
+        core = self.core
+        verdict = core.host.registration.depart(departure, core.now())
+        self._events.emit(
+            kinds.UPSTREAM_DRAINING, upstream=departure.upstream, verdict=verdict.value
+        )
+        self._announce()
+        return verdict
+
+    def note_unreadable_heartbeat(self, reason: str) -> None:
+        """Log a heartbeat that names no upstream to use."""
+        self._events.emit(kinds.HEARTBEAT_DROPPED, upstream="", reason=reason)
+
+    def _announce(self) -> None:
+        registration = self.core.host.registration
+        current = registration.current
+        if current is not None and not self.core.stopping:
+            self._membership.announce(registration.state, current.slots, current.service)
+
+    async def _listen(self, loop: asyncio.AbstractEventLoop, core: RelayCore) -> None:
+        terms = self._terms
+        for address, build in (
+            (terms.callers, lambda: CallerConnection(core)),
+            (terms.peers, lambda: Reception(core.host, core.receptions)),
+        ):
+            ip, port = split_address(address)
+            server = await loop.create_server(build, ip, port, backlog=LISTEN_BACKLOG)
+            self._servers.append(server)
+        self._events.emit(kinds.RELAY_LISTENING, callers=terms.callers, peers=terms.peers)
+
+    async def _sweep(self) -> None:
+        while True:
+            await anyio.sleep(SWEEP_INTERVAL_S)
+            self.core.sweep()
+            silent = self.core.host.is_silent()
+            if silent and not self._silent:
+                self._events.emit(kinds.UPSTREAM_SILENT)
+            self._silent = silent
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
@@ -23,6 +23,7 @@
     decode_message,
     encode_message,
 )
+from godwitpass.internal.distribution.reader import DocumentSource
 from godwitpass.internal.distribution.view import build_view
 from godwitpass.internal.requests import Get, Watch
 from godwitpass.mesh import Member, MemberState
@@ -60,13 +61,14 @@
         peers: PeerTransport,
         membership: Membership,
         events: EventLog,
+        source: DocumentSource | None = None,
     ) -> None:
         self._settings = settings
         self._store = store
         self._peers = peers
         self._membership = membership
         self._events = events
-        self._distributor = Distributor(settings.listen.peer, random.Random())
+        self._distributor = Distributor(settings.listen.peer, random.Random(), source=source)
         self._snapshot: Snapshot | None = None
         self._callbacks: list[Callable[[Snapshot], None]] = []
         self._regions: dict[ZoneId, RegionId] = {}
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/membership.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/membership.py
@@ -39,8 +39,14 @@
     """Tells the others of this daemon and its upstream, and knows theirs."""
 
     def __init__(
-        self, settings: Settings, store: Store, peers: PeerTransport, events: EventLog
+        self,
+        settings: Settings,
+        store: Store,
+        peers: PeerTransport,
+        events: EventLog,
+        seeds: tuple[Address, ...] = (),
     ) -> None:
+        self._seeds = seeds
         self._store = store
         self._peers = peers
         self._events = events
@@ -57,7 +63,7 @@
         """Look for other daemons in the background."""
         self._tasks = tasks
         self._peers.subscribe(Channel.MEMBERSHIP, self._receive)
-        self._handle(Start())
+        self._handle(Start(self._seeds))
         tasks.start_soon(self._alarm.run)
         tasks.start_soon(self._notify)
 
@@ -79,10 +85,16 @@
         """Call `callback` soon after changes of members or upstreams, once for several."""
         self._callbacks.append(callback)
 
-    def announce(self, state: UpstreamState) -> None:
-        """Tell all daemons that the upstream beside this one is in `state`."""
+    def announce(
+        self, state: UpstreamState, slots: int | None = None, service: ServiceName | None = None
+    ) -> None:
+        """Tell all daemons of the upstream beside this one; what isn't given stays as it was."""
         if self._has_upstream:
-            self._handle(Announce(state))
+            self._handle(Announce(state, slots, service))
+
+    def withdraw(self) -> None:
+        """Tell all daemons to hand no further calls to this one."""
+        self.announce(UpstreamState.DRAINING)
 
     def _receive(self, sender: Address, payload: bytes) -> None:
         self._handle(Received(sender, decode_message(payload)))
--- a/packages/godwitpass/src/godwitpass/document.py
+++ b/packages/godwitpass/src/godwitpass/document.py
@@ -15,6 +15,11 @@
 MAX_TIMEOUT_MS = 3_600_000
 MAX_ATTEMPTS = 10
 MAX_QUEUE_MS = 60_000
+MAX_PRIORITY = 1_000
+MAX_WEIGHT = 1_000_000
+MAX_SHARES = 64
+MAX_HEAD_BYTES = 1024 * 1024
+MAX_BODY_BYTES = 1024 * 1024 * 1024
 MAX_SLOTS = 10_000
 MAX_CONNECTIONS = 100_000
 
@@ -55,6 +60,26 @@
     ] = Favour.CONVERGENCE
 
 
+class CallerLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+    """What a caller may send on a connection, and how long it may take."""
+
+    head_bytes: Annotated[
+        int,
+        Meta(ge=256, le=MAX_HEAD_BYTES, description="Largest request line with its headers."),
+    ] = (
+        32 * 1024
+    )
+    body_bytes: Annotated[
+        int, Meta(ge=0, le=MAX_BODY_BYTES, description="Largest request body.")
+    ] = (16 * 1024 * 1024)
+    head_timeout_ms: Annotated[
+        int, Meta(ge=1, le=MAX_TIMEOUT_MS, description="Longest time for a request's head.")
+    ] = 10_000
+    idle_timeout_ms: Annotated[
+        int, Meta(ge=1, le=MAX_TIMEOUT_MS, description="Longest time between two requests.")
+    ] = 75_000
+
+
 class Policy(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
     """Treatment of the calls on a route; an unset field is taken from `extends`."""
 
@@ -84,6 +109,15 @@
         Annotated[int, Meta(ge=0, le=MAX_QUEUE_MS)] | None,
         Meta(description="Longest wait for a free slot of an upstream."),
     ] = None
+    objective_ms: Annotated[
+        Annotated[int, Meta(ge=1, le=MAX_TIMEOUT_MS)] | None,
+        Meta(description="Time within which an answer is worth most to the caller."),
+    ] = None
+    priority: Annotated[
+        Annotated[int, Meta(ge=0, le=MAX_PRIORITY)] | None,
+        Meta(description="Rank when there is not room for all calls; 0 goes first."),
+    ] = None
+    uploads: Annotated[bool | None, Meta(description="Whether request bodies are large.")] = None
 
 
 class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
@@ -103,6 +137,18 @@
     ] = 110
 
 
+class Share(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One of the services among which the calls of a route are divided."""
+
+    service: Annotated[
+        ServiceName, Meta(pattern=NAME_PATTERN, description="Service that receives the share.")
+    ]
+    weight: Annotated[
+        int,
+        Meta(ge=0, le=MAX_WEIGHT, description="Its part of the sum of all weights of the route."),
+    ]
+
+
 class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
     """Maps requests to a service; no two routes may match the same request equally well."""
 
@@ -131,6 +177,13 @@
         bool,
         Meta(description="Whether only callers inside the mesh reach it, whatever its service."),
     ] = False
+    shares: Annotated[
+        tuple[Share, ...],
+        Meta(
+            max_length=MAX_SHARES,
+            description="Services that divide the calls by weight; empty for `service` alone.",
+        ),
+    ] = ()
 
 
 class Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
@@ -147,6 +200,9 @@
     distribution: Annotated[
         Distribution, Meta(description="What the spread of versions favours.")
     ] = Distribution()
+    limits: Annotated[
+        CallerLimits, Meta(description="What callers may send, and how long they may take.")
+    ] = CallerLimits()
 
 
 def read_document(content: bytes | str, source: str = "") -> Document:
--- a/packages/godwitpass/src/godwitpass/internal/codec.py
+++ b/packages/godwitpass/src/godwitpass/internal/codec.py
@@ -18,14 +18,19 @@
 
 def encode_canonical(document: Document) -> bytes:
     """Encode `document` so that equal content gives equal bytes, whatever the order of entries."""
-    unset = Document(document.format).distribution
+    unset = Document(document.format)
     ordered = msgspec.structs.replace(
         document,
         services=tuple(sorted(document.services, key=lambda service: service.name)),
         routes=tuple(sorted(document.routes, key=lambda route: route.name)),
         policies=tuple(sorted(document.policies, key=lambda policy: policy.name)),
         # msgspec omits a nested struct only if it is the default object itself.
-        distribution=unset if document.distribution == unset else document.distribution,
+        distribution=(
+            unset.distribution
+            if document.distribution == unset.distribution
+            else document.distribution
+        ),
+        limits=unset.limits if document.limits == unset.limits else document.limits,
     )
     return msgspec.json.encode(ordered, order="deterministic")
 
--- a/packages/godwitpass/src/godwitpass/internal/distribution/contents.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/contents.py
@@ -22,6 +22,12 @@
         for index, route in enumerate(document.routes)
         if route.service not in services
     ]
+    findings += [
+        Finding(f"/routes/{index}/shares/{position}", f"unknown service {share.service!r}")
+        for index, route in enumerate(document.routes)
+        for position, share in enumerate(route.shares)
+        if share.service not in services
+    ]
     findings += [
         Finding(f"/routes/{index}/policy", f"unknown policy {route.policy!r}")
         for index, route in enumerate(document.routes)
--- a/packages/godwitpass/src/godwitpass/internal/distribution/delta.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/delta.py
@@ -6,7 +6,7 @@
 import msgspec
 import zstandard
 
-from godwitpass.document import Distribution, Document, Policy, Route, Service
+from godwitpass.document import CallerLimits, Distribution, Document, Policy, Route, Service
 from godwitpass.ids import ContentHash
 from godwitpass.internal.codec import compress, decompress, encode_canonical, hash_content
 
@@ -27,6 +27,7 @@
     services: tuple[Service, ...] = ()
     routes: tuple[Route, ...] = ()
     policies: tuple[Policy, ...] = ()
+    limits: CallerLimits = CallerLimits()
 
 
 class WrongContent(Exception):
@@ -65,6 +66,7 @@
         services,
         routes,
         policies,
+        new.limits,
     )
 
 
@@ -76,6 +78,7 @@
         _merge(old.routes, delta.removed_routes, delta.routes),
         _merge(old.policies, delta.removed_policies, delta.policies),
         delta.distribution,
+        delta.limits,
     )
 
 
--- a/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
@@ -31,7 +31,12 @@
     ZoneHoldings,
 )
 from godwitpass.internal.distribution.pusher import Pusher
-from godwitpass.internal.distribution.reader import Learned, ReaderAction, StoreReader
+from godwitpass.internal.distribution.reader import (
+    DocumentSource,
+    Learned,
+    ReaderAction,
+    StoreReader,
+)
 from godwitpass.internal.distribution.reporting import Reporter
 from godwitpass.internal.distribution.tuning import (
     READER_DELAY_S,
@@ -56,6 +61,7 @@
         generator: random.Random,
         codec: Codec | None = None,
         tuning: Tuning | None = None,
+        source: DocumentSource | None = None,
     ) -> None:
         self._own = own
         self._random = generator
@@ -63,7 +69,7 @@
         self._tuning = tuning or choose_tuning(Favour.CONVERGENCE)
         codec = codec or Codec()
         self._contents = Contents(codec)
-        self._reader = StoreReader(self._contents, codec, generator)
+        self._reader = StoreReader(self._contents, codec, generator, source)
         self._pusher = Pusher(own, self._contents)
         self._fetcher = Fetcher(own, self._contents, generator)
         self._admission = Admission()
--- a/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
@@ -6,11 +6,13 @@
 
 import math
 import random
+from collections.abc import Callable
 from enum import Enum
 
 import msgspec
 
 from godwitpass.document import Document
+from godwitpass.errors import InvalidDocument
 from godwitpass.ids import NO_VERSION, Revision, Version
 from godwitpass.internal.acceptance.record import (
     ROOT_KEY,
@@ -44,6 +46,16 @@
     REST = 5
 
 
+class DocumentSource(msgspec.Struct, frozen=True):
+    """A key of the store that holds the newest document whole, written by another system.
+
+    `read` returns the version in an entry; it raises `InvalidDocument` if there is none to use.
+    """
+
+    key: str
+    read: Callable[[Entry], Snapshot]
+
+
 class Learned(msgspec.Struct, frozen=True):
     """Action inside distribution: the store has this later version."""
 
@@ -59,7 +71,15 @@
     It rests for `rest_s` after a new version, so that a burst costs few reads.
     """
 
-    def __init__(self, contents: Contents, codec: Codec, generator: random.Random) -> None:
+    def __init__(
+        self,
+        contents: Contents,
+        codec: Codec,
+        generator: random.Random,
+        source: DocumentSource | None = None,
+    ) -> None:
+        self._source = source
+        self._key = ROOT_KEY if source is None else source.key
         self._contents = contents
         self._codec = codec
         self._random = generator
@@ -116,13 +136,13 @@
         return [Get(self._tag, key)]
 
     def _read_root(self, now: float) -> list[ReaderAction]:
-        return self._ask(Step.ROOT, ROOT_KEY, now)
+        return self._ask(Step.ROOT, self._key, now)
 
     def _watch(self, now: float) -> list[ReaderAction]:
         self._tag += 1
         self._step = Step.CHANGE
         self.deadline = now + WATCH_S + GRACE_S
-        return [Watch(self._tag, ROOT_KEY, self._revision, WATCH_S)]
+        return [Watch(self._tag, self._key, self._revision, WATCH_S)]
 
     def _rest(self, now: float) -> list[ReaderAction]:
         self._step = Step.REST
@@ -145,10 +165,13 @@
         return [Report(events.STORE_REGAINED)]
 
     def _take_changes(self, answer: Listed, now: float) -> list[ReaderAction]:
-        roots = [entry for entry in answer.result.entries if entry.key == ROOT_KEY]
+        roots = [entry for entry in answer.result.entries if entry.key == self._key]
         if answer.result.revision < self._revision:
             return self._read_root(now)
         if not roots:
+            if self._source is not None:
+                # The revision of an old document soon lies before the store's history.
+                self._revision = answer.result.revision
             return self._watch(now)
         newest = max(roots, key=lambda entry: entry.revision)
         return self._take_root(newest, now)
@@ -160,6 +183,9 @@
 
     def _take_root(self, entry: Entry, now: float) -> list[ReaderAction]:
         self._revision = entry.revision
+        if self._source is not None:
+            self._revision = max(entry.revision, entry.as_of)
+            return self._take_document(self._source, entry, now)
         try:
             root = decode_root(entry)
         except msgspec.MsgspecError as error:
@@ -172,6 +198,19 @@
         self._wanted, self._pieces = root.newest, []
         return self._ask(Step.CONTENT, content_key(root.newest.content_hash), now)
 
+    def _take_document(
+        self, source: DocumentSource, entry: Entry, now: float
+    ) -> list[ReaderAction]:
+        if entry.value is None:
+            return self._watch(now)
+        try:
+            snapshot = source.read(entry)
+        except InvalidDocument as error:
+            return [Report(events.CONTENT_WRONG, {"reason": str(error)}), *self._watch(now)]
+        if snapshot.version <= self._contents.version:
+            return self._watch(now)
+        return [Learned(snapshot), *self._rest(now)]
+
     def _compare(self, newest: Accepted, now: float) -> list[ReaderAction]:
         """Raise an alarm, once, if the store contradicts a version that is held."""
         held = self._contents.current
--- a/packages/godwitpass/src/godwitpass/internal/membership/core.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/core.py
@@ -105,7 +105,7 @@
         if isinstance(event, Woken):
             return self._advance(now)
         if isinstance(event, Start):
-            return self._start(now)
+            return self._start(event, now)
         if isinstance(event, Announce):
             return self._announce(event, now)
         if isinstance(event, Leave):
@@ -113,18 +113,18 @@
             return self._tell_at_once()
         return list(self._discovery.handle(event, now))
 
-    def _start(self, now: float) -> list[Action]:
+    def _start(self, event: Start, now: float) -> list[Action]:
         self._isolation.hear(now)
-        self._discovery.start(now)
         self._probe_at = now + self._rng.uniform(0, self._tuning.probe_interval_s)
-        return []
+        return list(self._discovery.start(now, event.seeds))
 
     def _announce(self, event: Announce, now: float) -> list[Action]:
         held = self._state.own.content.upstream
         if held is None:
             raise ValueError("no upstream was named in the settings; name its service and address")
         slots = held.slots if event.slots is None else event.slots
-        upstream = AnnouncedUpstream(held.service, held.address, event.state, slots)
+        service = held.service if event.service is None else event.service
+        upstream = AnnouncedUpstream(service, held.address, event.state, slots)
         if upstream == held or self._state.leaving:
             return []
         self._state.change_own(now, upstream)
--- a/packages/godwitpass/src/godwitpass/internal/membership/discovery.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/discovery.py
@@ -35,11 +35,14 @@
         self._joined = False
         self._failing = False
         self._doubted: set[Address] = set()
+        self._seeds: tuple[Address, ...] = ()
 
-    def start(self, now: float) -> None:
-        """Schedule the first read; a random delay spreads the reads of a herd."""
+    def start(self, now: float, seeds: tuple[Address, ...] = ()) -> list[Action]:
+        """Greet `seeds` and schedule the first read; a random delay spreads those of a herd."""
+        self._seeds = seeds
         self._read_at = now + self._state.rng.uniform(0, self._state.tuning.join_spread_s)
         self._schedule_keeping(now)
+        return self._greet(seeds)
 
     def due(self) -> float:
         """Return when `advance` is to be called next."""
@@ -59,9 +62,10 @@
         self._read_at = now + delay_s
         self._attempts += 1
         self._tag += 1
+        greetings = self._greet(self._seeds)
         if self._attempts == 1:
-            return [Get(self._tag, SEEDS_PREFIX + self._zone)]
-        return [List(self._tag, SEEDS_PREFIX)]
+            return [*greetings, Get(self._tag, SEEDS_PREFIX + self._zone)]
+        return [*greetings, List(self._tag, SEEDS_PREFIX)]
 
     def handle(self, answer: Answer, now: float) -> list[Action]:
         """Take an answer of the store."""
--- a/packages/godwitpass/src/godwitpass/internal/membership/inputs.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/inputs.py
@@ -28,14 +28,17 @@
 
 
 class Start(msgspec.Struct, frozen=True):
-    """Event: the daemon has started."""
+    """Event: the daemon has started; `seeds` are daemons that may be there already."""
+
+    seeds: tuple[Address, ...] = ()
 
 
 class Announce(msgspec.Struct, frozen=True):
-    """Event: the upstream beside this daemon is in `state`."""
+    """Event: the upstream beside this daemon is in `state`; what is None stays as it was."""
 
     state: UpstreamState
     slots: int | None = None
+    service: ServiceName | None = None
 
 
 class Leave(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/relay/events.py
@@ -0,0 +1,32 @@
+"""Event kinds of the relay."""
+
+from godwitpass.events import EventKind, Level
+
+RELAY_LISTENING = EventKind(420, "relay.listening", "The listeners of the relay are open.")
+RELAY_TABLE = EventKind(421, "relay.table-compiled", "Calls now follow a new version.")
+UPSTREAM_REGISTERED = EventKind(
+    422, "relay.upstream-registered", "The upstream beside this daemon has told of itself."
+)
+UPSTREAM_DRAINING = EventKind(
+    423, "relay.upstream-draining", "The upstream beside this daemon takes no new calls soon."
+)
+UPSTREAM_UNREACHABLE = EventKind(
+    424,
+    "relay.upstream-unreachable",
+    "The upstream beside this daemon accepts no connection.",
+    Level.WARNING,
+)
+HEARTBEAT_DROPPED = EventKind(
+    425, "relay.heartbeat-dropped", "A heartbeat was outdated or could not be read."
+)
+PEER_LOST = EventKind(
+    426, "relay.peer-lost", "A connection to another daemon broke or fell silent.", Level.WARNING
+)
+CALL_ENDED = EventKind(427, "relay.call-ended", "A call has its final answer.")
+CALL_RETRIED = EventKind(428, "relay.call-retried", "A call is handed to another upstream.")
+RELAY_DRAINING = EventKind(429, "relay.draining", "This daemon stops; calls in progress go on.")
+RELAY_DRAINED = EventKind(430, "relay.drained", "This daemon has closed its connections.")
+REQUEST_REFUSED = EventKind(431, "relay.request-refused", "A request was not routed.")
+UPSTREAM_SILENT = EventKind(
+    432, "relay.upstream-silent", "Heartbeats of the upstream are missing.", Level.WARNING
+)
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/relay/routes.py
@@ -0,0 +1,62 @@
+"""Routes of one version, compiled for lookups by host and longest prefix."""
+
+import msgspec
+
+from godwitpass.document import CallerLimits, Execution, Route
+from godwitpass.ids import RouteName, ServiceName, Version
+from godwitpass.policy import ResolvedPolicy, resolve_policies
+from godwitpass.snapshot import Snapshot
+
+
+class RelayRoute(msgspec.Struct, frozen=True):
+    """A route with its policy; `shares` are the services that divide its calls, by weight."""
+
+    name: RouteName
+    policy: ResolvedPolicy
+    shares: tuple[tuple[ServiceName, int], ...]
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether a call may run more than once."""
+        return self.policy.execution is Execution.IDEMPOTENT
+
+
+class RelayTable(msgspec.Struct, frozen=True):
+    """Immutable lookup of one version; prefixes end with a slash."""
+
+    version: Version
+    limits: CallerLimits
+    hosts: dict[str, dict[str, RelayRoute]]
+    connections: dict[ServiceName, int]
+
+    def find(self, host: str, path: str) -> RelayRoute | None:
+        """Return the route of `host` with the longest prefix that begins `path`."""
+        for name in (host, ""):
+            prefixes = self.hosts.get(name)
+            if prefixes is None:
+                continue
+            end = path.rfind("/")
+            while end >= 0:
+                route = prefixes.get(path[: end + 1])
+                if route is not None:
+                    return route
+                end = path.rfind("/", 0, end)
+        return None
+
+
+def compile_routes(snapshot: Snapshot) -> RelayTable:
+    """Compile the routes of `snapshot`; done once a version."""
+    document = snapshot.document
+    policies = resolve_policies(document)
+    hosts: dict[str, dict[str, RelayRoute]] = {}
+    for route in document.routes:
+        compiled = RelayRoute(route.name, policies[route.policy], _list_shares(route))
+        prefix = route.path_prefix.rstrip("/") + "/"
+        hosts.setdefault(route.host, {})[prefix] = compiled
+    connections = {service.name: service.connections for service in document.services}
+    return RelayTable(snapshot.version, document.limits, hosts, connections)
+
+
+def _list_shares(route: Route) -> tuple[tuple[ServiceName, int], ...]:
+    shares = tuple((share.service, share.weight) for share in route.shares if share.weight)
+    return shares or ((route.service, 1),)
--- a/packages/godwitpass/src/godwitpass/internal/validation/rules.py
+++ b/packages/godwitpass/src/godwitpass/internal/validation/rules.py
@@ -54,20 +54,22 @@
         _place("routes", document.routes),
         _place("policies", document.policies),
         names,
-        frozenset(route.service for route in document.routes),
+        frozenset(_list_used(document.routes)),
     )
 
 
 def collect_entries(value: dict[str, Any]) -> Entries:
     """Return those entries of a plain value whose types fit."""
     given = value.get("format")
+    routes = _collect(value, "routes", Route)
+    named = {item.name for item in _list_names(value, "routes", "service")}
     return Entries(
         given if isinstance(given, int) else FORMAT,
         _collect(value, "services", Service),
-        _collect(value, "routes", Route),
+        routes,
         _collect(value, "policies", Policy),
         {section: _list_names(value, section) for section in SECTIONS},
-        frozenset(item.name for item in _list_names(value, "routes", "service")),
+        frozenset(named.union(_list_used([placed.entry for placed in routes]))),
     )
 
 
@@ -79,11 +81,18 @@
         _check_unique_names(section, entries.names[section], findings)
     _check_references(entries, findings)
     _check_used(entries, findings)
+    _check_shares(entries.routes, findings)
     _check_overlaps(entries.routes, findings)
     if _check_ancestry(entries.policies, findings):
         _check_attempts(entries.policies, findings)
 
 
+def _list_used(routes: Sequence[Route]) -> Iterator[str]:
+    for route in routes:
+        yield route.service
+        yield from (share.service for share in route.shares)
+
+
 def _place(section: str, entries: Sequence[T]) -> list[Placed[T]]:
     return [Placed(f"/{section}/{index}", entry) for index, entry in enumerate(entries)]
 
@@ -129,6 +138,11 @@
         if service not in services:
             message = f"service {service!r} is not in the document"
             findings.add(f"{route.pointer}/service", message, "add it to services or correct it")
+        for index, share in enumerate(route.entry.shares):
+            if share.service not in services:
+                message = f"service {share.service!r} is not in the document"
+                pointer = f"{route.pointer}/shares/{index}/service"
+                findings.add(pointer, message, "add it to services or correct it")
         if policy is not None and policy not in known:
             message = f"policy {policy!r} is not in the document"
             findings.add(f"{route.pointer}/policy", message, "add it to policies or correct it")
@@ -146,6 +160,14 @@
             findings.add(service.pointer, message, "add a route to it or remove it")
 
 
+def _check_shares(routes: list[Placed[Route]], findings: Findings) -> None:
+    for route in routes:
+        shares = route.entry.shares
+        if shares and not any(share.weight for share in shares):
+            message = "no share has a weight above 0"
+            findings.add(f"{route.pointer}/shares", message, "give at least one share a weight")
+
+
 def _check_overlaps(routes: list[Placed[Route]], findings: Findings) -> None:
     by_prefix: dict[tuple[str, str], list[Placed[Route]]] = defaultdict(list)
     for route in routes:
--- a/packages/godwitpass/src/godwitpass/policy.py
+++ b/packages/godwitpass/src/godwitpass/policy.py
@@ -14,6 +14,7 @@
 DEFAULT_ATTEMPTS = 1
 DEFAULT_IDEMPOTENT_ATTEMPTS = 2
 DEFAULT_QUEUE_MS = 100
+DEFAULT_PRIORITY = 1
 
 MAX_EXTENDS_DEPTH = 16
 """Longest chain of policies that extend each other."""
@@ -24,6 +25,7 @@
 
     `timeout_ms` bounds a call up to its first answer byte and `stall_timeout_ms` a transfer
     without progress; `attempts` counts the first one; `queue_ms` bounds the wait for a slot.
+    `objective_ms` is the time within which an answer is worth most; without one it is the timeout.
     """
 
     execution: Execution
@@ -31,6 +33,9 @@
     stall_timeout_ms: int
     attempts: int
     queue_ms: int
+    objective_ms: int = DEFAULT_TIMEOUT_MS
+    priority: int = DEFAULT_PRIORITY
+    uploads: bool = False
 
 
 def resolve_policy(document: Document, route: Route) -> ResolvedPolicy:
@@ -70,14 +75,18 @@
     attempts = (
         DEFAULT_IDEMPOTENT_ATTEMPTS if execution is Execution.IDEMPOTENT else DEFAULT_ATTEMPTS
     )
+    timeout_ms = _first_set([policy.timeout_ms for policy in ancestry], DEFAULT_TIMEOUT_MS)
     return ResolvedPolicy(
         execution=execution,
-        timeout_ms=_first_set([policy.timeout_ms for policy in ancestry], DEFAULT_TIMEOUT_MS),
+        timeout_ms=timeout_ms,
         stall_timeout_ms=_first_set(
             [policy.stall_timeout_ms for policy in ancestry], DEFAULT_STALL_TIMEOUT_MS
         ),
         attempts=_first_set([policy.attempts for policy in ancestry], attempts),
         queue_ms=_first_set([policy.queue_ms for policy in ancestry], DEFAULT_QUEUE_MS),
+        objective_ms=_first_set([policy.objective_ms for policy in ancestry], timeout_ms),
+        priority=_first_set([policy.priority for policy in ancestry], DEFAULT_PRIORITY),
+        uploads=_first_set([policy.uploads for policy in ancestry], False),
     )
 
 
--- a/packages/godwitpass/src/godwitpass/store.py
+++ b/packages/godwitpass/src/godwitpass/store.py
@@ -7,17 +7,21 @@
 
 import msgspec
 
-from godwitpass.ids import LeaseId, Revision
+from godwitpass.ids import NO_REVISION, LeaseId, Revision
 
 MAX_VALUE_BYTES = 1_000_000
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
-    """One key with its value; `value` is None when the key was deleted at `revision`."""
+    """One key with its value; `value` is None when the key was deleted at `revision`.
+
+    `as_of` is the store's own revision at the time of the read, 0 where the store doesn't tell.
+    """
 
     key: str
     value: bytes | None
     revision: Revision
+    as_of: Revision = NO_REVISION
 
 
 class WatchResult(msgspec.Struct, frozen=True, array_like=True):
