--- a/packages/godwitpass-daemon/src/godwitpass_daemon/listeners.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/listeners.py
@@ -54,9 +54,13 @@
         while not self._server.started:  # noqa: ASYNC110 - uvicorn offers no event for it
             await anyio.sleep(START_POLL_S)
 
+    def request_stop(self) -> None:
+        """Take no new request."""
+        self._server.should_exit = True
+
     async def stop(self) -> None:
         """Take no new request and wait for those in progress."""
-        self._server.should_exit = True
+        self.request_stop()
         await self._finished.wait()
 
     async def _run(self) -> None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
@@ -51,9 +51,9 @@
         await self._listener.start(tasks)
 
     async def stop(self) -> None:
-        """Stop listening once the requests in progress are answered."""
+        """Stop listening in the background; the process ends soon."""
         if self._listener is not None:
-            await self._listener.stop()
+            self._listener.request_stop()
 
 
 def build_relay_kernel(settings: Settings, parts: RelayParts) -> Kernel:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -67,6 +67,7 @@
         self.held_body_bytes = 0
         self.exchanges = 0
         self.stopping = False
+        self.refusing = False
         self.counts: Counter[str] = Counter()
         self.latency_us = HdrHistogram(1, LATENCY_MAX_US, LATENCY_DIGITS)
         self._own = own
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/exchange.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/exchange.py
@@ -221,7 +221,9 @@
 
     def _may_hand_over(self, repeated: bool, now: float) -> bool:
         """Tell whether the call goes to another upstream; a repeat draws on the budget."""
-        if self._handovers >= MAX_HANDOVERS or self._deadline - now < MIN_USEFUL_S:
+        if self._core.refusing or self._handovers >= MAX_HANDOVERS:
+            return False
+        if self._deadline - now < MIN_USEFUL_S:
             return False
         if self._servers >= self.route.policy.attempts:
             return False
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
@@ -282,6 +282,8 @@
             self._parser.get_method(), self._target, self._headers, core.names, core.caller_service
         )
         turn.head = head
+        if core.refusing:
+            raise RequestFault(503, "this daemon stops")
         table: RelayTable | None = core.table
         if table is None:
             raise RequestFault(503, "no configuration yet")
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -31,8 +31,14 @@
 UNREADY_PROBES_S = 2.2
 """Callers go elsewhere after two failed readiness checks, a second apart."""
 
-STOP_MARGIN_S = 0.6
-"""The process must have ended this much before its grace is over."""
+STOP_MARGIN_S = 0.7
+"""The calls must have ended this much before the grace is over; the rest takes 0.4 s."""
+
+TAKE_WHILE_STOPPING_S = 3.0
+"""Later calls might not end within the grace, so they are refused and go elsewhere."""
+
+MAX_TAKE_SHARE = 0.5
+"""The same as a share of the grace, for deployments with a short one."""
 
 DRAIN_POLL_S = 0.05
 
@@ -137,8 +143,11 @@
         self._events.emit(
             kinds.RELAY_DRAINING, calls=core.exchanges, jobs=core.host.jobs_in_progress
         )
-        end = began + self._terms.grace_s - STOP_MARGIN_S
+        grace_s = self._terms.grace_s
+        end = began + grace_s - STOP_MARGIN_S
+        refuse_at = began + min(TAKE_WHILE_STOPPING_S, MAX_TAKE_SHARE * grace_s)
         while loop.time() < end:
+            core.refusing = loop.time() >= refuse_at
             busy = core.exchanges or core.host.jobs_in_progress
             if not busy and loop.time() - began > UNREADY_PROBES_S:
                 break
@@ -146,6 +155,7 @@
         for server in self._servers:
             server.close()
         cut = core.exchanges
+        core.refusing = True
         for caller in list(core.callers):
             caller.close_if_idle()
         core.close_links()
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/membership.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/membership.py
@@ -23,7 +23,7 @@
 from godwitpass_daemon.services.store_requests import perform_request
 from godwitpass_daemon.settings import Profile, Settings
 
-FAREWELL_S = 0.5
+FAREWELL_S = 0.25
 """Time in which the news that this daemon leaves is passed on before it stops."""
 
 NOTIFY_INTERVAL_S = 0.2
--- a/packages/godwitpass/src/godwitpass/internal/membership/table.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/table.py
@@ -79,7 +79,7 @@
         """Bring all indexes up to date with a changed `record`."""
         self.generation += 1
         self._cached_members = None
-        self._key_at[record.content.address] = record.key
+        self._settle_address(record, now)
         if record.is_gone:
             self._index_gone(record, now)
         else:
@@ -91,6 +91,20 @@
             if upstream is not None:
                 self.changed_services.add(upstream.service)
 
+    def _settle_address(self, record: Record, now: float) -> None:
+        """Let one member have an address; one that was there before counts as dead."""
+        address = record.content.address
+        held = self._key_at.get(address)
+        rival = None if held is None else self._records[held]
+        if rival is None or rival is record or rival.is_gone:
+            self._key_at[address] = record.key
+        elif not record.is_gone:
+            if rival is self.own or rival.incarnation > record.incarnation:
+                record.state = MemberState.DEAD
+            else:
+                self._key_at[address] = record.key
+                self.set_state(rival, MemberState.DEAD, now)
+
     def forget(self, before: float) -> None:
         """Drop the records of members that are gone since before a time, and those in excess."""
         excess = len(self._gone_since) - self._max_gone
