Let no islands form when all daemons start at once

A greeting sent before the other daemon listens is lost, and a daemon that knows one other no longer reads the seed records. Ruled out: overload of the servers (they idled), the store. Change: the first read takes the records of all zones; unanswered addresses are greeted again 0.4 to 8 s after the start.

--- a/packages/godwitpass/src/godwitpass/internal/membership/discovery.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/discovery.py
@@ -10,15 +10,23 @@
 from godwitpass.internal.membership.events import SEEDS_UNAVAILABLE, SEEDS_UNREADABLE
 from godwitpass.internal.membership.messages import ANY_MEMBER, Message, SeedRecord
 from godwitpass.internal.membership.state import State
-from godwitpass.internal.requests import Answer, Get, GotEntry, List, Listed, Put, RequestFailed
+from godwitpass.internal.requests import Answer, List, Listed, Put, RequestFailed
 from godwitpass.store import Entry
 
 SEEDS_PREFIX = "seeds/"
 MAX_GREETED_PER_ZONE = 3
+MAX_GREETED_AGAIN = 8
+GREET_AGAIN_S = (0.4, 1.0, 2.0, 4.0, 8.0)
+"""Times after the start at which unanswered addresses are greeted again.
+
+After the restart of all daemons the first greetings reach nobody, and those who met early would
+stay by themselves: a daemon that knows another one no longer reads the records.
+"""
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(SeedRecord)
 
-Action = Send[Message] | Report | Get | List | Put
+Action = Send[Message] | Report | List | Put
 
 
 class Discovery:
@@ -36,25 +44,31 @@
         self._failing = False
         self._doubted: set[Address] = set()
         self._seeds: tuple[Address, ...] = ()
+        self._recorded: dict[Address, None] = {}
+        self._greet_again: list[float] = []
 
     def start(self, now: float, seeds: tuple[Address, ...] = ()) -> list[Action]:
         """Greet `seeds` and schedule the first read; a random delay spreads those of a herd."""
         self._seeds = seeds
+        self._greet_again = [now + delay_s for delay_s in GREET_AGAIN_S]
         self._read_at = now + self._state.rng.uniform(0, self._state.tuning.join_spread_s)
         self._schedule_keeping(now)
         return self._greet(seeds)
 
     def due(self) -> float:
         """Return when `advance` is to be called next."""
-        return self._keep_at if self._joined else self._read_at
+        following = self._keep_at if self._joined else self._read_at
+        return min([following, *self._greet_again[:1]])
 
     def advance(self, now: float, joined: bool) -> list[Action]:
         """Read the records when it is time to."""
         if self._joined and not joined:
             self._restart(now)
         self._joined = joined
-        if joined:
-            return self._keep(now)
+        actions = self._greet_unanswered(now)
+        return actions + (self._keep(now) if joined else self._read(now))
+
+    def _read(self, now: float) -> list[Action]:
         if now < self._read_at:
             return []
         delay_s = self._retry_s * self._state.rng.uniform(0.5, 1.5)
@@ -62,10 +76,15 @@
         self._read_at = now + delay_s
         self._attempts += 1
         self._tag += 1
-        greetings = self._greet(self._seeds)
-        if self._attempts == 1:
-            return [*greetings, Get(self._tag, SEEDS_PREFIX + self._zone)]
-        return [*greetings, List(self._tag, SEEDS_PREFIX)]
+        return [*self._greet(self._seeds), List(self._tag, SEEDS_PREFIX)]
+
+    def _greet_unanswered(self, now: float) -> list[Action]:
+        if not self._greet_again or now < self._greet_again[0]:
+            return []
+        while self._greet_again and now >= self._greet_again[0]:
+            self._greet_again.pop(0)
+        unknown = self._find_unknown([*self._seeds, *self._recorded])
+        return self._greet(unknown, MAX_GREETED_AGAIN)
 
     def handle(self, answer: Answer, now: float) -> list[Action]:
         """Take an answer of the store."""
@@ -74,10 +93,8 @@
         self._failing = False
         if answer.tag != self._tag:
             return []
-        if isinstance(answer, GotEntry):
-            return self._meet_zone(answer.entry, now)
         if isinstance(answer, Listed):
-            return self._meet_all(answer.result.entries)
+            return self._meet_all(answer.result.entries, now)
         return []
 
     def _restart(self, now: float) -> None:
@@ -91,13 +108,6 @@
         self._failing = True
         return [Report(SEEDS_UNAVAILABLE)]
 
-    def _meet_zone(self, entry: Entry, now: float) -> list[Action]:
-        record, actions = self._decode(entry)
-        greetings = self._greet(record.addresses)
-        if not greetings:
-            self._read_at = now
-        return actions + greetings + self._add_own(entry, record)
-
     def _add_own(self, entry: Entry, record: SeedRecord) -> list[Action]:
         own = self._state.identity.address
         if own in record.addresses:
@@ -106,7 +116,7 @@
             return [self._put(entry, (*record.addresses, own))]
         return []
 
-    def _meet_all(self, entries: tuple[Entry, ...]) -> list[Action]:
+    def _meet_all(self, entries: tuple[Entry, ...], now: float) -> list[Action]:
         actions: list[Action] = []
         own_entry = Entry(SEEDS_PREFIX + self._zone, None, NO_REVISION)
         for entry in entries:
@@ -117,8 +127,16 @@
             elif record.region != self._state.identity.region:
                 actions += self._greet_region(record)
             else:
+                self._recorded.update(dict.fromkeys(record.addresses))
                 actions += self._greet(self._find_unknown(record.addresses))
         record, _ = self._decode(own_entry)
+        self._recorded.update(dict.fromkeys(record.addresses))
+        if self._attempts == 1 and not self._joined:
+            greetings = self._greet(record.addresses)
+            if not greetings:
+                # Nobody of the own zone is there to answer.
+                self._read_at = min(self._read_at, now + self._state.tuning.join_retry_s / 2)
+            return [*actions, *greetings, *self._add_own(own_entry, record)]
         return actions + self._repair(own_entry, record)
 
     def _repair(self, entry: Entry, record: SeedRecord) -> list[Action]:
@@ -180,10 +198,12 @@
         interval_s = self._state.tuning.keep_seeds_s
         self._keep_at = now + interval_s * self._state.rng.uniform(0.75, 1.25)
 
-    def _greet(self, addresses: Iterable[Address]) -> list[Action]:
+    def _greet(
+        self, addresses: Iterable[Address], most: int = MAX_GREETED_PER_ZONE
+    ) -> list[Action]:
         state, own = self._state, self._state.identity.address
         others = [address for address in addresses if address != own]
-        chosen = state.rng.sample(others, min(MAX_GREETED_PER_ZONE, len(others)))
+        chosen = state.rng.sample(others, min(most, len(others)))
         return [state.build_ping(address, ANY_MEMBER, state.draw_nonce()) for address in chosen]
 
     def _greet_region(self, record: SeedRecord) -> list[Action]:
