Bound waits, let calls of running upstreams go first, and count bytes between zones

After each restart a daemon waited up to 1.5 s for a heartbeat; a stopping one refused hand-overs for the 2.2 s in which its callers leave. Uploads left their zone for 80 ms of wait.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -15,6 +15,7 @@
 from godwitpass.internal.relay.frames import Load
 from godwitpass.internal.relay.placement import Placement
 from godwitpass.internal.relay.routes import RelayRoute, RelayTable, compile_routes
+from godwitpass.internal.relay.slots import CALLED_RANK
 from godwitpass.internal.relay.splits import Splitter
 from godwitpass.mesh import Upstream
 from godwitpass.snapshot import Snapshot
@@ -110,7 +111,7 @@
         if self.table is None:
             return
         known: set[InstanceId] = set()
-        for service in self.table.connections:
+        for service in self.table.services:
             upstreams = self._list_upstreams(service)
             self.placement.update(service, upstreams)
             for upstream in upstreams:
@@ -118,8 +119,13 @@
                 self._instances[upstream.address] = upstream.instance
         self.placement.keep_only(known)
 
-    def choose_rank(self, route: RelayRoute) -> int:
-        """Return the rank of a call; lower ones go first."""
+    def choose_rank(self, route: RelayRoute, request_id: str) -> int:
+        """Return the rank of a call; lower ones go first.
+
+        A call that a running upstream makes goes before others, since its run would be wasted.
+        """
+        if self.host.is_running(request_id.rpartition(".")[0]):
+            return CALLED_RANK
         return route.policy.priority
 
     def find_link(self, upstream: Upstream, body_bytes: int) -> Link:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/exchange.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/exchange.py
@@ -73,7 +73,7 @@
             timeout_s = min(timeout_s, head.timeout_ms / 1000)
         self._deadline = self.arrived_at + timeout_s - DEADLINE_MARGIN_S
         self._objective_at = self.arrived_at + policy.objective_ms / 1000
-        self._rank = core.choose_rank(route)
+        self._rank = core.choose_rank(route, head.request_id)
         self._service = ServiceName("")
         self._body = b""
         self._avoid: set[InstanceId] = set()
@@ -155,7 +155,12 @@
         assert upstream is not None
         failed = frame.status >= 500
         core.placement.note_answer(
-            upstream.instance, self.route.name, frame.service_ms / 1000, failed, now
+            upstream.instance,
+            self.route.name,
+            frame.service_ms / 1000,
+            len(frame.body),
+            failed,
+            now,
         )
         bodyless = self.head.method == b"HEAD" or frame.status in (204, 304)
         close = self._turn.decide_close()
@@ -192,9 +197,8 @@
         if left_s < MIN_USEFUL_S:
             self._refuse("no time left")
             return
-        upload = self.route.policy.uploads
         upstream = core.placement.choose(
-            self._service, self.route.name, now, upload, frozenset(self._avoid)
+            self._service, self.route.name, now, len(self._body), frozenset(self._avoid)
         )
         if upstream is None:
             self._refuse("no upstream")
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/headers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/headers.py
@@ -16,7 +16,8 @@
 
     `request_id` names one attempt of a caller, `timeout_ms` is the time it will wait, `target`
     names the upstream that is meant, `caller_service` the service beside which a call began,
-    `not_run` marks an upstream's refusal, `seal` an upstream's own answer.
+    `not_run` marks an upstream's refusal, `seal` an upstream's own answer, `instance` names the
+    upstream in the answer to a health check.
     """
 
     request_id: bytes
@@ -25,6 +26,7 @@
     caller_service: bytes
     not_run: bytes
     seal: bytes
+    instance: bytes
 
 
 class RequestFault(Exception):
@@ -61,6 +63,7 @@
     encoded_content: bool
     keeps_open: bool
     idle_s: float | None
+    instance: bytes
 
 
 def read_request(
@@ -116,7 +119,7 @@
 ) -> AnswerHead:
     """Check an upstream's answer head."""
     framing, body_bytes = Framing.UNMARKED, -1
-    request_id = b""
+    request_id = instance = b""
     not_run = sealed = encoded_content = False
     idle_s: float | None = None
     connection: list[bytes] = []
@@ -138,6 +141,8 @@
                 not_run = True
             elif lower == names.seal:
                 sealed = True
+            elif lower == names.instance:
+                instance = value
             elif lower == b"content-encoding" and value.lower() != b"identity":
                 encoded_content = True
             lines.append(b"%b: %b\r\n" % (name, value))
@@ -156,6 +161,7 @@
         encoded_content,
         keeps_open,
         idle_s,
+        instance,
     )
 
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/host.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/host.py
@@ -1,6 +1,7 @@
 """Runs calls at the upstream beside this daemon, within its slots."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from typing import Protocol
 
@@ -312,10 +313,11 @@
         self.slots = Slots()
         self.pool = UpstreamPool(names, now)
         self.stopping = False
-        self.counts: dict[str, int] = {}
+        self.counts: Counter[str] = Counter()
         self._emit = emit
         self._drain_s = drain_s
         self._jobs: dict[int, Job] = {}
+        self._running: Counter[str] = Counter()
         self._next = 0
 
     @property
@@ -323,6 +325,10 @@
         """Return the number of calls at this daemon."""
         return len(self._jobs)
 
+    def is_running(self, request_id: str) -> bool:
+        """Tell whether the upstream runs the request with this id now."""
+        return bool(request_id) and request_id in self._running
+
     def load(self) -> Load:
         """Return what other daemons are told."""
         slots = self.slots
@@ -343,6 +349,7 @@
         self._next += 1
         job = Job(self, sender, opened, self._next)
         self._jobs[job.number] = job
+        self._running[opened.request_id] += 1
         if job.is_complete:
             self.admit(job)
         return job
@@ -358,6 +365,10 @@
     def end(self, job: Job, completed: bool) -> Load:
         """Free what a call took and let the next one run."""
         self._jobs.pop(job.number, None)
+        request_id = job.opened.request_id
+        self._running[request_id] -= 1
+        if not self._running[request_id]:
+            del self._running[request_id]
         now = self.now()
         if self.slots.withdraw(job.number):
             return self.load()
@@ -388,11 +399,11 @@
 
     def note_refusal(self, status: int) -> None:
         """Count a refusal by the upstream itself."""
-        self._count(f"upstream-refused-{status}")
+        self.counts[f"upstream-refused-{status}"] += 1
 
     def note_unreachable(self, error: Exception) -> None:
         """Report that the upstream accepts no connection."""
-        self._count("upstream-unreachable")
+        self.counts["upstream-unreachable"] += 1
         self._emit(kinds.UPSTREAM_UNREACHABLE, {"error": repr(error)})
 
     def is_silent(self) -> bool:
@@ -430,6 +441,3 @@
         job = self._jobs.get(ticket.number)
         if job is not None:
             job.refuse(reason, retry_s)
-
-    def _count(self, name: str) -> None:
-        self.counts[name] = self.counts.get(name, 0) + 1
--- /dev/null
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/probe.py
@@ -0,0 +1,50 @@
+"""Asks the upstream beside a daemon that has just started who it is.
+
+Its next heartbeat may be more than a second away; until then the daemon could hand it no call.
+"""
+
+import asyncio
+
+from godwitpass_daemon.relay.connections import UpstreamPool
+from godwitpass_daemon.relay.headers import AnswerHead
+
+PROBE_TIMEOUT_S = 0.5
+
+
+class _Answer:
+    """Collects the answer to the probe."""
+
+    def __init__(self) -> None:
+        self.head: AnswerHead | None = None
+        self.ended = asyncio.Event()
+
+    def take_head(self, head: AnswerHead) -> None:
+        """Keep the head."""
+        self.head = head
+
+    def take_body(self, data: bytes) -> None:
+        """Drop the body, which says nothing."""
+
+    def take_end(self) -> None:
+        """End the wait."""
+        self.ended.set()
+
+    def take_loss(self, received: bool, invalid: bool) -> None:
+        """End the wait without an answer."""
+        self.head = None
+        self.ended.set()
+
+
+async def probe_upstream(pool: UpstreamPool, path: str, host: str) -> str:
+    """Return the id that a healthy upstream gives, or an empty text."""
+    answer = _Answer()
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT_S):
+            connection = await pool.connect()
+            request = b"GET %b HTTP/1.1\r\nhost: %b\r\n\r\n" % (path.encode(), host.encode())
+            connection.send(answer, b"GET", b"", request)
+            await answer.ended.wait()
+    except (OSError, TimeoutError):
+        return ""
+    head = answer.head
+    return head.instance.decode("latin-1") if head is not None and head.status == 200 else ""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -20,6 +20,7 @@
 from godwitpass_daemon.relay.host import Host
 from godwitpass_daemon.relay.ingress import CallerConnection
 from godwitpass_daemon.relay.limits import SWEEP_INTERVAL_S
+from godwitpass_daemon.relay.probe import probe_upstream
 from godwitpass_daemon.relay.reception import Reception
 from godwitpass_daemon.services.distribution import DistributionService
 from godwitpass_daemon.services.membership import MembershipService
@@ -40,14 +41,19 @@
 MAX_TAKE_SHARE = 0.5
 """The same as a share of the grace, for deployments with a short one."""
 
+ACCEPT_WHILE_STOPPING_S = 1.0
+"""Time in which a stopping daemon still lets its upstream run calls of other daemons."""
+
 DRAIN_POLL_S = 0.05
+FEWEST_SLOTS = 4
+"""Slots of an upstream that has not told how many it has, where no other of its service has."""
 
 
 class RelayTerms(msgspec.Struct, frozen=True):
     """What the deployment asks of the relay; durations in seconds.
 
-    `drain_s` is how long a leaving upstream still takes calls, `grace_s` the time between the
-    request to stop and the end of the process.
+    `upstream` is where the upstream beside the daemon listens, `drain_s` how long a leaving one
+    still takes calls, `grace_s` the time between the request to stop and the end of the process.
     """
 
     callers: Address
@@ -55,6 +61,7 @@
     instance: InstanceId
     zone: ZoneId
     service: ServiceName
+    upstream: Address
     drain_s: float
     grace_s: float
     budget: BudgetTerms
@@ -129,6 +136,7 @@
         gc.freeze()
         gc.set_threshold(*COLLECTOR_THRESHOLDS)
         tasks.start_soon(self._sweep)
+        tasks.start_soon(self._identify_upstream)
 
     async def stop(self) -> None:
         """Let callers and other daemons go elsewhere, finish calls in progress, then close."""
@@ -136,10 +144,6 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         core.stopping = True
-        core.host.stopping = True
-        self._membership.withdraw()
-        for reception in list(core.receptions):
-            reception.announce_leaving()
         self._events.emit(
             kinds.RELAY_DRAINING, calls=core.exchanges, jobs=core.host.jobs_in_progress
         )
@@ -147,6 +151,8 @@
         end = began + grace_s - STOP_MARGIN_S
         refuse_at = began + min(TAKE_WHILE_STOPPING_S, MAX_TAKE_SHARE * grace_s)
         while loop.time() < end:
+            if not core.host.stopping and loop.time() - began > ACCEPT_WHILE_STOPPING_S:
+                self._withdraw(core)
             core.refusing = loop.time() >= refuse_at
             busy = core.exchanges or core.host.jobs_in_progress
             if not busy and loop.time() - began > UNREADY_PROBES_S:
@@ -164,6 +170,13 @@
         core.host.pool.close_all()
         self._events.emit(kinds.RELAY_DRAINED, cut=cut)
 
+    def _withdraw(self, core: RelayCore) -> None:
+        """Let other daemons hand nothing more to this one."""
+        core.host.stopping = True
+        self._membership.withdraw()
+        for reception in list(core.receptions):
+            reception.announce_leaving()
+
     async def take_heartbeat(self, heartbeat: Heartbeat) -> Verdict:
         """Take in what the upstream beside this daemon says of itself."""
         core = self.core
@@ -221,6 +234,27 @@
             self._servers.append(server)
         self._events.emit(kinds.RELAY_LISTENING, callers=terms.callers, peers=terms.peers)
 
+    async def _identify_upstream(self) -> None:
+        """Learn who the upstream is, unless a heartbeat tells before."""
+        core, terms = self.core, self._terms
+        while core.table is None:  # noqa: ASYNC110 - the table is no event
+            await anyio.sleep(DRAIN_POLL_S)
+        service = core.table.services.get(terms.service)
+        if core.host.registration.current is not None or service is None:
+            return
+        if not service.health_path:
+            return
+        core.host.pool.set_address(terms.upstream)
+        found = await probe_upstream(core.host.pool, service.health_path, terms.upstream)
+        if not found or core.host.registration.current is not None:
+            return
+        known = [upstream.slots for upstream in self._membership.upstreams(terms.service)]
+        slots = min(known, default=FEWEST_SLOTS)
+        # Any heartbeat of the upstream is newer than this.
+        await self.take_heartbeat(
+            Heartbeat(InstanceId(found), terms.service, terms.upstream, slots, False, 0, 0)
+        )
+
     async def _sweep(self) -> None:
         while True:
             await anyio.sleep(SWEEP_INTERVAL_S)
--- a/packages/godwitpass/src/godwitpass/document.py
+++ b/packages/godwitpass/src/godwitpass/document.py
@@ -135,6 +135,12 @@
     connections: Annotated[
         int, Meta(ge=1, le=MAX_CONNECTIONS, description="Connections that one upstream bears.")
     ] = 110
+    health_path: Annotated[
+        str,
+        Meta(
+            max_length=512, description="Path that tells whether an upstream is well; may be empty."
+        ),
+    ] = ""
 
 
 class Share(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/godwitpass/src/godwitpass/internal/relay/placement.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/placement.py
@@ -9,11 +9,14 @@
 from godwitpass.internal.relay.frames import Load
 from godwitpass.mesh import Upstream, UpstreamState
 
-REMOTE_COST_S = 0.03
+REMOTE_COST_S = 0.012
 """Time that a call may be expected to wait longer before it leaves its availability zone."""
 
-REMOTE_UPLOAD_COST_S = 0.08
-"""The same for calls with large bodies, which cost more between zones."""
+REMOTE_COST_S_PER_BYTE = 4e-6
+"""The same for each byte of request and answer, since bytes between zones are paid for."""
+
+BYTES_GAIN = 0.05
+INITIAL_ANSWER_BYTES = 2_000
 
 LOCAL_GAIN_S = 0.01
 """Advantage of the upstream beside this daemon."""
@@ -31,6 +34,8 @@
 """Bounds of the time that an unreachable upstream is left alone, which doubles each time."""
 
 MIN_SPEED, MAX_SPEED = 0.2, 8.0
+MAX_ROUTES = 4_096
+"""Routes of which something is remembered."""
 
 
 class Peer(msgspec.Struct):
@@ -63,6 +68,7 @@
         self._peers: dict[InstanceId, Peer] = {}
         self._services: dict[ServiceName, list[Peer]] = {}
         self._work_s: dict[RouteName, float] = {}
+        self._answer_bytes: dict[RouteName, float] = {}
 
     def update(self, service: ServiceName, upstreams: Iterable[Upstream]) -> None:
         """Take in the upstreams of `service`; what was learned of known ones is kept."""
@@ -91,7 +97,7 @@
         service: ServiceName,
         route: RouteName,
         now: float,
-        upload: bool = False,
+        body_bytes: int = 0,
         avoid: frozenset[InstanceId] = frozenset(),
     ) -> Upstream | None:
         """Return the upstream whose answer is expected first; None if there is none to try."""
@@ -102,7 +108,8 @@
         if not reachable:
             return None
         work = self._work_s.get(route, INITIAL_WORK_S)
-        remote = REMOTE_UPLOAD_COST_S if upload else REMOTE_COST_S
+        moved = body_bytes + self._answer_bytes.get(route, INITIAL_ANSWER_BYTES)
+        remote = REMOTE_COST_S + REMOTE_COST_S_PER_BYTE * moved
         best = min(reachable, key=lambda peer: self._score(peer, work, remote, now))
         return best.upstream
 
@@ -130,17 +137,26 @@
             peer.paused_until = 0.0
 
     def note_answer(
-        self, instance: InstanceId, route: RouteName, service_s: float, failed: bool, now: float
+        self,
+        instance: InstanceId,
+        route: RouteName,
+        service_s: float,
+        answer_bytes: int,
+        failed: bool,
+        now: float,
     ) -> None:
         """Learn from an answer how fast and how sound the upstream is."""
         peer = self._peers.get(instance)
         work = self._work_s.get(route)
         if not failed:
             if work is None:
-                if len(self._work_s) > 4_096:
+                if len(self._work_s) >= MAX_ROUTES:
                     self._work_s.clear()
-                self._work_s[route] = work = max(service_s, 0.001)
+                    self._answer_bytes.clear()
+                work = max(service_s, 0.001)
             self._work_s[route] = work + WORK_GAIN * (service_s - work)
+            held = self._answer_bytes.get(route, float(answer_bytes))
+            self._answer_bytes[route] = held + BYTES_GAIN * (answer_bytes - held)
         if peer is None:
             return
         if not failed and work is not None:
--- a/packages/godwitpass/src/godwitpass/internal/relay/routes.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/routes.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from godwitpass.document import CallerLimits, Execution, Route
+from godwitpass.document import CallerLimits, Execution, Route, Service
 from godwitpass.ids import RouteName, ServiceName, Version
 from godwitpass.policy import ResolvedPolicy, resolve_policies
 from godwitpass.snapshot import Snapshot
@@ -27,7 +27,7 @@
     version: Version
     limits: CallerLimits
     hosts: dict[str, dict[str, RelayRoute]]
-    connections: dict[ServiceName, int]
+    services: dict[ServiceName, Service]
 
     def find(self, host: str, path: str) -> RelayRoute | None:
         """Return the route of `host` with the longest prefix that begins `path`."""
@@ -53,8 +53,8 @@
         compiled = RelayRoute(route.name, policies[route.policy], _list_shares(route))
         prefix = route.path_prefix.rstrip("/") + "/"
         hosts.setdefault(route.host, {})[prefix] = compiled
-    connections = {service.name: service.connections for service in document.services}
-    return RelayTable(snapshot.version, document.limits, hosts, connections)
+    services = {service.name: service for service in document.services}
+    return RelayTable(snapshot.version, document.limits, hosts, services)
 
 
 def _list_shares(route: Route) -> tuple[tuple[ServiceName, int], ...]:
--- a/packages/godwitpass/src/godwitpass/internal/relay/slots.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/slots.py
@@ -18,6 +18,15 @@
 WORK_GAIN = 0.1
 """Weight of the newest call in the mean time of its route."""
 
+CALLED_RANK = -1
+"""Rank of calls that a running upstream makes: turning one away wastes the work of its caller."""
+
+PATIENCE = 0.3
+"""Share of its time that a call may wait, where its objective leaves less than that.
+
+Longer queues serve no more calls under lasting overload, and all of them late.
+"""
+
 RETRY_FLOOR_S = 0.05
 """Shortest time after which a refused caller is told to come back."""
 
@@ -119,13 +128,20 @@
         """Order by rank; those that can still meet their objective first, the earliest ahead."""
 
         def key(ticket: Ticket) -> tuple[int, bool, float]:
+            if ticket.rank == CALLED_RANK:
+                return ticket.rank, False, ticket.deadline
             late = now + self.expect_work(ticket.route) > ticket.objective_at
             return ticket.rank, late, ticket.objective_at
 
         return sorted(tickets, key=key)
 
     def _latest_start(self, ticket: Ticket) -> float:
-        return ticket.deadline - self.expect_work(ticket.route)
+        work_s = self.expect_work(ticket.route)
+        last = ticket.deadline - work_s
+        if ticket.rank == CALLED_RANK:
+            return last
+        patience_s = PATIENCE * (ticket.deadline - ticket.arrived_at)
+        return min(last, max(ticket.objective_at - work_s, ticket.arrived_at + patience_s))
 
     def _project_start(self, ahead: list[Ticket], now: float) -> float:
         """Return the time until a slot is free for whoever comes after `ahead`."""
