Bind a restarted daemon to drains that its earlier life acknowledged

Change: a first heartbeat that is draining counts as acknowledged long ago; while the upstream's own health answer is bad, one ready heartbeat isn't enough. Ruled out as a way: a record in the store for each drain (two writes and a read at each start; not needed, since only this daemon reaches the server).

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/probe.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/probe.py
@@ -5,6 +5,8 @@
 
 import asyncio
 
+import msgspec
+
 from godwitpass_daemon.relay.connections import UpstreamPool
 from godwitpass_daemon.relay.headers import AnswerHead
 
@@ -35,8 +37,15 @@
         self.ended.set()
 
 
-async def probe_upstream(pool: UpstreamPool, path: str, host: str) -> str:
-    """Return the id that a healthy upstream gives, or an empty text."""
+class Health(msgspec.Struct, frozen=True):
+    """What an upstream said of itself; `upstream` is empty where it gave no id."""
+
+    well: bool
+    upstream: str
+
+
+async def probe_upstream(pool: UpstreamPool, path: str, host: str) -> Health | None:
+    """Return what the upstream says, None if it gives no answer."""
     answer = _Answer()
     try:
         async with asyncio.timeout(PROBE_TIMEOUT_S):
@@ -45,6 +54,8 @@
             connection.send(answer, b"GET", b"", request)
             await answer.ended.wait()
     except (OSError, TimeoutError):
-        return ""
+        return None
     head = answer.head
-    return head.instance.decode("latin-1") if head is not None and head.status == 200 else ""
+    if head is None:
+        return None
+    return Health(head.status == 200, head.instance.decode("latin-1"))
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -185,9 +185,9 @@
         registration = core.host.registration
         before = (registration.current and registration.current.upstream, registration.state)
         verdict = registration.take(heartbeat, core.now())
-        if verdict is Verdict.OUTDATED:
+        if verdict is not Verdict.TAKEN:
             self._events.emit(
-                kinds.HEARTBEAT_DROPPED, upstream=heartbeat.upstream, reason="outdated"
+                kinds.HEARTBEAT_DROPPED, upstream=heartbeat.upstream, reason=verdict.value
             )
             return verdict
         core.caller_service = heartbeat.service.encode()
@@ -247,14 +247,19 @@
         if not service.health_path:
             return
         core.host.pool.set_address(terms.upstream)
-        found = await probe_upstream(core.host.pool, service.health_path, terms.upstream)
-        if not found or core.host.registration.current is not None:
+        health = await probe_upstream(core.host.pool, service.health_path, terms.upstream)
+        if health is None or core.host.registration.current is not None:
+            return
+        core.host.registration.doubted = not health.well
+        if not health.well or not health.upstream:
             return
         known = [upstream.slots for upstream in self._membership.upstreams(terms.service)]
         slots = min(known, default=FEWEST_SLOTS)
         # Any heartbeat of the upstream is newer than this.
         await self.take_heartbeat(
-            Heartbeat(InstanceId(found), terms.service, terms.upstream, slots, False, 0, 0)
+            Heartbeat(
+                InstanceId(health.upstream), terms.service, terms.upstream, slots, False, 0, 0
+            )
         )
 
     async def _sweep(self) -> None:
--- a/packages/godwitpass/src/godwitpass/internal/relay/registration.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/registration.py
@@ -1,5 +1,6 @@
 """What a daemon knows of the upstream beside it, from the upstream's own heartbeats."""
 
+import math
 from enum import Enum
 
 import msgspec
@@ -40,15 +41,24 @@
 
     TAKEN = "taken"
     OUTDATED = "outdated"
+    DOUBTFUL = "doubtful"
 
 
 class Registration:
-    """Holds the newest incarnation of the upstream; a drain or departure is never undone."""
+    """Holds the newest incarnation of the upstream; a drain or departure is never undone.
+
+    A daemon that has just started may have acknowledged a drain in its earlier life. A first
+    heartbeat that is draining therefore counts as acknowledged long ago. `doubted` is set while the
+    upstream itself says that it isn't well or leaves: then one heartbeat that is ready may be a
+    late one, and only a second one is taken.
+    """
 
     def __init__(self) -> None:
         self.current: Heartbeat | None = None
         self.heard_at = 0.0
         self.drained_at: float | None = None
+        self.doubted = False
+        self._doubtful: Heartbeat | None = None
         self._departed: dict[InstanceId, int] = {}
 
     @property
@@ -65,15 +75,23 @@
         current = self.current
         if current is not None and not _is_newer(heartbeat, current):
             return Verdict.OUTDATED
+        if current is None and self._is_doubtful(heartbeat):
+            return Verdict.DOUBTFUL
         same = current is not None and _is_same_start(heartbeat, current)
         if not same:
             self.drained_at = None
         if heartbeat.draining and self.drained_at is None:
-            self.drained_at = now
+            self.drained_at = -math.inf if current is None else now
         self.current = heartbeat
         self.heard_at = now
         return Verdict.TAKEN
 
+    def _is_doubtful(self, heartbeat: Heartbeat) -> bool:
+        if not self.doubted or heartbeat.draining:
+            return False
+        held, self._doubtful = self._doubtful, heartbeat
+        return held is None or not _is_newer(heartbeat, held)
+
     def depart(self, departure: Departure, now: float) -> Verdict:
         """Take in that an upstream leaves; it may still run calls for a while."""
         current = self.current
