Refuse bodies that can't arrive in time before they take the link

Measured at the daemon: 250 KB/s of bodies, 50 KB/s of answers and 40 KB/s of the server's own traffic; parts came 55 ms apart whatever the window. Change: a body is let in only if what is on its way leaves it time for its objective; the rate is measured while the link is busy; nothing of a large body is sent before it is let in.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/host.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/host.py
@@ -114,7 +114,7 @@
         """Take in a part of the request's body."""
         self._body.append(data)
         self._body_left -= len(data)
-        self._host.proceed(self._host.inbound.receive(self.number, len(data)))
+        self._host.proceed(self._host.inbound.receive(self.number, len(data), self._host.now()))
         if self.is_complete and not self.done:
             self._host.admit(self)
 
@@ -324,7 +324,6 @@
         self.registration = Registration()
         self.slots = Slots()
         self.inbound = Inbound(bytes_per_s, BODY_CHUNK_BYTES)
-        self._bytes_per_ms = max(1, int(bytes_per_s / 1000))
         self.pool = UpstreamPool(names, now)
         self.stopping = False
         self.counts: Counter[str] = Counter()
@@ -351,7 +350,7 @@
             len(slots.waiting),
             slots.limit,
             int(self.inbound.backlog_s * 1000),
-            self._bytes_per_ms,
+            max(1, int(self.inbound.bytes_per_s / 1000)),
         )
 
     def accepts(self, service: ServiceName) -> bool:
@@ -372,10 +371,13 @@
         if job.is_complete:
             self.admit(job)
             return job
+        # What will not be run must not take the link.
         reason = self._find_refusal(opened)
+        transfer_s = self.inbound.expect_transfer(job.body_left)
         if reason is not None:
-            # Known before the rest of the body takes the link.
             job.refuse(reason, 0.0)
+        elif self.slots.is_hopeless(job.ticket, self.now() + transfer_s):
+            job.refuse(Refusal.NO_ROOM, self.inbound.backlog_s)
         else:
             self.proceed(self.inbound.open(job.number, job.body_left))
         return job
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/links.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/links.py
@@ -134,10 +134,11 @@
             self._heard_at = max(self._heard_at, now)
         self._used_at = now
         self._streams[number] = stream
-        first = body[:BODY_CHUNK_BYTES]
+        paced = len(body) > BODY_CHUNK_BYTES
+        first = b"" if paced else body
         self._write(msgspec.structs.replace(opened, stream=number, body=first))
-        if len(body) > BODY_CHUNK_BYTES:
-            self._bodies[number] = body[BODY_CHUNK_BYTES:]
+        if paced:
+            self._bodies[number] = body
         return number
 
     def cancel(self, number: int) -> None:
--- a/packages/godwitpass/src/godwitpass/internal/relay/slots.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/slots.py
@@ -81,6 +81,10 @@
         self.waiting[ticket.number] = ticket
         return self.review(now)
 
+    def is_hopeless(self, ticket: Ticket, start_at: float) -> bool:
+        """Tell whether a call that starts at `start_at` is refused rather than kept waiting."""
+        return start_at > self._latest_start(ticket)
+
     def withdraw(self, number: int) -> bool:
         """Drop a call that waits; False if it doesn't."""
         return self.waiting.pop(number, None) is not None
--- a/packages/godwitpass/tests/relay/test_parts.py
+++ b/packages/godwitpass/tests/relay/test_parts.py
@@ -187,7 +187,7 @@
         inbound = Inbound(500_000.0, 16_384)
         first = inbound.open(1, 40_000)
         assert not inbound.open(2, 10_000)
-        later = [grant for held in first for grant in inbound.receive(1, held.size)]
+        later = [grant for held in first for grant in inbound.receive(1, held.size, 0.0)]
         assert {grant.number for grant in later} == {1, 2}
 
     def test_a_body_that_is_given_up_frees_what_was_granted_to_it(self) -> None:
@@ -203,11 +203,23 @@
         while waiting:
             grant = waiting.pop(0)
             total += grant.size
-            waiting += inbound.receive(grant.number, grant.size)
+            waiting += inbound.receive(grant.number, grant.size, 0.0)
         assert total == 5 * 50_000
         assert inbound.backlog_s == 0.0
 
 
+class TestMeasuredRate:
+    def test_a_link_that_brings_half_of_its_rate_is_believed_to_have_half(self) -> None:
+        inbound = Inbound(600_000.0, 16_384)
+        waiting = [grant for n in range(200) for grant in inbound.open(n, 60_000)]
+        now = 0.0
+        while waiting and now < 8.0:
+            grant = waiting.pop(0)
+            now += grant.size / 300_000
+            waiting += inbound.receive(grant.number, grant.size, now)
+        assert inbound.bytes_per_s == pytest.approx(300_000, rel=0.1)
+
+
 class TestPlacement:
     def test_the_own_zone_comes_first_while_it_has_room(self) -> None:
         placement = Placement(InstanceId("own"), ZoneId("a"), random.Random(1))
