Log decisions as sampled lines on standard output, serve metrics, explain a request

Cause: logs were lines of good calls up to a bound of 50 a second, on a blocking stream; nothing was served on a metrics address.

--- a/packages/godwitpass-cli/src/godwitpass_cli/main.py
+++ b/packages/godwitpass-cli/src/godwitpass_cli/main.py
@@ -27,6 +27,7 @@
     documents.rollback,
     observation.status,
     observation.timeline,
+    observation.explain,
     observation.drain,
 ):
     app.command()(command)
--- a/packages/godwitpass-cli/src/godwitpass_cli/observation.py
+++ b/packages/godwitpass-cli/src/godwitpass_cli/observation.py
@@ -10,7 +10,7 @@
 from godwitpass.administration import DrainResult, Status, Timeline
 from godwitpass.events import Level, TimelineEvent, list_levels
 from godwitpass.ids import Address
-from godwitpass.timeline import merge_timelines, parse_timeline
+from godwitpass.timeline import belongs_to, merge_timelines, parse_timeline
 from godwitpass_cli.client import Call
 from godwitpass_cli.exits import ExitCode
 from godwitpass_cli.failures import CommandError
@@ -70,6 +70,28 @@
         session.print_table(headings, [_list_cells(event) for event in events])
 
 
+def explain(
+    context: typer.Context,
+    request: Annotated[str, typer.Argument(help="Id of a request, as its caller sent it.")],
+    files: Annotated[list[Path], typer.Argument(help="Logs of the daemons, in JSON form.")],
+    output: Output = OutputForm.TABLE,
+) -> None:
+    """Show what became of one request and of the calls that its run made, in order."""
+    session = find_session(context)
+    events = [
+        event
+        for event in merge_timelines(_read_log(path) for path in files)
+        if belongs_to(event, request)
+    ]
+    if not events:
+        message = f"no event of request {request!r} in {len(files)} logs"
+        remedy = "check the id and the time of the logs; of good requests one in 16 is logged"
+        raise CommandError(ExitCode.NOT_FOUND, message, remedy)
+    if not session.print_message(Timeline(tuple(events))):
+        headings = ("TIME", "ZONE", "INSTANCE", "VERSION", "EVENT", "FIELDS")
+        session.print_table(headings, [_list_cells(event) for event in events])
+
+
 def drain(
     context: typer.Context,
     address: Annotated[str, typer.Argument(help="Administration address of the daemon beside it.")],
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/eventlog/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/eventlog/service.py
@@ -16,7 +16,8 @@
 from godwitpass.snapshot import Snapshot
 from godwitpass_daemon.eventlog.events import STARTED, STOPPING, SUPPRESSED
 from godwitpass_daemon.eventlog.limiter import EventLimiter
-from godwitpass_daemon.settings import LogFormat, Settings
+from godwitpass_daemon.eventlog.output import LineOutput
+from godwitpass_daemon.settings import LogFormat, LogOutput, Settings
 
 if TYPE_CHECKING:
     from loguru import Record
@@ -43,11 +44,17 @@
     async def start(self, tasks: TaskGroup) -> None:
         """Open the log."""
         as_json = self._settings.log_format is LogFormat.JSON
-        self._add_sink(sys.stderr, as_json)
+        self._add_sink(self._open_output(), as_json)
         if self._settings.log_file is not None:
             self.open_file(self._settings.log_file)
         self.emit(STARTED)
 
+    def _open_output(self) -> object:
+        if self._settings.log_output is LogOutput.STDERR:
+            return sys.stderr
+        self.output = LineOutput(sys.stdout.fileno())
+        return self.output.write
+
     async def stop(self) -> None:
         """Close the log; the ring stays readable."""
         self.emit(STOPPING)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -15,6 +15,7 @@
 from godwitpass.internal.relay.frames import Load
 from godwitpass.internal.relay.placement import Placement
 from godwitpass.internal.relay.routes import RelayRoute, RelayTable, compile_routes
+from godwitpass.internal.relay.sampling import is_sampled
 from godwitpass.internal.relay.slots import CALLED_RANK
 from godwitpass.internal.relay.splits import Splitter
 from godwitpass.mesh import Upstream
@@ -33,6 +34,7 @@
 PAUSE_NOTICED_S = 1.0
 """A sweep that comes this much late shows that the process stood still."""
 
+GOOD_STATUSES = range(200, 400)
 LATENCY_MAX_US = 3_600_000_000
 LATENCY_DIGITS = 2
 
@@ -87,6 +89,11 @@
         """Return what callers may send."""
         return self.table.limits if self.table is not None else CallerLimits()
 
+    @property
+    def links_open(self) -> int:
+        """Return the number of connections to other daemons."""
+        return len(self._links)
+
     @property
     def idle_timeout_s(self) -> float:
         """Return how long a caller's connection may be idle."""
@@ -175,11 +182,17 @@
         took_s = self.now() - exchange.arrived_at
         self.latency_us.record_value(max(1, int(took_s * 1_000_000)))
         self.counts[f"status-{fields['status']}"] += 1
-        head = exchange.head
+        request_id = exchange.head.request_id
+        if fields["status"] in GOOD_STATUSES:
+            if not is_sampled(request_id):
+                return
+            kind = kinds.CALL_ENDED
+        else:
+            kind = kinds.CALL_FAILED
         self._emit(
-            kinds.CALL_ENDED,
+            kind,
             {
-                "request": head.request_id,
+                "request": request_id,
                 "route": exchange.route.name,
                 "took_ms": int(took_s * 1000),
                 **fields,
@@ -187,13 +200,14 @@
         )
 
     def note_retry(self, exchange: Exchange, upstream: Upstream, reason: str) -> None:
-        """Log that a call goes to another upstream."""
+        """Log that a call goes to another upstream, with what was known of the one it left."""
         self.counts["retry"] += 1
         fields: dict[str, Field] = {
             "request": exchange.head.request_id,
             "route": exchange.route.name,
             "left": upstream.instance,
             "reason": reason,
+            **self.placement.describe(upstream.instance, self.now()),
         }
         self._emit(kinds.CALL_RETRIED, fields)
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/host.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/host.py
@@ -24,6 +24,7 @@
 )
 from godwitpass.internal.relay.inbound import Grant, Inbound
 from godwitpass.internal.relay.registration import Registration
+from godwitpass.internal.relay.sampling import is_sampled
 from godwitpass.internal.relay.slots import Decision, Slots, Ticket
 from godwitpass_daemon.relay.connections import UpstreamConnection, UpstreamPool
 from godwitpass_daemon.relay.headers import AnswerHead, HeaderNames, encode_request
@@ -139,6 +140,7 @@
     def refuse(self, reason: Refusal, retry_s: float, arrived: bool = False) -> None:
         """Answer that the call has not run."""
         if not self.done:
+            self._host.note_refused(self, reason, retry_s)
             load = self._end()
             self._sender.send(
                 Refused(self.opened.stream, reason, arrived, int(retry_s * 1000), load)
@@ -148,6 +150,7 @@
         """Answer that the call may have run."""
         if self.done:
             return
+        self._host.note_failed(self, reason)
         self._drop_connection()
         if self._passing_on:
             self._end()
@@ -230,6 +233,7 @@
         now = self._host.now()
         wait_ms = int((self.ticket.started_at - self.ticket.arrived_at) * 1000)
         service_ms = int((now - self._sent_at) * 1000)
+        self._host.note_answered(self, head.status, wait_ms, service_ms)
         body = b"".join(self._answer)
         self._answer.clear()
         load = self._end(completed=head.status < 500) if last else self._host.load()
@@ -433,6 +437,50 @@
         self.slots.limit = max(1, current.slots)
         self._perform(self.slots.review(self.now()))
 
+    def note_refused(self, job: Job, reason: Refusal, retry_s: float) -> None:
+        """Count and log a call that was not run, with what decided it."""
+        self.counts[f"refused-{reason.name.lower()}"] += 1
+        now, slots = self.now(), self.slots
+        self._emit(
+            kinds.RUN_REFUSED,
+            {
+                "request": job.opened.request_id,
+                "route": job.opened.route,
+                "reason": reason.name.lower(),
+                "running": len(slots.running),
+                "waiting": len(slots.waiting),
+                "slots": slots.limit,
+                "work_ms": int(slots.expect_work(job.opened.route) * 1000),
+                "inbound_ms": int(self.inbound.backlog_s * 1000),
+                "left_ms": int((job.deadline - now) * 1000),
+                "waited_ms": int((now - job.ticket.arrived_at) * 1000),
+                "retry_ms": int(retry_s * 1000),
+            },
+        )
+
+    def note_failed(self, job: Job, reason: Failure) -> None:
+        """Count and log a call that has no whole answer."""
+        self.counts[f"failed-{reason.name.lower()}"] += 1
+        self._emit(kinds.RUN_FAILED, self._describe(job, reason.name.lower()))
+
+    def note_answered(self, job: Job, status: int, wait_ms: int, service_ms: int) -> None:
+        """Count an answer and log some."""
+        self.counts[f"answered-{status}"] += 1
+        if status >= 500 or is_sampled(job.opened.request_id):
+            fields = self._describe(job, f"status-{status}")
+            self._emit(kinds.RUN_ENDED, {**fields, "wait_ms": wait_ms, "service_ms": service_ms})
+
+    def _describe(self, job: Job, outcome: str) -> dict[str, Field]:
+        current = self.registration.current
+        return {
+            "request": job.opened.request_id,
+            "route": job.opened.route,
+            "outcome": outcome,
+            "upstream": current.upstream if current else "",
+            "heard_ms_ago": int((self.now() - self.registration.heard_at) * 1000),
+            "left_ms": int((job.deadline - self.now()) * 1000),
+        }
+
     def note_refusal(self, status: int) -> None:
         """Count a refusal by the upstream itself."""
         self.counts[f"upstream-refused-{status}"] += 1
--- /dev/null
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/metrics.py
@@ -0,0 +1,49 @@
+"""Metrics of the relay, collected when a scraper asks."""
+
+from collections.abc import Iterator
+
+from godwitpass.mesh import UpstreamState
+from godwitpass_daemon.admin.metrics import Label, Metric, MetricKind, Sample, summarize
+from godwitpass_daemon.eventlog.service import EventLog
+from godwitpass_daemon.relay.core import RelayCore
+
+SECONDS_PER_US = 1e-6
+
+
+def collect_relay(core: RelayCore, events: EventLog) -> Iterator[Metric]:
+    """Yield the metrics of the calls taken here, those run here, and what is known."""
+    host, now = core.host, core.now()
+    yield _count("godwitpass_relay_calls_total", "Calls taken here, by event.", core.counts)
+    yield _count("godwitpass_relay_runs_total", "Calls run here, by outcome.", host.counts)
+    yield summarize(
+        "godwitpass_relay_call_seconds",
+        "Time from a request's head to its answer.",
+        core.latency_us,
+        SECONDS_PER_US,
+    )
+    gauges = {
+        "calls_in_progress": core.exchanges,
+        "runs_in_progress": host.jobs_in_progress,
+        "slots": host.slots.limit,
+        "slots_used": len(host.slots.running),
+        "runs_waiting": len(host.slots.waiting),
+        "caller_connections": len(core.callers),
+        "peer_connections": core.links_open,
+        "held_body_bytes": core.held_body_bytes,
+        "inbound_backlog_seconds": host.inbound.backlog_s,
+        "upstream_connections_opened": host.pool.opened,
+        "configuration_version": core.table.version if core.table else 0,
+        "heartbeat_age_seconds": now - host.registration.heard_at,
+        "upstream_ready": int(host.registration.state is UpstreamState.READY),
+        "log_lines_dropped": events.output.dropped if events.output else 0,
+    }
+    for name, value in gauges.items():
+        summary = name.replace("_", " ").capitalize() + "."
+        yield Metric(f"godwitpass_relay_{name}", summary, MetricKind.GAUGE, (Sample(value),))
+
+
+def _count(name: str, summary: str, counts: dict[str, int]) -> Metric:
+    samples = tuple(
+        Sample(count, (Label("event", event),)) for event, count in sorted(counts.items())
+    )
+    return Metric(name, summary, MetricKind.COUNTER, samples)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -13,6 +13,7 @@
 from godwitpass.internal.relay import events as kinds
 from godwitpass.internal.relay.budget import BudgetTerms
 from godwitpass.internal.relay.registration import Departure, Heartbeat, Verdict
+from godwitpass_daemon.admin.metrics import render_metrics
 from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.listeners import split_address
 from godwitpass_daemon.relay.core import RelayCore
@@ -20,6 +21,7 @@
 from godwitpass_daemon.relay.host import Host
 from godwitpass_daemon.relay.ingress import CallerConnection
 from godwitpass_daemon.relay.limits import SWEEP_INTERVAL_S
+from godwitpass_daemon.relay.metrics import collect_relay
 from godwitpass_daemon.relay.probe import probe_upstream
 from godwitpass_daemon.relay.reception import Reception
 from godwitpass_daemon.services.distribution import DistributionService
@@ -179,6 +181,10 @@
         for reception in list(core.receptions):
             reception.announce_leaving()
 
+    def render_metrics(self) -> str:
+        """Return the metrics as text."""
+        return render_metrics(collect_relay(self.core, self._events))
+
     async def take_heartbeat(self, heartbeat: Heartbeat) -> Verdict:
         """Take in what the upstream beside this daemon says of itself."""
         core = self.core
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/settings.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/settings.py
@@ -39,6 +39,13 @@
     JSON = "json"
 
 
+class LogOutput(Enum):
+    """Where the log goes."""
+
+    STDERR = "stderr"
+    STDOUT = "stdout"
+
+
 class Tuning(msgspec.Struct, frozen=True):
     """Defaults that follow from the size of a deployment."""
 
@@ -121,9 +128,11 @@
     peer_tls: Annotated[
         PeerTlsSettings | None, Meta(description="Mutual TLS between daemons, if wanted.")
     ] = None
-    log_format: Annotated[LogFormat, Meta(description="Form of the log on standard error.")] = (
-        LogFormat.TEXT
-    )
+    log_format: Annotated[LogFormat, Meta(description="Form of the log lines.")] = LogFormat.TEXT
+    log_output: Annotated[
+        LogOutput,
+        Meta(description="Where the log goes; `stdout` never waits for a slow reader."),
+    ] = LogOutput.STDERR
     log_level: Annotated[
         Level, Meta(description="Least severity in the log; the time line has all events.")
     ] = Level.INFO
--- a/packages/godwitpass/src/godwitpass/internal/relay/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/events.py
@@ -22,7 +22,7 @@
 PEER_LOST = EventKind(
     426, "relay.peer-lost", "A connection to another daemon broke or fell silent.", Level.WARNING
 )
-CALL_ENDED = EventKind(427, "relay.call-ended", "A call has its final answer.")
+CALL_ENDED = EventKind(427, "relay.call-ended", "A call has its answer; one in 16 is logged.")
 CALL_RETRIED = EventKind(428, "relay.call-retried", "A call is handed to another upstream.")
 RELAY_DRAINING = EventKind(429, "relay.draining", "This daemon stops; calls in progress go on.")
 RELAY_DRAINED = EventKind(430, "relay.drained", "This daemon has closed its connections.")
@@ -30,3 +30,13 @@
 UPSTREAM_SILENT = EventKind(
     432, "relay.upstream-silent", "Heartbeats of the upstream are missing.", Level.WARNING
 )
+CALL_FAILED = EventKind(
+    433, "relay.call-failed", "A call got no success or an answer of the daemon.", Level.WARNING
+)
+RUN_ENDED = EventKind(
+    434, "relay.run-ended", "The upstream beside this daemon answered; one in 16 is logged."
+)
+RUN_REFUSED = EventKind(435, "relay.run-refused", "A call handed to this daemon was not run.")
+RUN_FAILED = EventKind(
+    436, "relay.run-failed", "The upstream beside this daemon gave no whole answer.", Level.WARNING
+)
--- a/packages/godwitpass/src/godwitpass/internal/relay/placement.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/placement.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from godwitpass.events import Field
 from godwitpass.ids import InstanceId, RouteName, ServiceName, ZoneId
 from godwitpass.internal.relay.frames import Load
 from godwitpass.mesh import Upstream, UpstreamState
@@ -119,6 +120,22 @@
         best = min(reachable, key=score)
         return best.upstream
 
+    def describe(self, instance: InstanceId, now: float) -> dict[str, Field]:
+        """Return what is known of an upstream, for the log; ages are in milliseconds."""
+        peer = self._peers.get(instance)
+        if peer is None:
+            return {"known": False}
+        fields: dict[str, Field] = {
+            "own": peer.own,
+            "slowness": round(peer.slowness, 2),
+            "failures": round(peer.expect_failure(now), 2),
+        }
+        if peer.load is not None:
+            fields["running"] = peer.load.running
+            fields["waiting"] = peer.load.waiting
+            fields["load_age_ms"] = int((now - peer.load_at) * 1000)
+        return fields
+
     def note_sent(self, instance: InstanceId, body_bytes: int = 0) -> None:
         """Count a call handed to the daemon of `instance`."""
         peer = self._peers.get(instance)
