Bind a departure to all starts before it

A daemon that had just started, or knew the upstream from its own question only, kept start 0 for it, and a late ready heartbeat counted as a new start. Ruled out: the bound itself (daemons that knew the start refused in time). Change: without a start, all starts before the time of the departure are gone.

--- a/packages/godwitpass/src/godwitpass/internal/relay/registration.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/registration.py
@@ -30,9 +30,14 @@
 
 
 class Departure(msgspec.Struct, frozen=True):
-    """An upstream has ended or is about to."""
+    """An upstream has ended or is about to.
+
+    `started_ms` is 0 where it isn't told which start is meant; then those before `heard_ms`, the
+    time of this daemon's clock since the epoch, are.
+    """
 
     upstream: InstanceId
+    heard_ms: int
     started_ms: int = 0
 
 
@@ -102,8 +107,9 @@
             started_ms = max(started_ms, current.started_ms)
             if self.drained_at is None:
                 self.drained_at = now
+        # Asked for its id, an upstream doesn't tell its start: a late heartbeat would look newer.
         self._departed[departure.upstream] = max(
-            started_ms, self._departed.get(departure.upstream, 0)
+            started_ms or departure.heard_ms, self._departed.get(departure.upstream, 0)
         )
         while len(self._departed) > MAX_DEPARTED:
             del self._departed[next(iter(self._departed))]
