--- a/packages/godwitpass-daemon/src/godwitpass_daemon/eventlog/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/eventlog/service.py
@@ -39,6 +39,7 @@
         self._limiter = EventLimiter()
         self._logger = logger.bind(event_log=id(self))
         self._sinks: list[int] = []
+        self.output: LineOutput | None = None
         self._logged = frozenset(list_levels(settings.log_level))
 
     async def start(self, tasks: TaskGroup) -> None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/listeners.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/listeners.py
@@ -68,4 +68,8 @@
         try:
             await self._server._serve([self._socket])
         finally:
+            # Left open by the library when the task is cancelled.
+            for server in getattr(self._server, "servers", []):
+                server.close()
+            self._socket.close()
             self._finished.set()
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/exchange.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/exchange.py
@@ -46,6 +46,7 @@
         "_number",
         "_objective_at",
         "_rank",
+        "_refusal",
         "_repeats",
         "_retry_s",
         "_servers",
@@ -81,6 +82,7 @@
         self._servers = 0
         self._repeats = 0
         self._retry_s: float | None = None
+        self._refusal = ""
         self._link: Link | None = None
         self._number = 0
         self._upstream: Upstream | None = None
@@ -113,6 +115,7 @@
             self._servers += 1
             self._core.placement.note_failure(upstream.instance, now)
         self._avoid.add(upstream.instance)
+        self._refusal = f"refused: {frame.reason.name.lower()}"
         if frame.retry_ms:
             retry_s = frame.retry_ms / 1000
             self._retry_s = retry_s if self._retry_s is None else min(self._retry_s, retry_s)
@@ -120,7 +123,7 @@
             self._core.note_retry(self, upstream, frame.reason.name.lower())
             self._try()
         else:
-            self._refuse(f"refused: {frame.reason.name.lower()}")
+            self._refuse(self._refusal)
 
     def take_failed(self, frame: Failed) -> None:
         """Try another upstream if the call may run twice."""
@@ -201,7 +204,7 @@
             self._service, self.route.name, now, len(self._body), frozenset(self._avoid)
         )
         if upstream is None:
-            self._refuse("no upstream")
+            self._refuse(self._refusal or "no upstream")
             return
         self._upstream = upstream
         self._handovers += 1
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
@@ -278,6 +278,11 @@
         if self._parser.get_http_version() != "1.1":
             raise RequestFault(505, "only HTTP/1.1 is supported")
         core = self._core
+        head_bytes = len(self._target) + sum(
+            len(name) + len(value) for name, value in self._headers
+        )
+        if head_bytes > core.limits.head_bytes:
+            raise RequestFault(431, "the head is too large")
         head = read_request(
             self._parser.get_method(), self._target, self._headers, core.names, core.caller_service
         )
