--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -158,6 +158,12 @@
         self.counts["repeat" if allowed else "repeat-over-budget"] += 1
         return allowed
 
+    def apply_budget(self, terms: BudgetTerms) -> None:
+        """Use `terms` from now on; what was counted so far is forgotten if they differ."""
+        if terms != self._budget_terms:
+            self._budget_terms = terms
+            self._budgets.clear()
+
     def sweep(self) -> None:
         """Look after time limits of connections."""
         now = self.now()
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/host.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/host.py
@@ -332,7 +332,7 @@
         self.stopping = False
         self.counts: Counter[str] = Counter()
         self._emit = emit
-        self._drain_s = drain_s
+        self.drain_s = drain_s
         self._jobs: dict[int, Job] = {}
         self._running: Counter[str] = Counter()
         self._next = 0
@@ -364,7 +364,7 @@
         if current is None or current.service != service:
             return False
         drained_at = registration.drained_at
-        return drained_at is None or self.now() < drained_at + self._drain_s
+        return drained_at is None or self.now() < drained_at + self.drain_s
 
     def open(self, sender: Sender, opened: Open) -> Job:
         """Take in a call."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -181,6 +181,28 @@
         for reception in list(core.receptions):
             reception.announce_leaving()
 
+    def apply_terms(self, terms: RelayTerms) -> None:
+        """Use new times and budgets from now on; addresses and names need a restart."""
+        previous = self._terms
+        self._terms = msgspec.structs.replace(
+            previous, drain_s=terms.drain_s, grace_s=terms.grace_s, budget=terms.budget
+        )
+        core = self.core
+        core.host.drain_s = terms.drain_s
+        core.apply_budget(terms.budget)
+        wanted = msgspec.structs.asdict(terms)
+        held = msgspec.structs.asdict(self._terms)
+        waiting = sorted(name for name, value in wanted.items() if value != held[name])
+        self._events.emit(
+            kinds.SETTINGS_RELOADED,
+            changed=self._terms != previous,
+            needs_restart=",".join(waiting),
+        )
+
+    def refuse_settings(self, reason: str) -> None:
+        """Log that changed settings can't be used."""
+        self._events.emit(kinds.SETTINGS_REFUSED, reason=reason)
+
     def render_metrics(self) -> str:
         """Return the metrics as text."""
         return render_metrics(collect_relay(self.core, self._events))
--- a/packages/godwitpass/src/godwitpass/internal/relay/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/events.py
@@ -40,3 +40,10 @@
 RUN_FAILED = EventKind(
     436, "relay.run-failed", "The upstream beside this daemon gave no whole answer.", Level.WARNING
 )
+SETTINGS_RELOADED = EventKind(437, "relay.settings-reloaded", "The settings file was read again.")
+SETTINGS_REFUSED = EventKind(
+    438,
+    "relay.settings-refused",
+    "The changed settings file can't be used; the earlier settings stay.",
+    Level.ERROR,
+)
--- a/tests/cover/test_platform.py
+++ b/tests/cover/test_platform.py
@@ -7,7 +7,11 @@
 import pytest
 from anyio.from_thread import start_blocking_portal
 
+from godwitpass.errors import InvalidSettings
 from godwitpass.timeline import belongs_to, merge_timelines, parse_timeline
+from godwitpass_daemon.relay.service import RelayService
+from godwitpass_platform.reload import SettingsWatch
+from godwitpass_platform.settings import read_platform_settings
 from godwitpass_platform_stand_ins import (
     Client,
     Deployment,
@@ -289,6 +293,37 @@
         run(check)
 
 
+class TestSettings:
+    def test_a_changed_file_is_applied_and_an_unreadable_one_changes_nothing(
+        self, run: Run
+    ) -> None:
+        async def check(deployment: Deployment) -> None:
+            machine = deployment.machines[0]
+            assert machine.kernel is not None
+            relay = machine.kernel.find("relay", RelayService)
+            watch = SettingsWatch(machine.settings_path, relay)
+            good = machine.settings_path.read_text()
+            machine.settings_path.write_text(good.replace('"400ms"', '"700ms"'))
+            watch.reload()
+            assert relay.core.host.drain_s == 0.7
+            machine.settings_path.write_text("[self\n")
+            watch.reload()
+            machine.settings_path.write_text(good.replace("zone", "zoned"))
+            watch.reload()
+            assert relay.core.host.drain_s == 0.7
+            answer = await exchange(deployment.entry, encode_call("/read/1", "reloaded"))
+            assert answer.status == 200
+
+        run(check)
+
+    def test_all_that_is_wrong_with_a_file_is_told_with_its_place(self, tmp_path: Path) -> None:
+        path = tmp_path / "settings.toml"
+        path.write_text('[self]\nnodeName = "a"\n')
+        with pytest.raises(InvalidSettings) as caught:
+            read_platform_settings(path)
+        assert str(path) in str(caught.value)
+
+
 def read_story(deployment: Deployment, request: str) -> list[str]:
     """Return the names of the logged events of one request, in order."""
     logs = [parse_timeline(machine.log.read_bytes(), "") for machine in deployment.machines]
