Log a run that its sender gave up

Cause: of a call that timed out behind a slow upstream only the sender's line was there, so its id didn't lead to the upstream's daemon. Change: that daemon logs how long the call had run and which slots were in use. Measured: the test of the second story asks for both lines, and failed before.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/host.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/host.py
@@ -131,6 +131,7 @@
         if not self.was_sent:
             self.refuse(Refusal.CANCELLED, 0.0)
             return
+        self._host.note_cancelled(self, self._sent_at)
         if not self.opened.idempotent:
             # A call that must not be repeated is not broken off midway either.
             return
@@ -463,6 +464,14 @@
         self.counts[f"failed-{reason.name.lower()}"] += 1
         self._emit(kinds.RUN_FAILED, self._describe(job, reason.name.lower()))
 
+    def note_cancelled(self, job: Job, sent_at: float) -> None:
+        """Count and log a call whose sender gave it up while it ran."""
+        self.counts["cancelled"] += 1
+        fields = self._describe(job, "cancelled")
+        fields["ran_ms"] = int((self.now() - sent_at) * 1000)
+        fields["running"], fields["slots"] = len(self.slots.running), self.slots.limit
+        self._emit(kinds.RUN_CANCELLED, fields)
+
     def note_answered(self, job: Job, status: int, wait_ms: int, service_ms: int) -> None:
         """Count an answer and log some."""
         self.counts[f"answered-{status}"] += 1
--- a/packages/godwitpass/src/godwitpass/internal/relay/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/events.py
@@ -47,3 +47,6 @@
     "The changed settings file can't be used; the earlier settings stay.",
     Level.ERROR,
 )
+RUN_CANCELLED = EventKind(
+    439, "relay.run-cancelled", "A call that the upstream ran was given up by its sender."
+)
--- a/tests/cover/test_platform.py
+++ b/tests/cover/test_platform.py
@@ -361,8 +361,9 @@
                 server.work_s = 5.0
             answer = await exchange(deployment.entry, encode_call("/read/1", "slow", 400))
             assert answer.status == 504
+            await anyio.sleep(0.1)
             story = read_story(deployment, "slow")
-            assert "relay.call-failed deadline" in story
+            assert story == ["relay.call-failed deadline", "relay.run-cancelled cancelled"]
 
         run(check)
 
