--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -8,7 +8,7 @@
 from hdrh.histogram import HdrHistogram
 
 from godwitpass.document import CallerLimits
-from godwitpass.events import EventKind, Field
+from godwitpass.events import Field
 from godwitpass.ids import Address, InstanceId, ServiceName, ZoneId
 from godwitpass.internal.relay import events as kinds
 from godwitpass.internal.relay.budget import BudgetTerms, RepeatBudget
@@ -27,6 +27,7 @@
 from godwitpass_daemon.relay.limits import SWEEP_INTERVAL_S
 from godwitpass_daemon.relay.links import Link, LocalLink, PeerLink
 from godwitpass_daemon.relay.reception import Reception
+from godwitpass_daemon.relay.runlog import Emit
 
 BULK_BYTES = 16 * 1024
 """Calls with larger bodies use a connection of their own, so that short ones don't wait."""
@@ -38,7 +39,6 @@
 LATENCY_MAX_US = 3_600_000_000
 LATENCY_DIGITS = 2
 
-Emit = Callable[[EventKind, dict[str, Field]], None]
 ListUpstreams = Callable[[ServiceName], Sequence[Upstream]]
 
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/metrics.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/metrics.py
@@ -14,7 +14,7 @@
     """Yield the metrics of the calls taken here, those run here, and what is known."""
     host, now = core.host, core.now()
     yield _count("godwitpass_relay_calls_total", "Calls taken here, by event.", core.counts)
-    yield _count("godwitpass_relay_runs_total", "Calls run here, by outcome.", host.counts)
+    yield _count("godwitpass_relay_runs_total", "Calls run here, by outcome.", host.log.counts)
     yield summarize(
         "godwitpass_relay_call_seconds",
         "Time from a request's head to its answer.",
