--- a/packages/godwitpass/tests/relay/test_parts.py
+++ b/packages/godwitpass/tests/relay/test_parts.py
@@ -20,6 +20,7 @@
     MAX_FRAME_BYTES,
     Body,
     Cancel,
+    Frame,
     FrameReader,
     InvalidFrame,
     Load,
@@ -276,7 +277,7 @@
 
 class TestFrames:
     def test_frames_survive_any_cut_of_the_stream(self) -> None:
-        frames = [Body(1, b"x" * 300, True), Cancel(2), Pong(Load(1, 2, 3, 4, 5))]
+        frames: list[Frame] = [Body(1, b"x" * 300, True), Cancel(2), Pong(Load(1, 2, 3, 4, 5))]
         data = b"".join(encode_frame(frame) for frame in frames)
         for size in (1, 3, 7, 100, len(data)):
             reader = FrameReader()
