--- a/testkit/tests/test_membership.py
+++ b/testkit/tests/test_membership.py
@@ -84,8 +84,12 @@
             mesh.kill(address)
         mesh.queue.run(mesh.queue.now + 1)
         rng = random.Random(seed)
+
+        def start(number: int) -> None:
+            mesh.start(number)
+
         for number in range(14):
-            mesh.queue.at(mesh.queue.now + rng.uniform(0, 0.7), partial(mesh.start, number))
+            mesh.queue.at(mesh.queue.now + rng.uniform(0, 0.7), partial(start, number))
         mesh.queue.run(mesh.queue.now + 0.8)
         assert mesh.settle(REJOIN_LIMIT_S) is not None
 
