Tell members that come of the version in force

Its log: side-a-1 joined at 281.69, the root side-a-2 took version 9 at 281.956 and pushed it without side-a-1, since changes of members are taken in each 0.2 s and its view still had two; nothing told side-a-1 after that but the digests, 3 s apart. Ruled out: load (all steps took milliseconds), a lost datagram. Change: a daemon announces its version to targets that are new in its view.

--- a/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
@@ -148,9 +148,8 @@
         if view == self._view:
             return []
         first, self._view = self._view is None, view
-        self._pusher.change_view(view)
+        actions: list[Action] = [*self._pusher.change_view(view)]
         self._reporter.change_view(view, self._tree_parent())
-        actions: list[Action] = []
         self._choose_reading(view, now)
         if first:
             self._digest_at = now + self._draw_digest_period() * self._random.random()
--- a/packages/godwitpass/src/godwitpass/internal/distribution/pusher.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/pusher.py
@@ -54,8 +54,11 @@
             target.silent for target in self._targets.values() if self._precedes(target, position)
         )
 
-    def change_view(self, view: View) -> None:
-        """Take over new members; what is known of remaining targets is kept."""
+    def change_view(self, view: View) -> Actions:
+        """Take over new members and tell them of the version; the others are known already.
+
+        A version that came just before a member did was pushed without it.
+        """
         self._view = view
         known, self._targets = self._targets, {}
         for target in self._duties(self._position()):
@@ -65,6 +68,10 @@
             if target.silent and target.role is not Role.ZONE:
                 for adopted in self._adopt_duties(target):
                     adopted.inherit(known.get(adopted.address))
+        if self._contents.version == NO_VERSION:
+            return []
+        announce = Announce(self._contents.version, self._contents.digest)
+        return [Send(address, announce) for address in self._targets if address not in known]
 
     def start_push(self, previous: Version, upwards: bool, now: float, tuning: Tuning) -> Actions:
         """Pass on the newest version, at once or when the fold time is over.
--- a/packages/godwitpass/tests/distribution/test_source.py
+++ b/packages/godwitpass/tests/distribution/test_source.py
@@ -2,12 +2,29 @@
 
 from godwitpass.document import Document, Route, Service
 from godwitpass.errors import Finding, InvalidDocument
-from godwitpass.ids import ChangeId, Revision, RouteName, ServiceName, Version
+from godwitpass.ids import (
+    Address,
+    ChangeId,
+    InstanceId,
+    RegionId,
+    Revision,
+    RouteName,
+    ServiceName,
+    Version,
+    ZoneId,
+)
+from godwitpass.internal.actions import Send, Woken
 from godwitpass.internal.codec import encode_canonical, hash_content
 from godwitpass.internal.distribution.contents import Contents
 from godwitpass.internal.distribution.delta import Codec
+from godwitpass.internal.distribution.distributor import Distributor
+from godwitpass.internal.distribution.interface import ViewChanged
+from godwitpass.internal.distribution.messages import Announce
 from godwitpass.internal.distribution.reader import DocumentSource, Learned, StoreReader
+from godwitpass.internal.distribution.view import View
+from godwitpass.internal.distribution.view import build_view as make_view
 from godwitpass.internal.requests import Get, GotEntry, Listed, Watch
+from godwitpass.mesh import Member, MemberState
 from godwitpass.snapshot import Snapshot
 from godwitpass.store import Entry, WatchResult
 
@@ -42,6 +59,41 @@
             contents.add(action.snapshot)
 
 
+def build_view(*names: str) -> View:
+    members = [
+        Member(
+            InstanceId(name),
+            ZoneId("a"),
+            RegionId("r"),
+            Address(f"{name}:1"),
+            1,
+            1,
+            MemberState.ALIVE,
+        )
+        for name in names
+    ]
+    return make_view(members, ZoneId("a"))
+
+
+class TestMembersThatCome:
+    def test_a_member_that_comes_just_after_a_version_is_told_of_it(self) -> None:
+        order = build_view("one", "two", "three").order
+        root, child = order[0], order[1]
+        names = [address.partition(":")[0] for address in order]
+        source = DocumentSource(KEY, read)
+        distributor = Distributor(root, random.Random(1), source=source)
+        distributor.handle(ViewChanged(build_view(names[0])), 0.0)
+        (get,) = [action for action in distributor.handle(Woken(), 2.0) if isinstance(action, Get)]
+        distributor.handle(GotEntry(get.tag, build_entry(7, 40, 900)), 2.1)
+        actions = distributor.handle(ViewChanged(build_view(*names)), 2.2)
+        told = {
+            action.to: action.message.version
+            for action in actions
+            if isinstance(action, Send) and isinstance(action.message, Announce)
+        }
+        assert told[child] == 7
+
+
 class TestDocumentOfAnotherSystem:
     def test_a_version_is_learned_and_then_watched_from_the_stores_own_revision(self) -> None:
         reader, contents = build_reader()
