Remove what the relay kept twice, and a map that only grew

Cause and change: - RelayCore kept the instance of every address it ever knew; it grew with each replaced machine.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/connections.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/connections.py
@@ -87,16 +87,6 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def pause_reading(self) -> None:
-        """Let the answer wait."""
-        if self.is_open and self._transport is not None:
-            self._transport.pause_reading()
-
-    def resume_reading(self) -> None:
-        """Go on with the answer."""
-        if self.is_open and self._transport is not None:
-            self._transport.resume_reading()
-
     # Called by asyncio.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -4,6 +4,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Sequence
+from functools import partial
 
 from hdrh.histogram import HdrHistogram
 
@@ -39,6 +40,9 @@
 LATENCY_MAX_US = 3_600_000_000
 LATENCY_DIGITS = 2
 
+LinkKey = tuple[InstanceId, Address, bool]
+"""Whose daemon, at which address, and whether for large bodies."""
+
 ListUpstreams = Callable[[ServiceName], Sequence[Upstream]]
 
 
@@ -79,9 +83,8 @@
         self._list_upstreams = list_upstreams
         self._count_daemons = count_daemons
         self._emit = emit
-        self._local = LocalLink(host, self._note_own_load, loop)
-        self._links: dict[tuple[Address, bool], PeerLink] = {}
-        self._instances: dict[Address, InstanceId] = {}
+        self._local = LocalLink(host, partial(self.note_load, own), loop)
+        self._links: dict[LinkKey, PeerLink] = {}
         self._swept_at = loop.time()
 
     @property
@@ -121,9 +124,7 @@
         for service in self.table.services:
             upstreams = self._list_upstreams(service)
             self.placement.update(service, upstreams)
-            for upstream in upstreams:
-                known.add(upstream.instance)
-                self._instances[upstream.address] = upstream.instance
+            known.update(upstream.instance for upstream in upstreams)
         self.placement.keep_only(known)
 
     def choose_rank(self, route: RelayRoute, request_id: str) -> int:
@@ -139,12 +140,12 @@
         """Return the way to the daemon of `upstream`, opened if there is none."""
         if upstream.instance == self._own:
             return self._local
-        key = (upstream.address, body_bytes > BULK_BYTES)
+        key = (upstream.instance, upstream.address, body_bytes > BULK_BYTES)
         link = self._links.get(key)
         if link is None:
-            link = PeerLink(upstream.address, self, self.now, self._forget_link)
+            forget = partial(self._links.pop, key, None)
+            link = PeerLink(upstream.instance, upstream.address, self, self.now, forget)
             self._links[key] = link
-            self._instances[upstream.address] = upstream.instance
         return link
 
     def count_first(self, service: ServiceName) -> None:
@@ -226,32 +227,19 @@
 
     # Called by links.
 
-    def note_load(self, address: Address, load: Load) -> None:
+    def note_load(self, instance: InstanceId, load: Load) -> None:
         """Take in the load that a daemon tells."""
-        instance = self._instances.get(address)
-        if instance is not None:
-            self.placement.note_load(instance, load, self.now())
+        self.placement.note_load(instance, load, self.now())
 
-    def note_leaving(self, address: Address) -> None:
+    def note_leaving(self, instance: InstanceId) -> None:
         """Hand nothing more to a daemon that stops."""
-        instance = self._instances.get(address)
-        if instance is not None:
-            self.placement.note_unreachable(instance, self.now())
+        self.placement.note_unreachable(instance, self.now())
 
-    def note_lost(self, address: Address, reason: str) -> None:
+    def note_lost(self, instance: InstanceId, address: Address, reason: str) -> None:
         """Leave a daemon alone that can't be reached."""
-        instance = self._instances.get(address, InstanceId(""))
         self.placement.note_unreachable(instance, self.now())
         self._emit(kinds.PEER_LOST, {"peer": address, "instance": instance, "reason": reason})
 
-    def _note_own_load(self, load: Load) -> None:
-        self.placement.note_load(self._own, load, self.now())
-
-    def _forget_link(self, link: PeerLink) -> None:
-        for key, held in list(self._links.items()):
-            if held is link:
-                del self._links[key]
-
     def _find_budget(self, service: ServiceName) -> RepeatBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/exchange.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/exchange.py
@@ -201,7 +201,7 @@
             self._refuse("no time left")
             return
         upstream = core.placement.choose(
-            self._service, self.route.name, now, len(self._body), frozenset(self._avoid)
+            self._service, self.route.name, now, len(self._body), self._avoid
         )
         if upstream is None:
             self._refuse(self._refusal or "no upstream")
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/headers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/headers.py
@@ -1,6 +1,7 @@
 """Heads of requests and answers as the relay reads and writes them."""
 
 import http
+from functools import cache
 
 import msgspec
 
@@ -8,7 +9,7 @@
 from godwitpass_daemon.relay.limits import MAX_HEADERS
 
 REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
-_PREFIX_FRAMING = (b"content-length", b"transfer-encoding")
+_FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 
 
 class HeaderNames(msgspec.Struct, frozen=True):
@@ -80,17 +81,17 @@
     special: dict[bytes, bytes] = {}
     connection: list[bytes] = []
     lines = [b"%b %b HTTP/1.1\r\n" % (method, raw_target)]
-    own = (names.timeout_ms, names.target, names.caller_service, names.not_run, names.seal)
+    single, dropped = _list_special(names)
     for name, value in headers:
         lower = name.lower()
         if lower == b"connection":
             connection += [token.strip().lower() for token in value.split(b",")]
             continue
-        if lower in (b"host", names.request_id, names.timeout_ms, *_PREFIX_FRAMING, b"expect"):
+        if lower in single:
             if lower in special:
                 raise RequestFault(400, f"more than one {lower.decode('latin-1')} header")
             special[lower] = value
-        if lower in HOP_BY_HOP or lower in _PREFIX_FRAMING or lower in own:
+        if lower in dropped:
             continue
         lines.append(b"%b: %b\r\n" % (name, value))
     _check_framing(special)
@@ -101,11 +102,7 @@
     lines.append(b"%b: %b\r\n" % (names.caller_service, caller))
     return RequestHead(
         method=method,
-        host=(
-            host.decode("latin-1").rpartition(":")[0].lower()
-            if b":" in host
-            else host.decode("latin-1").lower()
-        ),
+        host=(host.rpartition(b":")[0] if b":" in host else host).decode("latin-1").lower(),
         path=raw_target.partition(b"?")[0].decode("latin-1"),
         encoded=b"".join(lines),
         request_id=special.get(names.request_id, b"").decode("latin-1"),
@@ -217,6 +214,14 @@
     return b"".join([*lines, body])
 
 
+@cache
+def _list_special(names: HeaderNames) -> tuple[frozenset[bytes], frozenset[bytes]]:
+    """Return the headers that may stand once, and those that are not passed on."""
+    own = {names.timeout_ms, names.target, names.caller_service, names.not_run, names.seal}
+    single = _FRAMING | {b"host", b"expect", names.request_id, names.timeout_ms}
+    return single, HOP_BY_HOP | _FRAMING | own
+
+
 def _has_body(head: bytes) -> bool:
     return head.startswith((b"POST ", b"PUT ", b"PATCH "))
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/jobs.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/jobs.py
@@ -38,12 +38,11 @@
 
 
 class Job:
-    """One call handed to this daemon."""
+    """One call handed to this daemon; `body_left` counts the bytes of its body still to come."""
 
     __slots__ = (
         "_answer",
         "_body",
-        "_body_left",
         "_connecting",
         "_connection",
         "_head",
@@ -52,6 +51,7 @@
         "_sender",
         "_sent_at",
         "_was_reused",
+        "body_left",
         "deadline",
         "done",
         "number",
@@ -76,7 +76,7 @@
         self._host = host
         self._sender = sender
         self._body = [opened.body] if opened.body else []
-        self._body_left = opened.body_bytes - len(opened.body)
+        self.body_left = opened.body_bytes - len(opened.body)
         self._connecting: asyncio.Task[None] | None = None
         self._connection: UpstreamConnection | None = None
         self._was_reused = False
@@ -88,12 +88,7 @@
     @property
     def is_complete(self) -> bool:
         """Whether the whole body of the request has come."""
-        return self._body_left <= 0
-
-    @property
-    def body_left(self) -> int:
-        """The bytes of the request's body that are still to come."""
-        return self._body_left
+        return self.body_left <= 0
 
     @property
     def was_sent(self) -> bool:
@@ -103,7 +98,7 @@
     def add_body(self, data: bytes) -> None:
         """Take in a part of the request's body."""
         self._body.append(data)
-        self._body_left -= len(data)
+        self.body_left -= len(data)
         self._host.proceed(self._host.inbound.receive(self.number, len(data), self._host.now()))
         if self.is_complete and not self.done:
             self._host.admit(self)
@@ -284,9 +279,6 @@
         connection.send(self, method, request_id, b"".join([head, *self._body]))
 
     def _drop_connection(self) -> None:
-        if self._connecting is not None:
-            self._connecting.cancel()
-            self._connecting = None
         if self._connection is not None:
             self._connection.close()
             self._connection = None
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
@@ -46,4 +46,4 @@
 """Daemons to which one call is handed before it is refused."""
 
 HEARTBEAT_LOST_S = 6.0
-"""An upstream that has been silent for this long is not offered to other daemons."""
+"""Silence of an upstream after which the log says that its heartbeats are missing."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/links.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/links.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from godwitpass.ids import Address
+from godwitpass.ids import Address, InstanceId
 from godwitpass.internal.relay.frames import (
     BODY_CHUNK_BYTES,
     Answered,
@@ -69,35 +69,38 @@
 class Observer(Protocol):
     """What a link tells about the daemon at its other end."""
 
-    def note_load(self, address: Address, load: Load) -> None:
+    def note_load(self, instance: InstanceId, load: Load) -> None:
         """Take in the load of the upstream there."""
         ...
 
-    def note_leaving(self, address: Address) -> None:
+    def note_leaving(self, instance: InstanceId) -> None:
         """Take in that the daemon stops."""
         ...
 
-    def note_lost(self, address: Address, reason: str) -> None:
+    def note_lost(self, instance: InstanceId, address: Address, reason: str) -> None:
         """Take in that the daemon can't be reached."""
         ...
 
 
-def deliver(stream: Stream, frame: Frame) -> bool:
-    """Pass `frame` to the call it belongs to; True if it was the last one."""
+def deliver(streams: dict[int, Stream], frame: Answered | Body | Refused | Failed | Cut) -> None:
+    """Pass `frame` to the call it belongs to, which is forgotten before its last frame."""
+    number = frame.stream
+    stream = streams.get(number)
+    if stream is None:
+        return
+    if not isinstance(frame, Answered | Body) or frame.last:
+        del streams[number]
     match frame:
         case Answered():
             stream.take_answered(frame)
-            return frame.last
         case Body():
             stream.take_body(frame)
-            return frame.last
         case Refused():
             stream.take_refused(frame)
         case Failed():
             stream.take_failed(frame)
         case Cut():
             stream.take_cut()
-    return True
 
 
 class PeerLink(asyncio.Protocol):
@@ -105,11 +108,13 @@
 
     def __init__(
         self,
+        instance: InstanceId,
         address: Address,
         observer: Observer,
         now: Callable[[], float],
-        forget: Callable[["PeerLink"], None],
+        forget: Callable[[], object],
     ) -> None:
+        self.instance = instance
         self.address = address
         self._observer = observer
         self._now = now
@@ -202,16 +207,16 @@
     def _take(self, frame: Frame) -> None:
         match frame:
             case Pong(load):
-                self._observer.note_load(self.address, load)
+                self._observer.note_load(self.instance, load)
             case Leaving():
-                self._observer.note_leaving(self.address)
+                self._observer.note_leaving(self.instance)
             case Proceed(stream, size):
                 self._send_body(stream, size)
             case Answered() | Refused() | Failed():
-                self._observer.note_load(self.address, frame.load)
-                self._deliver(frame.stream, frame)
+                self._observer.note_load(self.instance, frame.load)
+                self._deliver(frame)
             case Body() | Cut():
-                self._deliver(frame.stream, frame)
+                self._deliver(frame)
             case _:
                 self._lose("unexpected frame", reached=True)
 
@@ -222,14 +227,11 @@
             if len(body) > size:
                 self._bodies[number] = body[size:]
 
-    def _deliver(self, number: int, frame: Frame) -> None:
-        stream = self._streams.get(number)
-        if stream is None:
-            return
+    def _deliver(self, frame: Answered | Body | Refused | Failed | Cut) -> None:
+        # An answer may come before the body was asked for.
         if not isinstance(frame, Answered | Body) or frame.last:
-            del self._streams[number]
-            self._bodies.pop(number, None)
-        deliver(stream, frame)
+            self._bodies.pop(frame.stream, None)
+        deliver(self._streams, frame)
 
     def _write(self, frame: Frame) -> None:
         data = encode_frame(frame)
@@ -251,12 +253,12 @@
         if self._closed:
             return
         self._closed = True
-        self._forget(self)
+        self._forget()
         sent = self._transport is not None
         if self._transport is not None:
             self._transport.abort()
         if not reached:
-            self._observer.note_lost(self.address, reason)
+            self._observer.note_lost(self.instance, self.address, reason)
         streams, self._streams = self._streams, {}
         for stream in streams.values():
             stream.take_lost(sent)
@@ -304,14 +306,8 @@
     def _deliver(self, frame: Frame) -> None:
         if isinstance(frame, Answered | Refused | Failed):
             self._note_load(frame.load)
-        if not isinstance(frame, Answered | Body | Refused | Failed | Cut):
-            return
-        stream = self._streams.get(frame.stream)
-        if stream is None:
-            return
-        if not isinstance(frame, Answered | Body) or frame.last:
-            del self._streams[frame.stream]
-        deliver(stream, frame)
+        if isinstance(frame, Answered | Body | Refused | Failed | Cut):
+            deliver(self._streams, frame)
 
 
 Link = PeerLink | LocalLink
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/reception.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/reception.py
@@ -30,11 +30,6 @@
         self._transport: asyncio.Transport | None = None
         self._jobs: dict[int, Job] = {}
 
-    @property
-    def calls_in_progress(self) -> int:
-        """Return the number of calls that have no answer yet."""
-        return len(self._jobs)
-
     def send(self, frame: Frame) -> None:
         """Send a frame to the other daemon."""
         if self._transport is not None and not self._transport.is_closing():
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -207,7 +207,7 @@
         """Return the metrics as text."""
         return render_metrics(collect_relay(self.core, self._events))
 
-    async def take_heartbeat(self, heartbeat: Heartbeat) -> Verdict:
+    def take_heartbeat(self, heartbeat: Heartbeat) -> Verdict:
         """Take in what the upstream beside this daemon says of itself."""
         core = self.core
         registration = core.host.registration
@@ -233,7 +233,7 @@
             )
         return verdict
 
-    async def take_departure(self, departure: Departure) -> Verdict:
+    def take_departure(self, departure: Departure) -> Verdict:
         """Take in that an upstream leaves."""
         core = self.core
         verdict = core.host.registration.depart(departure, core.now())
@@ -284,7 +284,7 @@
         known = [upstream.slots for upstream in self._membership.upstreams(terms.service)]
         slots = min(known, default=FEWEST_SLOTS)
         # Any heartbeat of the upstream is newer than this.
-        await self.take_heartbeat(
+        self.take_heartbeat(
             Heartbeat(
                 InstanceId(health.upstream), terms.service, terms.upstream, slots, False, 0, 0
             )
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/store.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/store.py
@@ -9,7 +9,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from godwitpass.errors import StoreOutcomeUnknown, StoreUnavailable
+from godwitpass.errors import StoreError, StoreOutcomeUnknown, StoreUnavailable
 from godwitpass.ids import Address, LeaseId, Revision
 from godwitpass.store import Entry, PutResult, WatchResult
 from godwitpass_daemon.services.store_guard import Guard
@@ -23,8 +23,8 @@
 MAX_IDLE_CONNECTIONS = 2
 IDLE_CONNECTION_S = 4.0
 
-_UNSENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
-_LOST = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
+UNSENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+LOST = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
 
 
 class StoreCounts(msgspec.Struct):
@@ -37,6 +37,23 @@
     unavailable: int = 0
     unknown: int = 0
 
+    def explain_loss(self, is_write: bool, error: Exception) -> StoreError:
+        """Count a call that was sent and not answered, and return what to raise."""
+        if not is_write:
+            self.unavailable += 1
+            return StoreUnavailable(f"the answer was lost: {error!r}")
+        self.unknown += 1
+        return StoreOutcomeUnknown(f"the write was sent and not answered: {error!r}")
+
+
+def open_pool() -> httpcore.AsyncConnectionPool:
+    """Return the connections of one client of the store."""
+    return httpcore.AsyncConnectionPool(
+        max_connections=MAX_CONNECTIONS,
+        max_keepalive_connections=MAX_IDLE_CONNECTIONS,
+        keepalive_expiry=IDLE_CONNECTION_S,
+    )
+
 
 class StoreClient:
     """Calls the store over HTTP; the next address is tried when one can't be reached.
@@ -58,11 +75,7 @@
         self._preferred = 0
         self._clock = clock
         self._guard = Guard(random.Random(seed))
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS,
-            max_keepalive_connections=MAX_IDLE_CONNECTIONS,
-            keepalive_expiry=IDLE_CONNECTION_S,
-        )
+        self._pool = open_pool()
 
     async def start(self, tasks: TaskGroup) -> None:
         """Do nothing yet: connections open on demand."""
@@ -118,13 +131,13 @@
             self.counts.unavailable += 1
             self._guard.record_failure(self._clock())
             raise
-        except _LOST as error:
+        except LOST as error:
             self._guard.record_failure(self._clock())
-            raise self._describe_loss(is_write, error) from error
+            raise self.counts.explain_loss(is_write, error) from error
         try:
             answer = msgspec.msgpack.decode(body, type=kind)
         except msgspec.DecodeError as error:
-            raise self._describe_loss(is_write, error) from error
+            raise self.counts.explain_loss(is_write, error) from error
         self._guard.record_success()
         if is_write:
             self.counts.writes += 1
@@ -149,7 +162,7 @@
                 response = await self._pool.request(
                     "POST", url, content=content, extensions={"timeout": timeouts}
                 )
-            except _UNSENT as error:
+            except UNSENT as error:
                 failure = error
                 self._preferred = (self._preferred + 1) % len(self._addresses)
                 continue
@@ -157,10 +170,3 @@
                 raise StoreUnavailable(response.content.decode(errors="replace"))
             return response.content
         raise StoreUnavailable(f"no address of the store can be reached: {failure!r}")
-
-    def _describe_loss(self, is_write: bool, error: Exception) -> Exception:
-        if not is_write:
-            self.counts.unavailable += 1
-            return StoreUnavailable(f"the answer was lost: {error!r}")
-        self.counts.unknown += 1
-        return StoreOutcomeUnknown(f"the write was sent and not answered: {error!r}")
--- a/packages/godwitpass/src/godwitpass/internal/relay/placement.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/placement.py
@@ -1,13 +1,14 @@
 """Chooses the upstream of a call from what its daemons say and from own experience."""
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Set
 
 import msgspec
 
 from godwitpass.events import Field
 from godwitpass.ids import InstanceId, RouteName, ServiceName, ZoneId
 from godwitpass.internal.relay.frames import Load
+from godwitpass.internal.relay.means import RouteMeans
 from godwitpass.mesh import Upstream, UpstreamState
 
 REMOTE_COST_S = 0.012
@@ -35,8 +36,7 @@
 """Bounds of the time that an unreachable upstream is left alone, which doubles each time."""
 
 MIN_SPEED, MAX_SPEED = 0.2, 8.0
-MAX_ROUTES = 4_096
-"""Routes of which something is remembered."""
+MIN_WORK_S = 0.001
 
 
 class Peer(msgspec.Struct):
@@ -69,8 +69,8 @@
         self._rng = rng
         self._peers: dict[InstanceId, Peer] = {}
         self._services: dict[ServiceName, list[Peer]] = {}
-        self._work_s: dict[RouteName, float] = {}
-        self._answer_bytes: dict[RouteName, float] = {}
+        self._work_s = RouteMeans(WORK_GAIN)
+        self._answer_bytes = RouteMeans(BYTES_GAIN)
 
     def update(self, service: ServiceName, upstreams: Iterable[Upstream]) -> None:
         """Take in the upstreams of `service`; what was learned of known ones is kept."""
@@ -90,17 +90,13 @@
         for instance in [known for known in self._peers if known not in instances]:
             del self._peers[instance]
 
-    def list_ready(self, service: ServiceName) -> Sequence[Peer]:
-        """Return the upstreams of `service` that take calls."""
-        return self._services.get(service, [])
-
     def choose(
         self,
         service: ServiceName,
         route: RouteName,
         now: float,
         body_bytes: int = 0,
-        avoid: frozenset[InstanceId] = frozenset(),
+        avoid: Set[InstanceId] = frozenset(),
     ) -> Upstream | None:
         """Return the upstream whose answer is expected first; None if there is none to try."""
         ready = [
@@ -172,20 +168,14 @@
     ) -> None:
         """Learn from an answer how fast and how sound the upstream is."""
         peer = self._peers.get(instance)
-        work = self._work_s.get(route)
+        work = max(self._work_s.get(route, service_s), MIN_WORK_S)
         if not failed:
-            if work is None:
-                if len(self._work_s) >= MAX_ROUTES:
-                    self._work_s.clear()
-                    self._answer_bytes.clear()
-                work = max(service_s, 0.001)
-            self._work_s[route] = work + WORK_GAIN * (service_s - work)
-            held = self._answer_bytes.get(route, float(answer_bytes))
-            self._answer_bytes[route] = held + BYTES_GAIN * (answer_bytes - held)
+            self._work_s.learn(route, service_s)
+            self._answer_bytes.learn(route, answer_bytes)
         if peer is None:
             return
-        if not failed and work is not None:
-            ratio = min(max(service_s / max(work, 0.001), MIN_SPEED), MAX_SPEED)
+        if not failed:
+            ratio = min(max(service_s / work, MIN_SPEED), MAX_SPEED)
             peer.slowness += SPEED_GAIN * (ratio - peer.slowness)
         self._note_outcome(peer, failed, now)
 
--- a/packages/godwitpass/src/godwitpass/internal/relay/slots.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/slots.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from godwitpass.ids import RouteName
+from godwitpass.internal.relay.means import RouteMeans
 
 INITIAL_WORK_S = 0.1
 """Time that a call is expected to take on a route of which none was seen."""
@@ -30,8 +31,6 @@
 RETRY_FLOOR_S = 0.05
 """Shortest time after which a refused caller is told to come back."""
 
-MAX_ROUTES = 4_096
-
 
 class Ticket(msgspec.Struct):
     """One call at the upstream; times are those of the daemon's steady clock in seconds.
@@ -63,7 +62,7 @@
         self.limit = limit
         self.running: dict[int, Ticket] = {}
         self.waiting: dict[int, Ticket] = {}
-        self._work_s: dict[RouteName, float] = {}
+        self._work_s = RouteMeans(WORK_GAIN)
 
     def expect_work(self, route: RouteName) -> float:
         """Return the time that a call on `route` is expected to take once it runs."""
@@ -93,7 +92,7 @@
         """Free the slot of a call; the time of a `completed` one is learned from."""
         ticket = self.running.pop(number, None)
         if ticket is not None and completed:
-            self._learn(ticket.route, now - ticket.started_at)
+            self._work_s.learn(ticket.route, now - ticket.started_at)
         return self.review(now)
 
     def review(self, now: float) -> Decision:
@@ -169,12 +168,3 @@
         ticket.started_at = now
         self.running[ticket.number] = ticket
         return ticket
-
-    def _learn(self, route: RouteName, took_s: float) -> None:
-        held = self._work_s.get(route)
-        if held is None:
-            if len(self._work_s) >= MAX_ROUTES:
-                self._work_s.clear()
-            self._work_s[route] = took_s
-        else:
-            self._work_s[route] = held + WORK_GAIN * (took_s - held)
