--- a/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -31,6 +31,7 @@
             settings.peer_keys,
             found.find("events", EventLog).emit,
             _read_tls(settings.peer_tls),
+            advertised=settings.listen.reachable_peer,
         ),
     )
     kernel.register(
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/peers/transport.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/peers/transport.py
@@ -37,7 +37,8 @@
     """Sends payloads to other daemons and hands received ones to the subscribed services.
 
     A message may be lost or overtaken; it is delivered at most once. `keys` holds the shared key,
-    first the one that signs; a second one is accepted too while keys are rotated.
+    first the one that signs; a second one is accepted too while keys are rotated. `advertised` is
+    the address that others send to, where a forwarder stands before `listen`.
     """
 
     def __init__(
@@ -47,9 +48,11 @@
         emit: Emit,
         tls: TlsIdentity | None = None,
         now_us: Callable[[], int] = _read_clock_us,
+        advertised: Address | None = None,
     ) -> None:
         pack_address(listen)
-        self.address = listen
+        self._listen = listen
+        self.address = advertised or listen
         self.sent: dict[Channel, Traffic] = build_traffic()
         self.received: dict[Channel, Traffic] = build_traffic()
         self.refused = DropCounter(PEER_MESSAGES_DROPPED, emit, time.monotonic)
@@ -64,8 +67,8 @@
 
     async def start(self, tasks: TaskGroup) -> None:
         """Listen on the same port number for datagrams and for gRPC."""
-        await self._datagrams.open(self.address)
-        await self._unary.open(self.address)
+        await self._datagrams.open(self._listen)
+        await self._unary.open(self._listen)
         tasks.start_soon(self._close_idle_channels)
 
     async def stop(self) -> None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
@@ -64,7 +64,10 @@
     kernel.register(
         "peers",
         lambda found: PeerTransport(
-            settings.listen.peer, settings.peer_keys, found.find("events", EventLog).emit
+            settings.listen.peer,
+            settings.peer_keys,
+            found.find("events", EventLog).emit,
+            advertised=settings.listen.reachable_peer,
         ),
     )
     kernel.register(
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
@@ -26,7 +26,7 @@
 from godwitpass.internal.distribution.reader import DocumentSource
 from godwitpass.internal.distribution.view import build_view
 from godwitpass.internal.requests import Get, Watch
-from godwitpass.mesh import Member, MemberState
+from godwitpass.mesh import Member, MemberState, classify_link
 from godwitpass.snapshot import Snapshot
 from godwitpass.store import Store
 from godwitpass_daemon.eventlog.service import EventLog
@@ -68,7 +68,9 @@
         self._peers = peers
         self._membership = membership
         self._events = events
-        self._distributor = Distributor(settings.listen.peer, random.Random(), source=source)
+        self._distributor = Distributor(
+            settings.listen.reachable_peer, random.Random(), source=source
+        )
         self._snapshot: Snapshot | None = None
         self._callbacks: list[Callable[[Snapshot], None]] = []
         self._regions: dict[ZoneId, RegionId] = {}
@@ -131,10 +133,11 @@
             settings.instance,
             settings.zone,
             settings.region,
-            settings.listen.peer,
+            settings.listen.reachable_peer,
             0,
             0,
             MemberState.ALIVE,
+            link_class=classify_link(settings.link_mbps),
         )
         others = (item for item in self._membership.members() if item.instance != own.instance)
         return [own, *others]
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/membership.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/membership.py
@@ -15,7 +15,7 @@
 from godwitpass.internal.membership.tuning import DEFAULT_TUNING
 from godwitpass.internal.membership.wire import decode_message, encode_message
 from godwitpass.internal.requests import Request
-from godwitpass.mesh import Member, Upstream, UpstreamState
+from godwitpass.mesh import Member, Upstream, UpstreamState, classify_link
 from godwitpass.store import Store
 from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.peers import Channel, PeerTransport
@@ -135,8 +135,9 @@
         settings.instance,
         settings.zone,
         settings.region,
-        settings.listen.peer,
+        settings.listen.reachable_peer,
         int(time.time()),
         None if upstream is None else upstream.service,
         None if upstream is None else upstream.address,
+        link_class=classify_link(settings.link_mbps),
     )
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/settings.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/settings.py
@@ -75,6 +75,15 @@
     inner: Annotated[Address, Meta(description="Calls from inside the mesh.")]
     admin: Annotated[Address, Meta(description="Administration API; keep it from outer callers.")]
     peer: Annotated[Address, Meta(description="Messages of other daemons, over UDP and TCP.")]
+    advertised_peer: Annotated[
+        Address | None,
+        Meta(description="Where others reach `peer`, if a forwarder or NAT stands before it."),
+    ] = None
+
+    @property
+    def reachable_peer(self) -> Address:
+        """Return the address that other daemons send to."""
+        return self.advertised_peer or self.peer
 
 
 class PeerTlsSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -109,6 +118,10 @@
     upstream: Annotated[
         UpstreamSettings | None, Meta(description="The upstream beside this daemon, if any.")
     ] = None
+    link_mbps: Annotated[
+        float,
+        Meta(gt=0, description="Rate of the instance's link; the fastest ones read the store."),
+    ] = 1000.0
     log_file: Annotated[
         str | None, Meta(description="File that gets the log too, as JSON lines; for tests.")
     ] = None
--- a/packages/godwitpass/src/godwitpass/internal/distribution/view.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/view.py
@@ -1,8 +1,9 @@
 """What a daemon knows of its peers, and the tree that follows from it.
 
-All daemons of an availability zone order its members by a hash of their ids, so that they agree
-on readers and tree without exchanging a message: the first ones read the store, and the daemon
-at position p passes versions on to the positions from p * FAN_OUT + 1.
+All daemons of an availability zone order its members by the class of their links and a hash of
+their ids, so that they agree on readers and tree without exchanging a message: the first ones read
+the store, and the daemon at position p passes versions on to the positions from p * FAN_OUT + 1.
+Whole documents and most of the traffic thus pass over the fastest links.
 """
 
 from collections.abc import Iterable
@@ -42,8 +43,9 @@
         ]
 
 
-def _rank(member: Member) -> tuple[int, str]:
-    return xxhash.xxh64_intdigest(member.instance.encode()), member.instance
+def _rank(member: Member) -> tuple[int, int, str]:
+    spread = xxhash.xxh64_intdigest(member.instance.encode())
+    return -member.link_class, spread, member.instance
 
 
 def build_view(members: Iterable[Member], zone: ZoneId) -> View:
--- a/packages/godwitpass/src/godwitpass/internal/membership/inputs.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/inputs.py
@@ -21,6 +21,7 @@
     service: ServiceName | None = None
     upstream: Address | None = None
     slots: int = 12
+    link_class: int = 0
 
     def __post_init__(self) -> None:
         if (self.service is None) != (self.upstream is None):
--- a/packages/godwitpass/src/godwitpass/internal/membership/messages.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/messages.py
@@ -41,13 +41,17 @@
 
 
 class Content(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """What a daemon says of itself; only the daemon itself changes it."""
+    """What a daemon says of itself; only the daemon itself changes it.
+
+    `link_class` grows with the rate of its link; see `mesh.classify_link`.
+    """
 
     instance: InstanceId
     zone: ZoneId
     region: RegionId
     address: Address
     upstream: AnnouncedUpstream | None = None
+    link_class: int = 0
 
 
 class MemberUpdate(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -187,7 +191,7 @@
 def hash_instance(instance: InstanceId) -> int:
     """Return the key of the member `instance`; never `ANY_MEMBER`.
 
-    Its order is the one in which `distribution` ranks the daemons of an availability zone.
+    Its order is the one in which `distribution` ranks daemons with equally fast links.
     """
     return xxhash.xxh64_intdigest(instance.encode()) >> 2 or 1
 
--- a/packages/godwitpass/src/godwitpass/internal/membership/records.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/records.py
@@ -87,6 +87,7 @@
         record.sequence,
         record.state,
         build_upstream(content),
+        content.link_class,
     )
 
 
--- a/packages/godwitpass/src/godwitpass/internal/membership/state.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/state.py
@@ -202,7 +202,14 @@
         upstream = AnnouncedUpstream(
             identity.service, identity.upstream, UpstreamState.STARTING, identity.slots
         )
-    content = Content(identity.instance, identity.zone, identity.region, identity.address, upstream)
+    content = Content(
+        identity.instance,
+        identity.zone,
+        identity.region,
+        identity.address,
+        upstream,
+        identity.link_class,
+    )
     key = hash_instance(identity.instance)
     started_s = identity.started_s
     return Record(key, started_s, MemberState.ALIVE, started_s, content)
--- a/packages/godwitpass/src/godwitpass/mesh.py
+++ b/packages/godwitpass/src/godwitpass/mesh.py
@@ -1,5 +1,6 @@
 """Daemons and upstreams as the rest of the system sees them."""
 
+import math
 from enum import Enum
 
 import msgspec
@@ -24,6 +25,19 @@
     DRAINING = 2
 
 
+MAX_LINK_CLASS = 6
+"""Links of 64 Mbit/s and more are alike: they carry a megabyte in an eighth of a second."""
+
+
+def classify_link(mbps: float) -> int:
+    """Return the class of a link by its rate in megabits a second.
+
+    >>> [classify_link(mbps) for mbps in (0.5, 2.5, 5, 50, 100, 1000)]
+    [0, 1, 2, 5, 6, 6]
+    """
+    return max(0, min(MAX_LINK_CLASS, int(math.log2(mbps)))) if mbps > 1 else 0
+
+
 class Upstream(msgspec.Struct, frozen=True, array_like=True):
     """One server of a service; `slots` is the number of calls it runs at a time."""
 
@@ -37,7 +51,10 @@
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
-    """One daemon; (`incarnation`, `sequence`) decides which of two records is newer."""
+    """One daemon; (`incarnation`, `sequence`) decides which of two records is newer.
+
+    `link_class` is that of its link; see `classify_link`.
+    """
 
     instance: InstanceId
     zone: ZoneId
@@ -47,3 +64,4 @@
     sequence: int
     state: MemberState
     upstream: Upstream | None = None
+    link_class: int = 0
--- a/packages/godwitpass/tests/distribution/test_parts.py
+++ b/packages/godwitpass/tests/distribution/test_parts.py
@@ -43,7 +43,7 @@
 from godwitpass.internal.distribution.view import build_view, child_positions, parent_position
 from godwitpass.internal.invariants import ConfigurationInvariants, InvariantBroken
 from godwitpass.internal.requests import Get, GotEntry, Listed, Watch
-from godwitpass.mesh import Member, MemberState
+from godwitpass.mesh import Member, MemberState, classify_link
 from godwitpass.snapshot import Snapshot
 from godwitpass.store import Entry, WatchResult
 
@@ -153,6 +153,24 @@
         assert all(parent_position(child) is not None for child in reached)
         assert Address("127.0.0.1:7") not in view.order
 
+    def test_the_daemons_with_the_fastest_links_read_the_store(self) -> None:
+        rates = {f"instance-{index}": 2.5 for index in range(20)} | {"wide": 50.0, "wider": 1e3}
+        members = [
+            Member(
+                InstanceId(name),
+                ZoneId("bergen"),
+                RegionId("vest"),
+                Address(f"127.0.0.1:{index}"),
+                1,
+                1,
+                MemberState.ALIVE,
+                link_class=classify_link(rate),
+            )
+            for index, (name, rate) in enumerate(rates.items())
+        ]
+        view = build_view(members, ZoneId("bergen"))
+        assert [view.instances[address] for address in view.order[:2]] == ["wider", "wide"]
+
 
 class TestAdmission:
     def test_whole_versions_beyond_the_burst_are_put_off(self) -> None:
--- a/testkit/src/godwitpass_testkit/daemon.py
+++ b/testkit/src/godwitpass_testkit/daemon.py
@@ -107,6 +107,7 @@
         0,
         0,
         MemberState.ALIVE,
+        link_class=identity.link_class,
     )
 
 
