Keep the class of a link when the upstream beside a daemon changes

Cause: an announcement of the upstream's state rebuilt the record without the new field, so each daemon saw itself first and read the store. Change: only the upstream is replaced; a test fails without it.

--- a/packages/godwitpass/src/godwitpass/internal/membership/state.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/state.py
@@ -3,6 +3,8 @@
 import random
 from collections.abc import Iterable
 
+import msgspec
+
 from godwitpass.ids import Address
 from godwitpass.internal.actions import Report, Send
 from godwitpass.internal.membership.broadcasts import Broadcasts
@@ -81,11 +83,8 @@
     def change_own(self, now: float, upstream: AnnouncedUpstream | None) -> None:
         """Announce a new content of the own record."""
         previous = self.table.upstream_of(self.own.key)
-        content = self.own.content
         self.own.sequence += 1
-        self.own.content = Content(
-            content.instance, content.zone, content.region, content.address, upstream
-        )
+        self.own.content = msgspec.structs.replace(self.own.content, upstream=upstream)
         self.table.reindex(self.own, now, previous)
         self.spread(self.own, with_content=True)
 
--- a/testkit/tests/test_membership.py
+++ b/testkit/tests/test_membership.py
@@ -8,7 +8,7 @@
 from godwitpass.events import EventKind
 from godwitpass.ids import Address
 from godwitpass.internal.actions import Received
-from godwitpass.internal.membership import Membership, Start
+from godwitpass.internal.membership import Announce, Membership, Start
 from godwitpass.internal.membership import events as kinds
 from godwitpass.internal.membership.messages import DAEMONS, Gossip
 from godwitpass.internal.membership.tuning import DEFAULT_TUNING
@@ -249,6 +249,18 @@
         mesh.queue.run(mesh.queue.now + 3)
         assert count_ready(mesh, addresses[9], addresses) == 0
 
+    def test_the_class_of_a_link_is_still_told_after_the_upstream_changed(self) -> None:
+        where = place(0, 3)
+        daemon = Membership(
+            msgspec.structs.replace(identify(where), link_class=5),
+            random.Random(1),
+            DEFAULT_TUNING,
+        )
+        daemon.handle(Start(), 0.0)
+        daemon.handle(Announce(UpstreamState.READY, 12), 1.0)
+        (own,) = daemon.members()
+        assert own.link_class == 5
+
     def test_a_graceful_stop_is_known_without_a_suspicion(self) -> None:
         mesh, addresses = join(14, 60)
         mesh.leave(addresses[9])
