Let calls wait for the first configuration, and fetch a known version sooner

A daemon that hears of a version while peers that it asked are still down waited up to 0.5 s for them. Ruled out: reading the store (first version held 0.08 s after the start), imports. Change: a call waits for the first configuration up to the share of its time that it may wait in a queue (internal/relay/startup.py); once a version is known the other peers have 0.1 s.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -24,7 +24,7 @@
 from godwitpass_daemon.relay.exchange import Exchange
 from godwitpass_daemon.relay.headers import HeaderNames
 from godwitpass_daemon.relay.host import Host
-from godwitpass_daemon.relay.ingress import CallerConnection
+from godwitpass_daemon.relay.ingress import CallerConnection, Turn
 from godwitpass_daemon.relay.limits import SWEEP_INTERVAL_S
 from godwitpass_daemon.relay.links import Link, LocalLink, PeerLink
 from godwitpass_daemon.relay.reception import Reception
@@ -70,6 +70,7 @@
         self.splitter = Splitter(rng)
         self.placement = Placement(own, zone, rng)
         self.callers: set[CallerConnection] = set()
+        self.waiting: dict[Turn, CallerConnection] = {}
         self.receptions: set[Reception] = set()
         self.held_body_bytes = 0
         self.exchanges = 0
@@ -114,7 +115,12 @@
         self.table = table
         self.splitter.keep_only({route.name for route in snapshot.document.routes})
         self.update_upstreams()
-        self._emit(kinds.RELAY_TABLE, {"routes": len(snapshot.document.routes)})
+        self._emit(
+            kinds.RELAY_TABLE,
+            {"routes": len(snapshot.document.routes), "waiting": len(self.waiting)},
+        )
+        for turn, caller in list(self.waiting.items()):
+            caller.follow_table(turn)
 
     def update_upstreams(self) -> None:
         """Take in the upstreams that membership knows."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
@@ -8,6 +8,7 @@
 import httptools
 
 from godwitpass.internal.relay.routes import RelayRoute, RelayTable
+from godwitpass.internal.relay.startup import decide_wait
 from godwitpass_daemon.edge.heads import Header
 from godwitpass_daemon.relay.exchange import Exchange
 from godwitpass_daemon.relay.headers import (
@@ -50,6 +51,7 @@
         "keep_alive",
         "route",
         "started",
+        "waiting",
     )
 
     def __init__(self, connection: "CallerConnection", arrived_at: float) -> None:
@@ -68,6 +70,7 @@
         self.keep_alive = True
         self.route: RelayRoute | None = None
         self.started = False
+        self.waiting: asyncio.TimerHandle | None = None
 
     def decide_close(self) -> bool:
         """Decide whether the answer is the last one on its connection; its head says so."""
@@ -271,6 +274,40 @@
             self._fault(turn, turn.fault)
         elif turn.route is not None:
             self._start(turn)
+        else:
+            self._await_table(turn)
+
+    def follow_table(self, turn: Turn) -> None:
+        """Go on with a request that waited for a configuration."""
+        self._stop_waiting(turn)
+        table, head = self._core.table, turn.head
+        assert table is not None and head is not None
+        turn.route = table.find(head.host, head.path)
+        if turn.route is None:
+            self._fault(turn, RequestFault(404, "no route"))
+        else:
+            self._start(turn)
+
+    def _await_table(self, turn: Turn) -> None:
+        """Wait for a configuration, which a daemon that has just started will soon hold."""
+        core = self._core
+        if core.table is not None:
+            self.follow_table(turn)
+            return
+        assert turn.head is not None
+        wait_s = decide_wait(turn.head.timeout_ms)
+        turn.waiting = core.loop.call_later(wait_s, self._give_up_waiting, turn)
+        core.waiting[turn] = self
+
+    def _give_up_waiting(self, turn: Turn) -> None:
+        self._stop_waiting(turn)
+        self._fault(turn, RequestFault(503, "no configuration yet"))
+
+    def _stop_waiting(self, turn: Turn) -> None:
+        if turn.waiting is not None:
+            turn.waiting.cancel()
+            turn.waiting = None
+            self._core.waiting.pop(turn, None)
 
     def _read_head(self, turn: Turn) -> None:
         if self._parser.should_upgrade():
@@ -291,7 +328,7 @@
             raise RequestFault(503, "this daemon stops")
         table: RelayTable | None = core.table
         if table is None:
-            raise RequestFault(503, "no configuration yet")
+            return
         turn.route = table.find(head.host, head.path)
         if turn.route is None:
             raise RequestFault(404, "no route")
@@ -353,6 +390,7 @@
     def _drop_turns(self) -> None:
         turns, self._turns = list(self._turns), deque()
         for turn in turns:
+            self._stop_waiting(turn)
             self._release_body(turn)
             if turn.exchange is not None and not turn.finished:
                 turn.exchange.cancel()
--- a/packages/godwitpass/src/godwitpass/internal/distribution/fetcher.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/fetcher.py
@@ -23,6 +23,12 @@
 
 MAX_CANDIDATES = 8
 
+BOOTSTRAP_ANSWER_S = 0.1
+"""Time for the other peers that were asked once a version is known; running daemons answer sooner.
+
+When all daemons start at once, many of those asked are still down.
+"""
+
 
 class Fetcher:
     """Keeps at most one fetch outstanding."""
@@ -84,6 +90,8 @@
         if self._asked:
             self._asked.discard(sender)
             if self._asked:
+                if self._candidates:
+                    self._deadline = min(self._deadline, now + BOOTSTRAP_ANSWER_S)
                 return []
             self._deadline = math.inf
         return self._fetch(now)
--- a/packages/godwitpass/tests/distribution/test_parts.py
+++ b/packages/godwitpass/tests/distribution/test_parts.py
@@ -37,9 +37,10 @@
     encode_full,
 )
 from godwitpass.internal.distribution.events import ROOT_WENT_BACK
-from godwitpass.internal.distribution.messages import decode_message
+from godwitpass.internal.distribution.fetcher import BOOTSTRAP_ANSWER_S, Fetcher
+from godwitpass.internal.distribution.messages import Fetch, decode_message
 from godwitpass.internal.distribution.reader import ReaderAction, StoreReader
-from godwitpass.internal.distribution.tuning import SNAPSHOTS_BURST
+from godwitpass.internal.distribution.tuning import BOOTSTRAP_PEERS, SNAPSHOTS_BURST
 from godwitpass.internal.distribution.view import build_view, child_positions, parent_position
 from godwitpass.internal.invariants import ConfigurationInvariants, InvariantBroken
 from godwitpass.internal.requests import Get, GotEntry, Listed, Watch
@@ -132,6 +133,41 @@
         assert isinstance(watch, Watch)
 
 
+class TestFetcher:
+    def build(self) -> tuple[Fetcher, list[Address]]:
+        """Return a fetcher that has asked several peers at time 0, and those peers."""
+        members = [
+            Member(
+                InstanceId(f"instance-{index}"),
+                ZoneId("bergen"),
+                RegionId("vest"),
+                Address(f"127.0.0.1:{index}"),
+                1,
+                1,
+                MemberState.ALIVE,
+            )
+            for index in range(20)
+        ]
+        fetcher = Fetcher(members[0].address, Contents(Codec()), random.Random(1))
+        sends = fetcher.start(build_view(members, ZoneId("bergen")), 0.0)
+        return fetcher, [send.to for send in sends]
+
+    def test_peers_that_are_down_delay_a_known_version_by_a_tenth_of_a_second(self) -> None:
+        fetcher, peers = self.build()
+        assert len(peers) == BOOTSTRAP_PEERS
+        assert fetcher.record_answer(Address("127.0.0.1:15"), Version(7), 0.05) == []
+        assert fetcher.deadline == pytest.approx(0.05 + BOOTSTRAP_ANSWER_S)
+        (fetch,) = fetcher.run(None, 0.16)
+        assert fetch.to == Address("127.0.0.1:15") and isinstance(fetch.message, Fetch)
+
+    def test_the_highest_version_of_the_peers_that_answer_is_fetched(self) -> None:
+        fetcher, peers = self.build()
+        for peer, version in zip(peers[:2], (3, 9), strict=True):
+            assert fetcher.record_answer(peer, Version(version), 0.02) == []
+        (fetch,) = fetcher.record_answer(peers[2], Version(5), 0.04)
+        assert fetch.to == peers[1]
+
+
 class TestView:
     def test_all_daemons_agree_on_a_tree_that_reaches_each_of_them_once(self) -> None:
         members = [
