--- a/packages/godwitpass/src/godwitpass/internal/relay/placement.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/placement.py
@@ -116,6 +116,10 @@
         best = min(reachable, key=score)
         return best.upstream
 
+    def count_ready(self, service: ServiceName) -> int:
+        """Return the number of upstreams of `service` that calls can go to."""
+        return len(self._services.get(service, ()))
+
     def describe(self, instance: InstanceId, now: float) -> dict[str, Field]:
         """Return what is known of an upstream, for the log; ages are in milliseconds."""
         peer = self._peers.get(instance)
