--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -24,11 +24,12 @@
 from godwitpass_daemon.relay.exchange import Exchange
 from godwitpass_daemon.relay.headers import HeaderNames
 from godwitpass_daemon.relay.host import Host
-from godwitpass_daemon.relay.ingress import CallerConnection, Turn
+from godwitpass_daemon.relay.ingress import CallerConnection
 from godwitpass_daemon.relay.limits import SWEEP_INTERVAL_S
 from godwitpass_daemon.relay.links import Link, LocalLink, PeerLink
 from godwitpass_daemon.relay.reception import Reception
 from godwitpass_daemon.relay.runlog import Emit
+from godwitpass_daemon.relay.turns import Turn
 
 BULK_BYTES = 16 * 1024
 """Calls with larger bodies use a connection of their own, so that short ones don't wait."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
@@ -7,13 +7,12 @@
 
 import httptools
 
-from godwitpass.internal.relay.routes import RelayRoute, RelayTable
+from godwitpass.internal.relay.routes import RelayTable
 from godwitpass.internal.relay.startup import decide_wait
 from godwitpass_daemon.edge.heads import Header
 from godwitpass_daemon.relay.exchange import Exchange
 from godwitpass_daemon.relay.headers import (
     RequestFault,
-    RequestHead,
     encode_own,
     read_request,
 )
@@ -23,6 +22,7 @@
     MAX_PIPELINED,
     WRITE_BUFFER_BYTES,
 )
+from godwitpass_daemon.relay.turns import Turn
 
 if TYPE_CHECKING:
     from godwitpass_daemon.relay.core import RelayCore
@@ -32,68 +32,6 @@
 """A daemon that has just started holds a configuration within about this time."""
 
 
-class Turn:
-    """One request of a connection, from its head to the end of its answer."""
-
-    __slots__ = (
-        "_connection",
-        "_out",
-        "arrived_at",
-        "body",
-        "body_bytes",
-        "chunked",
-        "closing",
-        "complete",
-        "exchange",
-        "fault",
-        "finished",
-        "head",
-        "keep_alive",
-        "route",
-        "started",
-        "waiting",
-    )
-
-    def __init__(self, connection: "CallerConnection", arrived_at: float) -> None:
-        self._connection = connection
-        self._out: list[bytes] = []
-        self.arrived_at = arrived_at
-        self.body: list[bytes] = []
-        self.body_bytes = 0
-        self.chunked = False
-        self.closing = False
-        self.complete = False
-        self.fault: RequestFault | None = None
-        self.exchange: Exchange | None = None
-        self.finished = False
-        self.head: RequestHead | None = None
-        self.keep_alive = True
-        self.route: RelayRoute | None = None
-        self.started = False
-        self.waiting: asyncio.TimerHandle | None = None
-
-    def decide_close(self) -> bool:
-        """Decide whether the answer is the last one on its connection; its head says so."""
-        self.closing = self.closing or self._connection.closes_after(self)
-        return self.closing
-
-    def answer(self, data: bytes, last: bool) -> None:
-        """Send a part of the answer when its turn has come."""
-        self._out.append(data)
-        self.finished = self.finished or last
-        self._connection.flush()
-
-    def break_off(self) -> None:
-        """Close the connection, so that the caller sees the answer cut short."""
-        self._connection.abort()
-
-    def take_output(self) -> bytes:
-        """Return what can be written now."""
-        data = b"".join(self._out)
-        self._out.clear()
-        return data
-
-
 class CallerConnection(asyncio.Protocol):
     """One connection of a caller."""
 
