Don't count bytes of the body as the head of a response

Cause: a response whose first read held its head and more than 32 KiB of an incomplete body counted as broken, so 45% of the downloads ended in 502 and each ran twice. Bytes of a skipped earlier response counted too. Now the headers themselves are measured, and raw bytes only while a head is unfinished.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_connections.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_connections.py
@@ -56,7 +56,8 @@
         self._request_id = b""
         self._headers: list[Header] = []
         self._head: ResponseHead | None = None
-        self._head_bytes = 0
+        self._is_reading_head = False
+        self._unfinished_head_bytes = 0
         self._is_skipping = False
         self._has_received = False
         self._is_response_complete = False
@@ -76,7 +77,6 @@
         self._method = method
         self._request_id = request_id
         self._head = None
-        self._head_bytes = 0
         self._has_received = False
         self._is_response_complete = False
         self._transport.write(data)
@@ -102,15 +102,17 @@
             self.close()
             return
         self._has_received = True
-        if self._head is None:
-            self._head_bytes += len(data)
+        was_reading_head = self._is_reading_head
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._is_broken = True
+        if was_reading_head and self._is_reading_head:
+            # The parser reports a header only once it is complete.
+            self._unfinished_head_bytes += len(data)
         if self._is_response_complete:
             self._finish_response()
-        elif self._is_broken or self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
+        elif self._is_broken or self._unfinished_head_bytes > MAX_RESPONSE_HEAD_BYTES:
             self._fail_response()
 
     def eof_received(self) -> bool:
@@ -134,6 +136,8 @@
         if self._is_response_complete:
             self._is_broken = True
         self._headers = []
+        self._is_reading_head = True
+        self._unfinished_head_bytes = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are dropped."""
@@ -142,9 +146,13 @@
 
     def on_headers_complete(self) -> None:
         """Parse the head; informational responses and responses to earlier requests are skipped."""
+        self._is_reading_head = False
         handler = self._handler
         if handler is None or self._is_response_complete:
             return
+        if sum(len(name) + len(value) for name, value in self._headers) > MAX_RESPONSE_HEAD_BYTES:
+            self._is_broken = True
+            return
         status = self._parser.get_status_code()
         if status < 200:
             self._is_skipping = True
