Control the flow of large responses over both hops

Cause, found by reading: a streamed response was sent on as fast as the upstream produced it, whatever its caller took, so a slow caller filled the memory of both daemons; a full buffer and a large read made a frame that the other daemon rejects, which ended every call on that connection; a response without a seal was buffered without bound; the status of a streamed response was logged and counted as 200 with the size of its first part, and one that was cut short didn't count as a failure of its upstream.

A streamed response now has a window of 256 KiB that its caller's connection extends; the upstream is paused meanwhile. Calls whose responses are usually large use the second connection between daemons, so that short ones don't wait behind them.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -32,7 +32,10 @@
 from godwitpass_daemon.relay.upstream_runner import UpstreamRunner
 
 LARGE_BODY_BYTES = 16 * 1024
-"""Calls with larger bodies use a separate connection, so that short calls don't wait for them."""
+"""Calls with larger bodies use a separate connection, so that short calls don't wait for them.
+
+The size of a response is estimated from earlier ones on the same route.
+"""
 
 PROCESS_PAUSE_S = 1.0
 """A timeout check that is this late shows that the process was paused."""
@@ -150,8 +153,11 @@
             return NESTED_CALL_PRIORITY
         return route.policy.priority
 
-    def get_link(self, upstream: Upstream, body_bytes: int) -> Link:
-        """Return the link to the daemon of `upstream`, and open one if there is none."""
+    def get_link(self, upstream: Upstream, body_bytes: float) -> Link:
+        """Return the link to the daemon of `upstream`, and open one if there is none.
+
+        `body_bytes` is the size of the request body, or the estimated one of the response.
+        """
         if upstream.instance == self._own_instance:
             return self._local_link
         key = (upstream.instance, upstream.address, body_bytes > LARGE_BODY_BYTES)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
@@ -15,7 +15,11 @@
 from godwitpass.internal.relay.routes import RelayRoute
 from godwitpass.mesh import Upstream
 from godwitpass_daemon.relay.headers import RequestHead, encode_local_response, encode_response_head
-from godwitpass_daemon.relay.limits import DEADLINE_MARGIN_S, MAX_FORWARDS
+from godwitpass_daemon.relay.limits import (
+    DEADLINE_MARGIN_S,
+    MAX_FORWARDS,
+    RESPONSE_GRANT_BYTES,
+)
 from godwitpass_daemon.relay.links import Link
 
 if TYPE_CHECKING:
@@ -36,7 +40,9 @@
     """Forwards one call to an upstream, retries it and passes the response on.
 
     `_upstream_attempts` counts the attempts that reached an upstream, `_uncertain_attempts` those
-    that were retried although they may have run the call.
+    that were retried although they may have run the call. `_streamed` is the first part of a
+    response that is passed on while it arrives, and `_ungranted_bytes` counts what the caller has
+    taken of the further parts since the window was last extended.
     """
 
     __slots__ = (
@@ -47,16 +53,18 @@
         "_excluded",
         "_forward_count",
         "_has_ended",
-        "_is_streaming",
         "_link",
         "_objective_at",
         "_priority",
         "_refusal_reason",
         "_request",
+        "_response_bytes",
         "_retry_after_s",
         "_service",
         "_stream_id",
+        "_streamed",
         "_uncertain_attempts",
+        "_ungranted_bytes",
         "_upstream",
         "_upstream_attempts",
         "arrived_at",
@@ -90,7 +98,9 @@
         self._link: Link | None = None
         self._stream_id = 0
         self._upstream: Upstream | None = None
-        self._is_streaming = False
+        self._streamed: Response | None = None
+        self._response_bytes = 0
+        self._ungranted_bytes = 0
         self._has_ended = False
         self._deadline_timer: asyncio.TimerHandle | None = None
 
@@ -148,7 +158,8 @@
         upstream = self._detach(now)
         self._excluded.add(upstream.instance)
         if was_sent:
-            if self._is_streaming:
+            if self._streamed is not None:
+                self._core.selector.record_failure(upstream.instance, now)
                 self._abort_response("link lost")
                 return
             self._upstream_attempts += 1
@@ -161,49 +172,53 @@
 
     def handle_response(self, frame: Response) -> None:
         """Pass the response on, or its first part."""
-        core, now = self._core, self._core.now()
-        upstream = self._upstream
-        assert upstream is not None
-        has_failed = frame.status >= 500
-        core.selector.record_response(
-            upstream.instance,
-            self.route.name,
-            frame.service_ms / 1000,
-            len(frame.body),
-            has_failed,
-            now,
-        )
+        self._response_bytes = len(frame.body)
         has_no_body = self.head.method == b"HEAD" or frame.status in (204, 304)
         closes_connection = self._request.decide_close()
         head = encode_response_head(
             frame.status, frame.head, frame.body_bytes, closes_connection, has_no_body
         )
         if frame.is_last:
-            self._detach(now)
-            self._finish("answered", frame.status, frame)
+            self._finish_answered(frame)
             self._request.write_response(head + frame.body, is_last=True)
             return
-        self._is_streaming = True
-        chunk = self._encode_chunk(frame.body, frame.body_bytes)
+        self._streamed = frame
+        data = head + self._encode_chunk(frame.body, frame.body_bytes)
+        # The window doesn't cover the first part.
+        self._ungranted_bytes = -len(data)
         self._request.is_chunked = frame.body_bytes < 0
-        self._request.write_response(head + chunk, is_last=False)
+        self._request.write_response(data, is_last=False)
 
     def handle_body(self, frame: BodyChunk) -> None:
         """Pass a further part of the response on."""
+        assert self._streamed is not None, "the first part arrives before the others"
+        self._response_bytes += len(frame.data)
         is_chunked = self._request.is_chunked
         data = self._encode_chunk(frame.data, -1 if is_chunked else 0)
         if not frame.is_last:
             self._request.write_response(data, is_last=False)
             return
-        self._detach(self._core.now())
-        self._finish("answered", 200)
+        self._finish_answered(self._streamed)
         self._request.write_response(data + (b"0\r\n\r\n" if is_chunked else b""), is_last=True)
 
     def handle_aborted(self) -> None:
         """Abort the response, so that the caller doesn't take it for complete."""
-        self._detach(self._core.now())
+        now = self._core.now()
+        upstream = self._detach(now)
+        self._core.selector.record_failure(upstream.instance, now)
         self._abort_response("answer cut")
 
+    # Called by the caller's connection.
+
+    def handle_output_taken(self, size_bytes: int) -> None:
+        """Extend the window of a streamed response after the caller has taken a part of it."""
+        if self._streamed is None or self._link is None:
+            return
+        self._ungranted_bytes += size_bytes
+        if self._ungranted_bytes >= RESPONSE_GRANT_BYTES:
+            self._link.extend_window(self._stream_id, self._ungranted_bytes)
+            self._ungranted_bytes = 0
+
     def _forward(self) -> None:
         core, now = self._core, self._core.now()
         remaining_s = self._deadline - now
@@ -232,7 +247,10 @@
             b"",
             self.head.request_id,
         )
-        link = core.get_link(upstream, len(self._body))
+        largest_body_bytes = max(
+            len(self._body), core.selector.estimate_response_bytes(self.route.name)
+        )
+        link = core.get_link(upstream, largest_body_bytes)
         self._link = link
         self._stream_id = link.open(self, stream_request, self._body)
 
@@ -270,7 +288,7 @@
         """End a call at its deadline."""
         if self._has_ended:
             return
-        if self._is_streaming:
+        if self._streamed is not None:
             self._cancel_stream()
             self._abort_response("deadline")
             return
@@ -298,6 +316,20 @@
             is_last=True,
         )
 
+    def _finish_answered(self, response: Response) -> None:
+        """End the call after the last part of `response`."""
+        now = self._core.now()
+        upstream = self._detach(now)
+        self._core.selector.record_response(
+            upstream.instance,
+            self.route.name,
+            response.service_ms / 1000,
+            self._response_bytes,
+            response.status >= 500,
+            now,
+        )
+        self._finish("answered", response.status, response)
+
     def _abort_response(self, reason: str) -> None:
         self._finish(reason, 0)
         self._request.abort()
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/inbound_peers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/inbound_peers.py
@@ -13,6 +13,7 @@
     OpenStream,
     Ping,
     Pong,
+    WindowUpdate,
     encode_frame,
 )
 from godwitpass_daemon.relay.limits import WRITE_BUFFER_BYTES
@@ -90,6 +91,10 @@
                 found = self._calls.pop(stream_id, None)
                 if found is not None:
                     found.cancel()
+            case WindowUpdate(stream_id, size_bytes):
+                found = self._calls.get(stream_id)
+                if found is not None:
+                    found.extend_window(size_bytes)
             case Ping():
                 self.send(Pong(self._runner.get_load()))
             case _:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
@@ -46,6 +46,8 @@
         self._is_reading_head = False
         self._head_bytes = 0
         self._is_paused = False
+        self._is_writing_paused = False
+        self._untaken_bytes = 0
         self._has_read_last_request = False
         self._is_stopped = False
         self._expires_at = math.inf
@@ -71,8 +73,11 @@
             data = request.take_pending_output()
             if data and not transport.is_closing():
                 transport.write(data)
+                self._untaken_bytes += len(data)
             if not request.is_response_complete:
+                self._report_output_taken(request)
                 return
+            self._untaken_bytes = 0
             self._requests.popleft()
             if request.closes_connection:
                 self._start_lingering_close()
@@ -113,6 +118,16 @@
 
     # Called by asyncio.
 
+    def pause_writing(self) -> None:
+        """Stop extending the windows of streamed responses; the caller reads too slowly."""
+        self._is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Extend the window of the streamed response again."""
+        self._is_writing_paused = False
+        if self._requests:
+            self._report_output_taken(self._requests[0])
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and start the idle timeout."""
         self._transport = cast(asyncio.Transport, transport)
@@ -361,6 +376,12 @@
             self._is_paused = False
             self._transport.resume_reading()
 
+    def _report_output_taken(self, request: PipelinedRequest) -> None:
+        """Report the response's bytes written so far, unless the caller reads too slowly."""
+        if not self._is_writing_paused and self._untaken_bytes:
+            size_bytes, self._untaken_bytes = self._untaken_bytes, 0
+            request.record_output_taken(size_bytes)
+
     def _start_lingering_close(self) -> None:
         """Close the sending side and discard input, so that the caller can read the response."""
         self._is_stopped = True
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
@@ -10,6 +10,12 @@
 MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024
 """Responses up to this size are buffered until complete; longer ones are streamed."""
 
+RESPONSE_WINDOW_BYTES = 256 * 1024
+"""Part of a streamed response that may be on its way to the caller."""
+
+RESPONSE_GRANT_BYTES = 64 * 1024
+"""The window of a streamed response is extended after its caller has taken this much of it."""
+
 WRITE_BUFFER_BYTES = 64 * 1024
 LINGERING_CLOSE_S = 1.0
 """Time in which a rejected request's input is discarded, so that its sender reads the response."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/links.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/links.py
@@ -156,6 +156,11 @@
         if self._handlers.pop(stream_id, None) is not None:
             self._write(CancelStream(stream_id))
 
+    def extend_window(self, stream_id: int, size_bytes: int) -> None:
+        """Let the other daemon send `size_bytes` more of a streamed response."""
+        if stream_id in self._handlers:
+            self._write(WindowUpdate(stream_id, size_bytes))
+
     def check_timeouts(self, now: float, was_paused: bool) -> None:
         """Ping a silent daemon, and close a connection that is dead or idle for too long."""
         if self._transport is None:
@@ -301,6 +306,12 @@
         if call is not None:
             call.cancel()
 
+    def extend_window(self, stream_id: int, size_bytes: int) -> None:
+        """Let the local call send `size_bytes` more of a streamed response."""
+        call = self._calls.get(stream_id)
+        if call is not None:
+            call.extend_window(size_bytes)
+
     def send(self, frame: Frame) -> None:
         """Dispatch a frame in a later iteration of the event loop, after the current callback."""
         self._loop.call_soon(self._dispatch, frame)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/pipelining.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/pipelining.py
@@ -69,6 +69,11 @@
         """Close the connection, so that the caller notices that the response is incomplete."""
         self._connection.abort()
 
+    def record_output_taken(self, size_bytes: int) -> None:
+        """Record that the caller has taken `size_bytes` of the response."""
+        if self.call is not None and not self.is_response_complete:
+            self.call.handle_output_taken(size_bytes)
+
     def take_pending_output(self) -> bytes:
         """Return and clear the buffered part of the response."""
         data = b"".join(self._pending_output)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
@@ -18,7 +18,7 @@
     WindowUpdate,
 )
 from godwitpass_daemon.relay.headers import ResponseHead, encode_request_head
-from godwitpass_daemon.relay.limits import MAX_BUFFERED_RESPONSE_BYTES
+from godwitpass_daemon.relay.limits import MAX_BUFFERED_RESPONSE_BYTES, RESPONSE_WINDOW_BYTES
 from godwitpass_daemon.relay.upstream_connections import UpstreamConnection
 
 if TYPE_CHECKING:
@@ -42,6 +42,7 @@
 
     __slots__ = (
         "_body_chunks",
+        "_buffered_response_bytes",
         "_connect_task",
         "_connection",
         "_head",
@@ -51,6 +52,7 @@
         "_response_chunks",
         "_runner",
         "_sent_at",
+        "_window_bytes",
         "call_id",
         "deadline",
         "has_ended",
@@ -89,7 +91,9 @@
         self._sent_at = 0.0
         self._head: ResponseHead | None = None
         self._response_chunks: list[bytes] = []
+        self._buffered_response_bytes = 0
         self._is_streaming = False
+        self._window_bytes = RESPONSE_WINDOW_BYTES
 
     @property
     def is_body_complete(self) -> bool:
@@ -116,6 +120,13 @@
         if not self.has_ended:
             self._reply_channel.send(WindowUpdate(self.request.stream_id, size_bytes))
 
+    def extend_window(self, size_bytes: int) -> None:
+        """Send `size_bytes` more of a streamed response."""
+        was_exhausted = self._window_bytes <= 0
+        self._window_bytes += size_bytes
+        if was_exhausted and self._window_bytes > 0 and self._connection is not None:
+            self._connection.resume_reading()
+
     def cancel(self) -> None:
         """Cancel the call at its sender's request; a running one that is idempotent is aborted."""
         if self.has_ended:
@@ -184,18 +195,24 @@
         if self.has_ended:
             return
         if self._is_streaming:
-            self._reply_channel.send(BodyChunk(self.request.stream_id, data))
+            self._stream(data)
             return
         self._response_chunks.append(data)
-        buffered_bytes = sum(len(chunk) for chunk in self._response_chunks)
+        self._buffered_response_bytes += len(data)
         head = self._head
-        if (
-            buffered_bytes > MAX_BUFFERED_RESPONSE_BYTES
-            and head is not None
-            and self._is_valid_response(head)
-        ):
-            self._is_streaming = True
-            self._send_response(head, is_last=False)
+        if self._buffered_response_bytes <= MAX_BUFFERED_RESPONSE_BYTES or head is None:
+            return
+        if self._is_refusal(head) or not self._is_valid_response(head):
+            connection, self._connection = self._connection, None
+            self._end_without_response(head)
+            if connection is not None:
+                connection.close()
+            return
+        self._is_streaming = True
+        body = b"".join(self._response_chunks)
+        self._response_chunks.clear()
+        self._send_response(head, body[:MAX_BUFFERED_RESPONSE_BYTES], is_last=False)
+        self._stream(body[MAX_BUFFERED_RESPONSE_BYTES:])
 
     def handle_end(self) -> None:
         """Send the complete response, or report why there is none."""
@@ -204,15 +221,12 @@
         if self.has_ended or head is None:
             return
         if self._is_streaming:
-            self._finish(is_completed=True)
+            self._finish(is_completed=head.status < 500)
             self._reply_channel.send(BodyChunk(self.request.stream_id, b"", is_last=True))
-        elif head.is_not_run or head.status == 421:
-            self._runner.call_log.record_upstream_refusal(head.status)
-            self.refuse(Refusal.UPSTREAM_REFUSED, 0.0, reached_upstream=True)
-        elif not self._is_valid_response(head):
-            self.fail(Failure.INVALID)
+        elif self._is_refusal(head) or not self._is_valid_response(head):
+            self._end_without_response(head)
         else:
-            self._send_response(head, is_last=True)
+            self._send_response(head, b"".join(self._response_chunks), is_last=True)
 
     def handle_loss(self, has_received: bool, is_invalid: bool) -> None:
         """Report that there is no complete response, or resend the request where that is safe."""
@@ -226,19 +240,37 @@
             return
         self.fail(Failure.INVALID if is_invalid else Failure.RESET)
 
+    def _is_refusal(self, head: ResponseHead) -> bool:
+        """Tell whether the upstream states that it has not run the call."""
+        return head.is_not_run or head.status == 421
+
+    def _end_without_response(self, head: ResponseHead) -> None:
+        """End a call whose response is a refusal or invalid."""
+        if self._is_refusal(head):
+            self._runner.call_log.record_upstream_refusal(head.status)
+            self.refuse(Refusal.UPSTREAM_REFUSED, 0.0, reached_upstream=True)
+        else:
+            self.fail(Failure.INVALID)
+
+    def _stream(self, data: bytes) -> None:
+        """Send a part of the response, and pause the upstream once the window is used up."""
+        if data:
+            self._reply_channel.send(BodyChunk(self.request.stream_id, data))
+        self._window_bytes -= len(data)
+        if self._window_bytes <= 0 and self._connection is not None:
+            self._connection.pause_reading()
+
     def _is_valid_response(self, head: ResponseHead) -> bool:
         """Tell whether the upstream itself produced the response; a success must carry its seal."""
         if head.has_content_encoding:
             return False
         return head.has_seal or not 200 <= head.status < 300
 
-    def _send_response(self, head: ResponseHead, is_last: bool) -> None:
+    def _send_response(self, head: ResponseHead, body: bytes, is_last: bool) -> None:
         now = self._runner.now()
         wait_ms = int((self.scheduled.started_at - self.scheduled.arrived_at) * 1000)
         service_ms = int((now - self._sent_at) * 1000)
         self._runner.call_log.record_response_sent(self, head.status, wait_ms, service_ms)
-        body = b"".join(self._response_chunks)
-        self._response_chunks.clear()
         load = self._finish(is_completed=head.status < 500) if is_last else self._runner.get_load()
         self._reply_channel.send(
             Response(
@@ -309,6 +341,7 @@
         """Free the slot and return the remaining load."""
         self.has_ended = True
         self._body_chunks.clear()
+        self._response_chunks.clear()
         if self._connect_task is not None:
             self._connect_task.cancel()
             self._connect_task = None
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_connections.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_connections.py
@@ -81,6 +81,16 @@
         self._is_response_complete = False
         self._transport.write(data)
 
+    def pause_reading(self) -> None:
+        """Leave the rest of the response to the upstream until `resume_reading` is called."""
+        if self._transport is not None and self.is_open:
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read on."""
+        if self._transport is not None and self.is_open:
+            self._transport.resume_reading()
+
     def close(self) -> None:
         """Abort the connection, by which the upstream notices the cancellation."""
         self._handler = None
@@ -193,6 +203,7 @@
             self.keep_alive_s = head.keep_alive_s
         is_unusable = self._is_broken or self._is_out_of_sync
         if head.is_persistent and not is_unusable and self.is_open:
+            self.resume_reading()
             self._pool.release(self)
         elif self._transport is not None:
             self._transport.abort()
--- /dev/null
+++ b/packages/godwitpass-daemon/tests/relay/test_upstream.py
@@ -0,0 +1,252 @@
+import asyncio
+from typing import Any
+
+import pytest
+
+from godwitpass.ids import Address, InstanceId, RouteName, ServiceName
+from godwitpass.internal.relay.frames import (
+    BodyChunk,
+    Frame,
+    FrameDecoder,
+    OpenStream,
+    Refused,
+    Response,
+    encode_frame,
+)
+from godwitpass.internal.relay.registration import Heartbeat
+from godwitpass_daemon.relay.headers import HeaderNames, ResponseHead
+from godwitpass_daemon.relay.limits import MAX_BUFFERED_RESPONSE_BYTES, RESPONSE_WINDOW_BYTES
+from godwitpass_daemon.relay.upstream_calls import UpstreamCall
+from godwitpass_daemon.relay.upstream_connections import (
+    MAX_RESPONSE_HEAD_BYTES,
+    UpstreamConnection,
+    UpstreamConnectionPool,
+)
+from godwitpass_daemon.relay.upstream_runner import UpstreamRunner
+
+HEADER_NAMES = HeaderNames(
+    request_id=b"x-id",
+    timeout_ms=b"x-timeout",
+    target=b"x-target",
+    caller_service=b"x-service",
+    not_run=b"x-not-run",
+    seal=b"x-seal",
+    instance=b"x-instance",
+)
+BODY_SIZES = [0, 1, MAX_RESPONSE_HEAD_BYTES, 90_000, 256 * 1024, 540_000]
+LARGE_READ_BYTES = 256 * 1024
+READ_SIZES = [1_000, 16 * 1024, 64 * 1024, LARGE_READ_BYTES]
+
+
+class RecordingTransport(asyncio.Transport):
+    """Discards what is written."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_aborted = False
+        self.is_paused = False
+
+    def pause_reading(self) -> None:
+        self.is_paused = True
+
+    def resume_reading(self) -> None:
+        self.is_paused = False
+
+    def write(self, data: Any) -> None:
+        pass
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        pass
+
+    def is_closing(self) -> bool:
+        return self.is_aborted
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+
+class RecordingHandler:
+    """Collects a response."""
+
+    def __init__(self) -> None:
+        self.head: ResponseHead | None = None
+        self.body = b""
+        self.outcome = ""
+
+    def handle_head(self, head: ResponseHead) -> None:
+        self.head = head
+
+    def handle_body(self, data: bytes) -> None:
+        self.body += data
+
+    def handle_end(self) -> None:
+        self.outcome = "complete"
+
+    def handle_loss(self, has_received: bool, is_invalid: bool) -> None:
+        self.outcome = "invalid" if is_invalid else "lost"
+
+
+def encode_response(body: bytes, *header_lines: str, request_id: str = "r") -> bytes:
+    lines = ["HTTP/1.1 200 OK", f"x-id: {request_id}", f"content-length: {len(body)}"]
+    return "\r\n".join([*lines, *header_lines, "", ""]).encode() + body
+
+
+def open_connection() -> tuple[UpstreamConnection, RecordingTransport]:
+    connection = UpstreamConnection(UpstreamConnectionPool(HEADER_NAMES, lambda: 0.0))
+    transport = RecordingTransport()
+    connection.connection_made(transport)
+    return connection, transport
+
+
+def receive(response: bytes, read_bytes: int, request_id: bytes = b"r") -> RecordingHandler:
+    """Return what a handler receives if `response` arrives in reads of `read_bytes`."""
+    connection, _ = open_connection()
+    handler = RecordingHandler()
+    connection.send(handler, b"GET", request_id, b"")
+    for start in range(0, len(response), read_bytes):
+        connection.data_received(response[start : start + read_bytes])
+    return handler
+
+
+class TestResponseSizes:
+    @pytest.mark.parametrize("read_bytes", READ_SIZES)
+    @pytest.mark.parametrize("body_bytes", BODY_SIZES)
+    def test_a_response_of_any_size_arrives_whole(self, body_bytes: int, read_bytes: int) -> None:
+        body = bytes(range(256)) * (body_bytes // 256) + b"x" * (body_bytes % 256)
+        handler = receive(encode_response(body), read_bytes)
+        assert handler.outcome == "complete"
+        assert handler.body == body
+
+    @pytest.mark.parametrize("read_bytes", READ_SIZES)
+    def test_a_large_response_to_an_earlier_request_is_skipped(self, read_bytes: int) -> None:
+        earlier = encode_response(b"e" * 540_000, request_id="earlier")
+        handler = receive(earlier + encode_response(b"own"), read_bytes)
+        assert handler.outcome == "complete"
+        assert handler.body == b"own"
+
+    @pytest.mark.parametrize("read_bytes", READ_SIZES)
+    def test_a_head_up_to_the_limit_is_accepted(self, read_bytes: int) -> None:
+        value = "v" * (MAX_RESPONSE_HEAD_BYTES - 100)
+        handler = receive(encode_response(b"body", f"x-long: {value}"), read_bytes)
+        assert handler.outcome == "complete"
+
+    @pytest.mark.parametrize("read_bytes", READ_SIZES)
+    def test_a_head_over_the_limit_is_invalid(self, read_bytes: int) -> None:
+        value = "v" * (MAX_RESPONSE_HEAD_BYTES + 1)
+        handler = receive(encode_response(b"body", f"x-long: {value}"), read_bytes)
+        assert handler.outcome == "invalid"
+
+    def test_a_head_that_never_ends_is_invalid(self) -> None:
+        start = b"HTTP/1.1 200 OK\r\nx-long: "
+        handler = receive(start + b"v" * 2 * MAX_RESPONSE_HEAD_BYTES, 1_000)
+        assert handler.outcome == "invalid"
+        assert handler.head is None
+
+
+class RecordingReplyChannel:
+    """Collects the frames that are sent to the forwarding daemon."""
+
+    def __init__(self) -> None:
+        self.frames: list[Frame] = []
+
+    def send(self, frame: Frame) -> None:
+        self.frames.append(frame)
+
+    def remove_stream(self, stream_id: int) -> None:
+        pass
+
+    def count_streamed_bytes(self) -> int:
+        """Return the bytes that were sent after the first part of the response."""
+        return sum(len(frame.data) for frame in self.frames if isinstance(frame, BodyChunk))
+
+
+class RunningCall:
+    """A call that was sent to the upstream on `connection`."""
+
+    def __init__(self) -> None:
+        service = ServiceName("vault")
+        runner = UpstreamRunner(HEADER_NAMES, lambda: 0.0, lambda kind, fields: None, 1.0, 1e9)
+        runner.registration.apply(
+            Heartbeat(InstanceId("i-1"), service, Address("127.0.0.1:1"), 1, False, 1, 1), 0.0
+        )
+        runner.apply_registration()
+        self.connection = UpstreamConnection(runner.pool)
+        self.transport = RecordingTransport()
+        self.connection.connection_made(self.transport)
+        runner.pool.release(self.connection)
+        self.channel = RecordingReplyChannel()
+        head = b"GET /pack/1 HTTP/1.1\r\n"
+        request = OpenStream(
+            1, service, RouteName("pack"), head, 5_000, 1_000, 1, True, 0, b"", "r"
+        )
+        self.runner = runner
+        self.call: UpstreamCall = runner.open_call(self.channel, request)
+
+    def receive(self, response: bytes) -> int:
+        """Receive `response` until reading is paused; return the bytes received."""
+        received_bytes = 0
+        while received_bytes < len(response) and not self.transport.is_paused:
+            data = response[received_bytes : received_bytes + LARGE_READ_BYTES]
+            self.connection.data_received(data)
+            received_bytes += len(data)
+        return received_bytes
+
+
+class TestResponseWindow:
+    def test_a_caller_that_takes_nothing_pauses_the_upstream(self) -> None:
+        running = RunningCall()
+        received_bytes = running.receive(encode_response(b"b" * 8_000_000, "x-seal: s"))
+        most_buffered = MAX_BUFFERED_RESPONSE_BYTES + RESPONSE_WINDOW_BYTES + 2 * LARGE_READ_BYTES
+        assert received_bytes <= most_buffered
+        assert running.channel.count_streamed_bytes() <= RESPONSE_WINDOW_BYTES + LARGE_READ_BYTES
+
+    def test_the_upstream_continues_while_the_window_is_extended(self) -> None:
+        running = RunningCall()
+        response = encode_response(b"b" * 3_000_000, "x-seal: s")
+        position = running.receive(response)
+        while position < len(response):
+            running.call.extend_window(LARGE_READ_BYTES)
+            position += running.receive(response[position:])
+        assert running.call.has_ended
+        first = running.channel.frames[0]
+        assert isinstance(first, Response)
+        assert len(first.body) + running.channel.count_streamed_bytes() == 3_000_000
+
+    def test_a_connection_that_was_paused_is_read_again_after_the_response(self) -> None:
+        running = RunningCall()
+        response = encode_response(
+            b"b" * (MAX_BUFFERED_RESPONSE_BYTES + RESPONSE_WINDOW_BYTES), "x-seal: s"
+        )
+        for start in range(0, len(response), LARGE_READ_BYTES):
+            running.connection.data_received(response[start : start + LARGE_READ_BYTES])
+        assert running.call.has_ended
+        assert not running.transport.is_paused
+        assert running.runner.pool.take_idle(must_be_recent=False) is running.connection
+
+    def test_a_large_response_without_a_seal_ends_the_call_without_being_read_to_its_end(
+        self,
+    ) -> None:
+        running = RunningCall()
+        running.receive(encode_response(b"b" * 8_000_000)[: 4 * LARGE_READ_BYTES])
+        assert running.call.has_ended
+        assert running.transport.is_aborted
+
+    def test_a_large_refusal_ends_the_call_as_not_run(self) -> None:
+        running = RunningCall()
+        running.receive(encode_response(b"b" * 8_000_000, "x-not-run: 1")[: 4 * LARGE_READ_BYTES])
+        (refused,) = running.channel.frames
+        assert isinstance(refused, Refused) and refused.reached_upstream
+
+
+class TestFrameSizes:
+    def test_a_full_buffer_and_a_large_read_are_sent_in_frames_that_are_accepted(self) -> None:
+        running = RunningCall()
+        response = encode_response(b"b" * 1_000_000, "x-seal: s")
+        buffered_bytes = response.index(b"\r\n\r\n") + 4 + MAX_BUFFERED_RESPONSE_BYTES
+        running.connection.data_received(response[:LARGE_READ_BYTES])
+        running.connection.data_received(response[LARGE_READ_BYTES:buffered_bytes])
+        running.receive(response[buffered_bytes:])
+        assert running.channel.frames
+        decoder = FrameDecoder()
+        for frame in running.channel.frames:
+            assert decoder.decode(encode_frame(frame)) == [frame]
--- a/packages/godwitpass/src/godwitpass/internal/relay/upstream_selection.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/upstream_selection.py
@@ -128,7 +128,7 @@
         if not reachable:
             return None
         service_time_s = self._service_time_s.get(route, DEFAULT_SERVICE_TIME_S)
-        transferred_bytes = body_bytes + self._response_bytes.get(route, DEFAULT_RESPONSE_BYTES)
+        transferred_bytes = body_bytes + self.estimate_response_bytes(route)
         cross_zone_penalty_s = (
             CROSS_ZONE_PENALTY_S + CROSS_ZONE_PENALTY_S_PER_BYTE * transferred_bytes
         )
@@ -140,6 +140,10 @@
         best = min(reachable, key=score)
         return best.upstream
 
+    def estimate_response_bytes(self, route: RouteName) -> float:
+        """Estimate the size of the response to a call on `route`."""
+        return self._response_bytes.get(route, DEFAULT_RESPONSE_BYTES)
+
     def count_ready(self, service: ServiceName) -> int:
         """Return the number of ready upstreams of `service`."""
         return len(self._ready_by_service.get(service, ()))
--- a/tests/cover/test_platform.py
+++ b/tests/cover/test_platform.py
@@ -1,13 +1,9 @@
 """The platform adapter, tested with three daemons in one process."""
 
-import itertools
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
-from contextlib import asynccontextmanager
 from pathlib import Path
 
 import anyio
 import pytest
-from anyio.from_thread import start_blocking_portal
 
 from godwitpass.errors import InvalidSettings
 from godwitpass.timeline import concerns_request, merge_timelines, parse_timeline
@@ -17,6 +13,7 @@
 from godwitpass_platform_stand_ins import (
     Client,
     Deployment,
+    RunCheck,
     build_configuration,
     build_route,
     encode_call,
@@ -25,44 +22,6 @@
     wait_until,
 )
 
-Check = Callable[[Deployment], Awaitable[None]]
-RunCheck = Callable[[Check], None]
-
-FIRST_BASE_PORT, PORTS_PER_DEPLOYMENT = 21_000, 100
-CHECK_TIMEOUT_S = 30.0
-_base_ports = itertools.count(FIRST_BASE_PORT, PORTS_PER_DEPLOYMENT)
-
-
-@asynccontextmanager
-async def run_deployment(folder: Path) -> AsyncIterator[Deployment]:
-    deployment = Deployment(folder, next(_base_ports))
-    async with anyio.create_task_group() as tasks:
-        with anyio.fail_after(CHECK_TIMEOUT_S):
-            await deployment.start(tasks)
-        yield deployment
-        with anyio.fail_after(CHECK_TIMEOUT_S):
-            await deployment.stop()
-        tasks.cancel_scope.cancel()
-
-
-@pytest.fixture(scope="class")
-def run_check(tmp_path_factory: pytest.TempPathFactory) -> Iterator[RunCheck]:
-    """Return a function that runs a check against the class's deployment, with faults cleared."""
-    folder = tmp_path_factory.mktemp("deployment")
-    with (
-        start_blocking_portal() as portal,
-        portal.wrap_async_context_manager(run_deployment(folder)) as deployment,
-    ):
-
-        async def clear_faults_and_check(check: Check) -> None:
-            for machine in deployment.machines:
-                machine.server.fault, machine.server.work_s = "", 0.0
-                machine.server.aborted_runs = 0
-            with anyio.fail_after(CHECK_TIMEOUT_S):
-                await check(deployment)
-
-        yield lambda check: portal.call(clear_faults_and_check, check)
-
 
 class TestCalls:
     def test_a_server_receives_the_request_unchanged_with_the_headers_that_the_daemon_adds(
