--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/headers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/headers.py
@@ -107,7 +107,7 @@
     lines.append(b"%b: %b\r\n" % (header_names.caller_service, caller_service))
     return RequestHead(
         method=method,
-        host=(host.rpartition(b":")[0] if b":" in host else host).decode("latin-1").lower(),
+        host=_drop_port(host).decode("latin-1").lower(),
         path=raw_target.partition(b"?")[0].decode("latin-1"),
         encoded=b"".join(lines),
         request_id=unique_values.get(header_names.request_id, b"").decode("latin-1"),
@@ -246,6 +246,17 @@
     return unique_names, HOP_BY_HOP_HEADERS | _FRAMING_HEADERS | own_names
 
 
+def _drop_port(host: bytes) -> bytes:
+    """Return a Host header's value without its port; an IPv6 address is in brackets.
+
+    >>> _drop_port(b"[::1]"), _drop_port(b"[::1]:80"), _drop_port(b"shop.example:80")
+    (b'[::1]', b'[::1]', b'shop.example')
+    """
+    if host.startswith(b"["):
+        return host[: host.find(b"]") + 1]
+    return host.partition(b":")[0]
+
+
 def _usually_has_body(head: bytes) -> bool:
     """Tell whether the method usually has a body, so that an empty one is announced too."""
     return head.startswith((b"POST ", b"PUT ", b"PATCH "))
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
@@ -61,9 +61,8 @@
         """Tell whether the connection closes after the response to `request`."""
         if not request.keep_alive or not request.is_request_complete:
             return True
-        return (
-            self._core.is_stopping and self._requests[-1] is request and not self._is_reading_head
-        )
+        is_last = not self._requests or self._requests[-1] is request
+        return self._core.is_stopping and is_last and not self._is_reading_head
 
     def flush_responses(self) -> None:
         """Write the responses that are next in order."""
@@ -143,6 +142,9 @@
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError:
+            # An error of this program: asyncio logs it and closes the connection.
+            raise
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._reject_current(400, "not a request in HTTP/1.1")
         if self._is_reading_head and self._head_bytes > self._core.limits.head_bytes:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/links.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/links.py
@@ -261,6 +261,8 @@
         if self._is_closed:
             return
         self._is_closed = True
+        self._unsent_bodies.clear()
+        self._pending_writes.clear()
         self._on_close()
         was_sent = self._transport is not None
         if self._transport is not None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/probe.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/probe.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from godwitpass_daemon.relay.headers import ResponseHead
-from godwitpass_daemon.relay.upstream_connections import UpstreamConnectionPool
+from godwitpass_daemon.relay.upstream_connections import UpstreamConnection, UpstreamConnectionPool
 
 PROBE_TIMEOUT_S = 0.5
 
@@ -47,6 +47,7 @@
 async def probe_health(pool: UpstreamConnectionPool, path: str, host: str) -> Health | None:
     """Send a health check to the upstream; return None if it doesn't respond."""
     handler = _ProbeHandler()
+    connection: UpstreamConnection | None = None
     try:
         async with asyncio.timeout(PROBE_TIMEOUT_S):
             connection = await pool.connect()
@@ -54,6 +55,8 @@
             connection.send(handler, b"GET", b"", request)
             await handler.ended.wait()
     except (OSError, TimeoutError):
+        if connection is not None:
+            connection.close()
         return None
     head = handler.head
     if head is None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_connections.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_connections.py
@@ -115,6 +115,10 @@
         was_reading_head = self._is_reading_head
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError:
+            # An error of this program: asyncio logs it.
+            self._fail_response()
+            raise
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._is_broken = True
         if was_reading_head and self._is_reading_head:
@@ -282,11 +286,12 @@
     def close_expired(self) -> None:
         """Close the connections whose keep-alive time is nearly over."""
         now = self._now()
-        while (
-            self._idle
-            and now - self._idle[0].idle_since > self._idle[0].keep_alive_s - KEEP_ALIVE_MARGIN_S
-        ):
-            self._idle.pop(0).close()
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            if now - connection.idle_since > connection.keep_alive_s - KEEP_ALIVE_MARGIN_S:
+                connection.close()
+            else:
+                self._idle.append(connection)
 
     def close_all(self) -> None:
         """Close all idle connections."""
--- a/packages/godwitpass-daemon/tests/relay/test_upstream.py
+++ b/packages/godwitpass-daemon/tests/relay/test_upstream.py
@@ -1,6 +1,8 @@
 import asyncio
+import contextlib
 from typing import Any
 
+import httptools
 import pytest
 
 from godwitpass.ids import Address, InstanceId, RouteName, ServiceName
@@ -16,6 +18,7 @@
 from godwitpass.internal.relay.registration import Heartbeat
 from godwitpass_daemon.relay.headers import HeaderNames, ResponseHead
 from godwitpass_daemon.relay.limits import MAX_BUFFERED_RESPONSE_BYTES, RESPONSE_WINDOW_BYTES
+from godwitpass_daemon.relay.probe import probe_health
 from godwitpass_daemon.relay.upstream_calls import UpstreamCall
 from godwitpass_daemon.relay.upstream_connections import (
     MAX_RESPONSE_HEAD_BYTES,
@@ -91,8 +94,10 @@
     return "\r\n".join([*lines, *header_lines, "", ""]).encode() + body
 
 
-def open_connection() -> tuple[UpstreamConnection, RecordingTransport]:
-    connection = UpstreamConnection(UpstreamConnectionPool(HEADER_NAMES, lambda: 0.0))
+def open_connection(
+    pool: UpstreamConnectionPool | None = None,
+) -> tuple[UpstreamConnection, RecordingTransport]:
+    connection = UpstreamConnection(pool or UpstreamConnectionPool(HEADER_NAMES, lambda: 0.0))
     transport = RecordingTransport()
     connection.connection_made(transport)
     return connection, transport
@@ -143,6 +148,61 @@
         assert handler.head is None
 
 
+class TestConnectionPool:
+    def test_an_expired_connection_is_closed_behind_one_that_is_kept_longer(self) -> None:
+        now = 0.0
+        pool = UpstreamConnectionPool(HEADER_NAMES, lambda: now)
+        transports: list[RecordingTransport] = []
+        for keep_alive_s in (60.0, 5.0, 60.0):
+            connection, transport = open_connection(pool)
+            connection.keep_alive_s = keep_alive_s
+            pool.release(connection)
+            transports.append(transport)
+        now = 10.0
+        pool.close_expired()
+        assert [transport.is_aborted for transport in transports] == [False, True, False]
+
+
+class TestProgramErrors:
+    def test_an_error_of_a_handler_is_raised_and_ends_the_call(self) -> None:
+        class FailingHandler(RecordingHandler):
+            def handle_head(self, head: ResponseHead) -> None:
+                raise LookupError("a fault of the handler")
+
+        connection, transport = open_connection()
+        handler = FailingHandler()
+        connection.send(handler, b"GET", b"r", b"")
+        with pytest.raises(httptools.HttpParserCallbackError):
+            connection.data_received(encode_response(b"body"))
+        assert handler.outcome == "invalid"
+        assert transport.is_aborted
+
+
+class TestProbe:
+    def test_a_probe_without_an_answer_closes_its_connection(self) -> None:
+        async def check() -> None:
+            closed = asyncio.Event()
+
+            async def never_answer(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> None:
+                with contextlib.suppress(ConnectionError):
+                    await reader.read()
+                closed.set()
+                writer.close()
+
+            server = await asyncio.start_server(never_answer, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            pool = UpstreamConnectionPool(HEADER_NAMES, asyncio.get_running_loop().time)
+            pool.set_address(Address(f"127.0.0.1:{port}"))
+            assert await probe_health(pool, "/healthz", "host") is None
+            async with asyncio.timeout(5.0):
+                await closed.wait()
+            server.close()
+
+        asyncio.run(check())
+
+
 class RecordingReplyChannel:
     """Collects the frames that are sent to the forwarding daemon."""
 
--- a/packages/godwitpass/src/godwitpass/internal/calls/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/calls/events.py
@@ -12,9 +12,6 @@
     "An upstream failed and receives no calls for a while.",
     Level.WARNING,
 )
-UPSTREAM_READMITTED = EventKind(
-    403, "calls.upstream-readmitted", "An ejected upstream receives calls again."
-)
 SHEDDING = EventKind(
     404,
     "calls.shedding",
--- a/packages/godwitpass/src/godwitpass/internal/calls/latency.py
+++ b/packages/godwitpass/src/godwitpass/internal/calls/latency.py
@@ -70,9 +70,3 @@
             return None
         slow_threshold_s = latency.mean_s + HEDGE_DEVIATIONS * latency.deviation_s
         return max(MIN_HEDGE_DELAY_S, slow_threshold_s)
-
-    def keep_only(self, routes: frozenset[RouteName]) -> None:
-        """Remove the latencies of all routes but `routes`."""
-        self._latency_by_route = {
-            name: kept for name, kept in self._latency_by_route.items() if name in routes
-        }
--- a/packages/godwitpass/src/godwitpass/internal/relay/admission.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/admission.py
@@ -5,7 +5,6 @@
 calls ahead of it lets it finish in time; otherwise it is refused at once.
 """
 
-import math
 from collections.abc import Iterable
 
 import msgspec
@@ -124,12 +123,6 @@
                 ahead.append(call)
         return SchedulingDecision(tuple(started), tuple(refused))
 
-    def find_next_expiry(self) -> float:
-        """Return the earliest time at which a waiting call becomes too late to start."""
-        return min(
-            (self._find_latest_start(call) for call in self.waiting.values()), default=math.inf
-        )
-
     def clear_waiting(self) -> list[ScheduledCall]:
         """Remove and return all waiting calls."""
         dropped = list(self.waiting.values())
--- a/packages/godwitpass/src/godwitpass/internal/relay/frames.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/frames.py
@@ -37,7 +37,6 @@
     RESET = 0
     TIMEOUT = 1
     INVALID = 2
-    CRASHED = 3
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/godwitpass/src/godwitpass/internal/relay/registration.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/registration.py
@@ -16,8 +16,7 @@
     """What an upstream reports about itself.
 
     `started_ms` is the start time of this incarnation in milliseconds since the epoch, and
-    `sequence` increases with each heartbeat of an incarnation. `warm_up_s` is the time for
-    which calls will still run slower than usual.
+    `sequence` increases with each heartbeat of an incarnation.
     """
 
     upstream: InstanceId
@@ -27,7 +26,6 @@
     is_draining: bool
     sequence: int
     started_ms: int
-    warm_up_s: float = 0.0
 
 
 class Deregistration(msgspec.Struct, frozen=True):
--- a/packages/godwitpass/tests/relay/test_admission.py
+++ b/packages/godwitpass/tests/relay/test_admission.py
@@ -105,9 +105,11 @@
         scheduler = SlotScheduler(1)
         scheduler.submit(build_call(1, 0.0, timeout_s=10.0), 0.0)
         scheduler.submit(build_call(2, 0.0, objective_s=0.3, timeout_s=0.6), 0.0)
-        expiry_at = scheduler.find_next_expiry()
-        assert expiry_at < 0.6
-        assert [call.call_id for call, _ in scheduler.reschedule(expiry_at + 0.01).refused] == [2]
+        latest_start = 0.3 - scheduler.estimate_service_time_s(READ)
+        assert not scheduler.reschedule(latest_start - 0.05).refused
+        assert [call.call_id for call, _ in scheduler.reschedule(latest_start + 0.01).refused] == [
+            2
+        ]
 
 
 class Arrival(msgspec.Struct):
--- a/tests/cover/test_platform_configuration.py
+++ b/tests/cover/test_platform_store.py
@@ -1,16 +1,18 @@
-"""The operator's configuration as the platform adapter decodes it."""
+"""The operator's configuration and the store as the platform adapter reads them."""
 
 from typing import Any
 
+import anyio
 import msgspec
 import pytest
 
 from godwitpass.document import Execution
-from godwitpass.errors import InvalidDocument
-from godwitpass.ids import Revision
+from godwitpass.errors import InvalidDocument, StoreUnavailable
+from godwitpass.ids import Address, Revision
 from godwitpass.snapshot import Snapshot
 from godwitpass.store import Entry
 from godwitpass_platform.configuration import CONFIGURATION_KEY, decode_configuration
+from godwitpass_platform.store import PlatformStore
 from godwitpass_platform_stand_ins import build_configuration, build_route
 
 
@@ -45,3 +47,17 @@
         message = str(caught.value)
         assert "'odd'" in message and "'stream'" in message
         assert "safe, download, unsafe, upload" in message
+
+
+class TestStorePages:
+    def test_a_list_that_never_ends_is_an_error_and_not_a_partial_list(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def send_request(method: str, path: str) -> tuple[int, bytes]:
+            item = {"key": "seeds/a", "value": "", "revision": 1}
+            return 200, msgspec.json.encode({"items": [item], "morePages": True, "asOf": 1})
+
+        store = PlatformStore(Address("127.0.0.1:9"))
+        monkeypatch.setattr(store, "_send_request", send_request)
+        with pytest.raises(StoreUnavailable, match="seeds/"):
+            anyio.run(store.list, "seeds/")
