Keep calls in their zone while its upstreams meet the objective

Expected time within half of the time to the objective now counts a quarter. Nested calls hold a slot of their caller, so all of their time counts.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from godwitpass.ids import InstanceId, ServiceName
+from godwitpass.internal.relay.admission import NESTED_CALL_PRIORITY
 from godwitpass.internal.relay.frames import (
     BodyChunk,
     Failed,
@@ -225,8 +226,15 @@
         if remaining_s < MIN_FORWARD_TIME_S:
             self._refuse("no time left")
             return
+        # A nested call holds a slot of its caller, so any delay matters.
+        is_nested = self._priority == NESTED_CALL_PRIORITY
         upstream = core.selector.select(
-            self._service, self.route.name, now, len(self._body), self._excluded
+            self._service,
+            self.route.name,
+            now,
+            len(self._body),
+            self._excluded,
+            0.0 if is_nested else self._objective_at - now,
         )
         if upstream is None:
             self._refuse(self._refusal_reason or "no upstream")
--- a/packages/godwitpass/src/godwitpass/internal/relay/upstream_selection.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/upstream_selection.py
@@ -21,6 +21,16 @@
 DEFAULT_RESPONSE_BYTES = 2_000
 """Estimated size of a response on a route that has had none yet."""
 
+COMFORTABLE_SHARE = 0.5
+"""Share of the time until a call's objective within which a response is early enough."""
+
+COMFORTABLE_TIME_WEIGHT = 0.25
+"""Weight of the expected time within that share; a faster response is worth little to the caller.
+
+Without it, calls leave their availability zone for faster upstreams although the own ones meet the
+objective.
+"""
+
 LOCAL_BONUS_S = 0.01
 """Score advantage of the upstream beside this daemon."""
 
@@ -114,10 +124,13 @@
         now: float,
         body_bytes: int = 0,
         excluded: Set[InstanceId] = frozenset(),
+        objective_s: float = 0.0,
     ) -> Upstream | None:
-        """Return the upstream with the lowest expected time to a response, or None.
+        """Return the upstream with the lowest score, which is its expected time to a response.
 
-        If all upstreams outside `excluded` are in backoff, they are tried nevertheless.
+        `objective_s` is the time until the call's latency objective, 0 if any delay matters. If all
+        upstreams outside `excluded` are in backoff, they are tried nevertheless. Returns None if
+        there are none.
         """
         ready = [
             stats
@@ -133,9 +146,15 @@
             CROSS_ZONE_PENALTY_S + CROSS_ZONE_PENALTY_S_PER_BYTE * transferred_bytes
         )
 
+        comfortable_s = COMFORTABLE_SHARE * max(0.0, objective_s)
+
         def score(stats: UpstreamStats) -> float:
-            transfer_s = self._estimate_transfer_time_s(stats, body_bytes, now)
-            return self._score(stats, service_time_s, cross_zone_penalty_s, now) + transfer_s
+            expected_s = self._estimate_response_time_s(stats, service_time_s, body_bytes, now)
+            weighted_s = (
+                max(0.0, expected_s - comfortable_s)
+                + min(expected_s, comfortable_s) * COMFORTABLE_TIME_WEIGHT
+            )
+            return weighted_s + self._compute_penalty_s(stats, cross_zone_penalty_s, now)
 
         best = min(reachable, key=score)
         return best.upstream
@@ -234,23 +253,28 @@
         )
         stats.failure_rate_at = now
 
-    def _score(
-        self, stats: UpstreamStats, service_time_s: float, cross_zone_penalty_s: float, now: float
+    def _estimate_response_time_s(
+        self, stats: UpstreamStats, service_time_s: float, body_bytes: int, now: float
     ) -> float:
-        """Return the expected time to a response, including penalties expressed as time."""
-        upstream = stats.upstream
-        slots = max(1, upstream.slots)
+        """Estimate the seconds until a response, of a call on a route with `service_time_s`."""
+        slots = max(1, stats.upstream.slots)
         expected_service_time_s = service_time_s * stats.slowness
         wait_s = self._estimate_wait_s(stats, slots, expected_service_time_s, now)
-        score = (
-            wait_s + expected_service_time_s + FAILURE_PENALTY_S * stats.estimate_failure_rate(now)
-        )
-        if upstream.zone != self._zone:
-            score += cross_zone_penalty_s
-        elif upstream.instance == self._own_instance:
-            score -= LOCAL_BONUS_S
+        transfer_s = self._estimate_transfer_time_s(stats, body_bytes, now)
         # Jitter keeps daemons that see the same loads from choosing the same upstream.
-        return score + self._rng.random() * SCORE_JITTER_SHARE * service_time_s
+        jitter_s = self._rng.random() * SCORE_JITTER_SHARE * service_time_s
+        return wait_s + expected_service_time_s + transfer_s + jitter_s
+
+    def _compute_penalty_s(
+        self, stats: UpstreamStats, cross_zone_penalty_s: float, now: float
+    ) -> float:
+        """Return the time that failures and traffic between zones are worth."""
+        penalty_s = FAILURE_PENALTY_S * stats.estimate_failure_rate(now)
+        if stats.upstream.zone != self._zone:
+            penalty_s += cross_zone_penalty_s
+        elif stats.upstream.instance == self._own_instance:
+            penalty_s -= LOCAL_BONUS_S
+        return penalty_s
 
     def _estimate_transfer_time_s(self, stats: UpstreamStats, body_bytes: int, now: float) -> float:
         """Estimate the seconds until a body of this size has reached the upstream's daemon."""
--- a/packages/godwitpass/tests/relay/test_relay.py
+++ b/packages/godwitpass/tests/relay/test_relay.py
@@ -298,6 +298,41 @@
         assert selector.select(DESK, READ, 0.01) is not None
 
 
+class TestLocality:
+    """Uneven upstreams on a calm day: the own zone has the slower one, which is fast enough."""
+
+    NEAR_SERVICE_TIME_S, FAR_SERVICE_TIME_S = 0.15, 0.06
+
+    def build_selector(self) -> UpstreamSelector:
+        selector = UpstreamSelector(InstanceId("own"), ZoneId("a"), random.Random(1))
+        selector.update(DESK, [build_upstream("near", "a"), build_upstream("far", "b")])
+        for _ in range(100):
+            for name, service_s in (
+                ("near", self.NEAR_SERVICE_TIME_S),
+                ("far", self.FAR_SERVICE_TIME_S),
+            ):
+                selector.record_response(InstanceId(name), READ, service_s, 5_000, False, 0.0)
+        return selector
+
+    def count_near(self, selector: UpstreamSelector, objective_s: float) -> int:
+        chosen = [selector.select(DESK, READ, 0.0, objective_s=objective_s) for _ in range(50)]
+        return sum(upstream is not None and upstream.instance == "near" for upstream in chosen)
+
+    def test_calls_stay_in_the_zone_while_its_upstream_meets_the_objective(self) -> None:
+        assert self.count_near(self.build_selector(), objective_s=0.5) == 50
+
+    def test_calls_that_the_own_zone_would_answer_late_leave_it(self) -> None:
+        assert self.count_near(self.build_selector(), objective_s=0.1) == 0
+
+    def test_calls_for_which_any_delay_matters_leave_the_zone(self) -> None:
+        assert self.count_near(self.build_selector(), objective_s=0.0) == 0
+
+    def test_calls_leave_the_zone_once_its_upstream_has_a_queue(self) -> None:
+        selector = self.build_selector()
+        selector.record_load(InstanceId("near"), Load(12, 24, 12, 0, 1_000), 0.0)
+        assert self.count_near(selector, objective_s=0.5) == 0
+
+
 class TestFrames:
     def test_frames_are_decoded_however_the_stream_is_split(self) -> None:
         frames: list[Frame] = [
