Report a document that can't be used by readiness, metrics and one loud event

A daemon keeps the version that it holds, whole, and stays ready with it; now an error names route, type and known types once for each document, the readiness probe names revision and reason, and a gauge can be watched.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/metrics.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/metrics.py
@@ -10,8 +10,13 @@
 SECONDS_PER_US = 1e-6
 
 
-def collect_relay_metrics(core: RelayCore, events: EventLog) -> Iterator[Metric]:
-    """Yield the metrics of the calls accepted and run by this daemon, and of its state."""
+def collect_relay_metrics(
+    core: RelayCore, events: EventLog, has_rejected_document: bool
+) -> Iterator[Metric]:
+    """Yield the metrics of the calls accepted and run by this daemon, and of its state.
+
+    `has_rejected_document` tells that this daemon can't use the newest document in the store.
+    """
     runner, now = core.runner, core.now()
     yield _build_counter("godwitpass_relay_calls_total", "Calls taken here, by event.", core.counts)
     yield _build_counter(
@@ -35,6 +40,7 @@
         "inbound_backlog_seconds": runner.flow_control.backlog_s,
         "upstream_connections_opened": runner.pool.opened_count,
         "configuration_version": core.table.version if core.table else 0,
+        "configuration_rejected": int(has_rejected_document),
         "heartbeat_age_seconds": now - runner.registration.last_heartbeat_at,
         "upstream_ready": int(runner.registration.state is UpstreamState.READY),
         "log_lines_dropped": events.stdout_writer.dropped_lines if events.stdout_writer else 0,
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -10,6 +10,7 @@
 
 from godwitpass.events import EventKind, FieldValue
 from godwitpass.ids import Address, InstanceId, ServiceName, ZoneId
+from godwitpass.internal.distribution.reader import RejectedDocument
 from godwitpass.internal.relay import events as kinds
 from godwitpass.internal.relay.registration import Deregistration, Heartbeat, UpdateOutcome
 from godwitpass.internal.relay.retry_budget import RetryBudgetSettings
@@ -71,6 +72,18 @@
     budget: RetryBudgetSettings
 
 
+class Readiness(msgspec.Struct, frozen=True):
+    """Whether a daemon takes calls, the version in force (0: none), and what it can't use.
+
+    `rejected` is set while the newest document in the store can't be used by this daemon, which
+    then stays ready with the version that it holds.
+    """
+
+    ready: bool
+    version: int
+    rejected: RejectedDocument | None
+
+
 class RelayService:
     """Accepts calls, forwards them to other daemons and runs forwarded ones at the upstream."""
 
@@ -108,6 +121,15 @@
         core = self._core
         return core is not None and core.table is not None and not core.is_stopping
 
+    def describe_readiness(self) -> Readiness:
+        """Return what a readiness probe reports."""
+        table = self._core.table if self._core is not None else None
+        return Readiness(
+            self.is_ready,
+            table.version if table is not None else 0,
+            self._distribution.rejected_document(),
+        )
+
     async def start(self, tasks: TaskGroup) -> None:
         """Open the listeners; without a configuration, calls wait briefly and are then refused."""
         loop = asyncio.get_running_loop()
@@ -212,7 +234,8 @@
 
     def render_metrics(self) -> str:
         """Return the metrics as text."""
-        return render_metrics(collect_relay_metrics(self.core, self._events))
+        has_rejected = self._distribution.rejected_document() is not None
+        return render_metrics(collect_relay_metrics(self.core, self._events, has_rejected))
 
     def apply_heartbeat(self, heartbeat: Heartbeat) -> UpdateOutcome:
         """Apply a heartbeat of the local upstream, and announce the new state."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
@@ -23,7 +23,7 @@
     decode_message,
     encode_message,
 )
-from godwitpass.internal.distribution.reader import DocumentSource
+from godwitpass.internal.distribution.reader import DocumentSource, RejectedDocument
 from godwitpass.internal.distribution.view import build_view
 from godwitpass.internal.requests import Get, Watch
 from godwitpass.mesh import Member, MemberState, classify_link
@@ -95,6 +95,10 @@
         """Return the active version, if there is one."""
         return self._snapshot
 
+    def rejected_document(self) -> RejectedDocument | None:
+        """Return the newest document in the store if this daemon read it and can't use it."""
+        return self._distributor.rejected_document
+
     def subscribe(self, callback: Callable[[Snapshot], None]) -> None:
         """Call `callback` after each new version."""
         self._callbacks.append(callback)
--- a/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
@@ -33,6 +33,7 @@
 from godwitpass.internal.distribution.reader import (
     DocumentSource,
     ReaderAction,
+    RejectedDocument,
     StoreReader,
     VersionFound,
 )
@@ -167,6 +168,11 @@
             actions += self._fetcher.start_bootstrap(view, now)
         return actions
 
+    @property
+    def rejected_document(self) -> RejectedDocument | None:
+        """Return the newest document in the store if this daemon read it and can't use it."""
+        return self._reader.rejected_document
+
     def _update_reader_role(self, view: View, now: float) -> None:
         """Start reading the store after a random delay, unless this daemon is no reader by then."""
         if not view.is_reader(self._own_address):
--- a/packages/godwitpass/src/godwitpass/internal/distribution/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/events.py
@@ -54,6 +54,12 @@
 SNAPSHOT_DELAYED = EventKind(
     219, "snapshot-delayed", "A request for a full version was postponed.", Level.DEBUG
 )
+DOCUMENT_REJECTED = EventKind(
+    221,
+    "document-rejected",
+    "The store holds a document that this daemon can't use; it keeps the version that it holds.",
+    Level.ERROR,
+)
 ZONE_CONVERGED = EventKind(
     220, "zone-converged", "All daemons of the availability zone hold the version."
 )
--- a/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
@@ -13,6 +13,7 @@
 
 from godwitpass.document import Document
 from godwitpass.errors import InvalidDocument
+from godwitpass.events import FieldValue
 from godwitpass.ids import NO_VERSION, Revision, Version
 from godwitpass.internal.acceptance.record import (
     ROOT_KEY,
@@ -64,6 +65,13 @@
     read: Callable[[Entry], Snapshot]
 
 
+class RejectedDocument(msgspec.Struct, frozen=True):
+    """A document in the store that this daemon can't use, and why."""
+
+    revision: Revision
+    reason: str
+
+
 class VersionFound(msgspec.Struct, frozen=True):
     """Action, internal to distribution: the store holds this later version."""
 
@@ -101,6 +109,7 @@
         self._reported_contradiction: AcceptedVersion | None = None
         self._is_behind = False
         self.is_store_reachable = True
+        self.rejected_document: RejectedDocument | None = None
         self.pause_s = 0.0
         self.deadline = math.inf
 
@@ -223,12 +232,25 @@
         try:
             snapshot = source.read(entry)
         except InvalidDocument as error:
-            return [RecordEvent(events.CONTENT_WRONG, {"reason": str(error)}), *self._watch(now)]
+            return self._reject_document(RejectedDocument(entry.revision, str(error)), now)
+        self.rejected_document = None
         if snapshot.version <= self._cache.version:
             self._is_behind = False
             return self._watch(now)
         return [VersionFound(snapshot), *self._pause(now)]
 
+    def _reject_document(self, rejected: RejectedDocument, now: float) -> list[ReaderAction]:
+        """Keep the version that is held, and report each rejected document once."""
+        previous, self.rejected_document = self.rejected_document, rejected
+        if previous == rejected:
+            return self._watch(now)
+        fields: dict[str, FieldValue] = {
+            "held": self._cache.version,
+            "revision": rejected.revision,
+            "reason": rejected.reason,
+        }
+        return [RecordEvent(events.DOCUMENT_REJECTED, fields), *self._watch(now)]
+
     def _check_consistency(self, newest: AcceptedVersion, now: float) -> list[ReaderAction]:
         """Report, once, if the store contradicts the version that this daemon holds."""
         current = self._cache.current
--- a/packages/godwitpass/tests/distribution/test_document_source.py
+++ b/packages/godwitpass/tests/distribution/test_document_source.py
@@ -15,10 +15,11 @@
     Version,
     ZoneId,
 )
-from godwitpass.internal.actions import Send, TimerFired
+from godwitpass.internal.actions import RecordEvent, Send, TimerFired
 from godwitpass.internal.codec import encode_canonical, hash_content
 from godwitpass.internal.distribution.delta import DocumentCodec
 from godwitpass.internal.distribution.distributor import Distributor
+from godwitpass.internal.distribution.events import DOCUMENT_REJECTED
 from godwitpass.internal.distribution.interface import ViewChanged
 from godwitpass.internal.distribution.messages import Announce
 from godwitpass.internal.distribution.reader import DocumentSource, StoreReader, VersionFound
@@ -120,6 +121,28 @@
         assert isinstance(actions[-1], Watch)
         assert cache.current is None
 
+    def test_a_rejected_document_is_reported_once_until_a_valid_one_replaces_it(self) -> None:
+        reader, _ = build_reader()
+        (get,) = reader.start(0.0)
+        assert isinstance(get, Get)
+        actions = reader.handle(EntryRead(get.tag, build_entry("bad", 40)), 0.1)
+        assert [action.kind for action in actions if isinstance(action, RecordEvent)] == [
+            DOCUMENT_REJECTED
+        ]
+        assert reader.rejected_document is not None
+        assert reader.rejected_document.revision == 40
+        assert "not a document" in reader.rejected_document.reason
+        watch = actions[-1]
+        assert isinstance(watch, Watch)
+        listed = EntriesRead(watch.tag, EntryList(Revision(40), (build_entry("bad", 40),)))
+        actions = reader.handle(listed, 0.2)
+        assert not any(isinstance(action, RecordEvent) for action in actions)
+        watch = actions[-1]
+        assert isinstance(watch, Watch)
+        listed = EntriesRead(watch.tag, EntryList(Revision(50), (build_entry(3, 50),)))
+        reader.handle(listed, 0.3)
+        assert reader.rejected_document is None
+
     def test_a_reader_that_falls_behind_reads_the_newest_until_nothing_is_newer(self) -> None:
         reader, cache = build_reader()
         (get,) = reader.start(0.0)
--- a/tests/cover/test_platform.py
+++ b/tests/cover/test_platform.py
@@ -3,9 +3,11 @@
 from pathlib import Path
 
 import anyio
+import msgspec
 import pytest
 
 from godwitpass.errors import InvalidSettings
+from godwitpass.ids import Address
 from godwitpass.timeline import concerns_request, merge_timelines, parse_timeline
 from godwitpass_daemon.relay.service import RelayService
 from godwitpass_platform.reload import SettingsWatcher, read_file_stamp
@@ -240,6 +242,15 @@
         run_check(check)
 
 
+async def read_rejection(readiness_address: Address) -> str:
+    """Return why a daemon can't use the newest configuration, though it is ready; else ""."""
+    request = encode_request("GET", "/godwitpass/readyz", b"", {"Host": "x"})
+    response = await exchange(readiness_address, request)
+    assert response.status == 200
+    readiness = msgspec.json.decode(response.body)
+    return str(readiness["rejected"]["reason"]) if readiness["rejected"] else ""
+
+
 class TestConfiguration:
     def test_a_new_version_is_in_force_on_every_machine(self, run_check: RunCheck) -> None:
         async def check(deployment: Deployment) -> None:
@@ -281,6 +292,26 @@
 
         run_check(check)
 
+    def test_a_version_with_an_unknown_route_type_is_reported_by_the_reader(
+        self, run_check: RunCheck
+    ) -> None:
+        async def check(deployment: Deployment) -> None:
+            routes = {"odd": build_route("/odd/", "vault", "stream")}
+            deployment.store.write_configuration(build_configuration(9, routes))
+
+            async def is_reported() -> bool:
+                reasons = [
+                    await read_rejection(machine.readiness_address)
+                    for machine in deployment.machines
+                ]
+                return any("'odd'" in reason for reason in reasons)
+
+            await wait_until(is_reported)
+            response = await exchange(deployment.outbound_address, encode_call("/read/1", "still"))
+            assert response.status == 200
+
+        run_check(check)
+
     def test_a_daemon_without_the_store_gets_the_version_from_other_daemons(
         self, run_check: RunCheck
     ) -> None:
