Refuse requests that wait for a configuration before the daemon stops

They now count as work, and those still there at the end are refused as not run.

The test waits on a real daemon; before, its connection ended without a response.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -133,6 +133,11 @@
         for request, caller_connection in list(self.requests_awaiting_configuration.items()):
             caller_connection.resume_request(request)
 
+    def refuse_waiting_requests(self) -> None:
+        """Refuse the requests that still wait for a configuration."""
+        for request, caller_connection in list(self.requests_awaiting_configuration.items()):
+            caller_connection.give_up_waiting(request)
+
     def update_upstreams(self) -> None:
         """Update the upstreams of all services from the membership."""
         if self.table is None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
@@ -249,6 +249,11 @@
         else:
             self._start(request)
 
+    def give_up_waiting(self, request: PipelinedRequest) -> None:
+        """Refuse a request that waited for a configuration."""
+        self._stop_waiting(request)
+        self._reject(request, RequestRejected(503, "no configuration yet"))
+
     def _await_configuration(self, request: PipelinedRequest) -> None:
         """Wait for the configuration, which a daemon that has just started receives soon."""
         core = self._core
@@ -257,13 +262,9 @@
             return
         assert request.head is not None
         wait_s = compute_configuration_wait_s(request.head.timeout_ms)
-        request.wait_timer = core.loop.call_later(wait_s, self._give_up_waiting, request)
+        request.wait_timer = core.loop.call_later(wait_s, self.give_up_waiting, request)
         core.requests_awaiting_configuration[request] = self
 
-    def _give_up_waiting(self, request: PipelinedRequest) -> None:
-        self._stop_waiting(request)
-        self._reject(request, RequestRejected(503, "no configuration yet"))
-
     def _stop_waiting(self, request: PipelinedRequest) -> None:
         if request.wait_timer is not None:
             request.wait_timer.cancel()
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -187,7 +187,11 @@
             ):
                 self._stop_accepting_peer_calls(core)
             core.is_refusing = loop.time() >= refuse_callers_at
-            is_busy = core.calls_in_progress or core.runner.calls_in_progress
+            is_busy = (
+                core.calls_in_progress
+                or core.runner.calls_in_progress
+                or core.requests_awaiting_configuration
+            )
             if not is_busy and loop.time() - stopping_since > READINESS_PROPAGATION_S:
                 break
             await anyio.sleep(DRAIN_POLL_S)
@@ -195,6 +199,7 @@
             server.close()
         aborted = core.calls_in_progress
         core.is_refusing = True
+        core.refuse_waiting_requests()
         for caller_connection in list(core.caller_connections):
             caller_connection.close_if_idle()
         core.close_links()
--- a/tests/cover/test_cold_start.py
+++ b/tests/cover/test_cold_start.py
@@ -73,3 +73,18 @@
             client.close()
 
         self.run_single_machine(tmp_path, check)
+
+    def test_a_call_that_waits_is_refused_before_its_daemon_has_stopped(
+        self, tmp_path: Path
+    ) -> None:
+        async def check(machine: Machine, store: StandInStore) -> None:
+            client = await Client.connect(machine.outbound_address)
+            client.send(encode_call("/read/1", "stopped", 400_000))
+            await anyio.sleep(0.1)
+            await machine.stop()
+            response = await client.read_response()
+            client.close()
+            assert response.status == 503
+            assert "retry-after" in response.headers
+
+        self.run_single_machine(tmp_path, check)
