Let large responses wait for the link instead of filling it

All of them were put on the link as they came, so everything behind it waited for seconds: of 5,178 waiver-sign 2,364 failed, because the nested calls to the same servers missed their deadline, and 695 of 1,713 downloads failed at theirs. Ruled out: slots (calls waited 0 ms) and the callers' own links.

The daemon beside the upstream now sends large responses in chunks that the forwarding daemon confirms, so that no more than 50 ms of the link is on its way. A call whose response could not be delivered within its objective, less a margin, is refused at once with the time that the backlog needs; senders see the backlog with the reported load and choose by it. Responses up to 256 KiB are collected before they are passed on, so a call can still be retried when its upstream is lost midway.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/call_log.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/call_log.py
@@ -40,6 +40,7 @@
                 "slots": scheduler.limit,
                 "work_ms": int(scheduler.estimate_service_time_s(call.request.route) * 1000),
                 "inbound_ms": int(runner.flow_control.backlog_s * 1000),
+                "outbound_ms": int(runner.response_sender.flow_control.backlog_s * 1000),
                 "left_ms": int((call.deadline - now) * 1000),
                 "waited_ms": int((now - call.scheduled.arrived_at) * 1000),
                 "retry_ms": int(retry_after_s * 1000),
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
@@ -3,6 +3,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from godwitpass.ids import InstanceId, ServiceName
 from godwitpass.internal.relay.admission import NESTED_CALL_PRIORITY
 from godwitpass.internal.relay.frames import (
@@ -18,6 +20,7 @@
 from godwitpass_daemon.relay.headers import RequestHead, encode_local_response, encode_response_head
 from godwitpass_daemon.relay.limits import (
     DEADLINE_MARGIN_S,
+    MAX_BUFFERED_RESPONSE_BYTES,
     MAX_FORWARDS,
     RESPONSE_GRANT_BYTES,
 )
@@ -41,13 +44,15 @@
     """Forwards one call to an upstream, retries it and passes the response on.
 
     `_upstream_attempts` counts the attempts that reached an upstream, `_uncertain_attempts` those
-    that were retried although they may have run the call. `_streamed` is the first part of a
-    response that is passed on while it arrives, and `_ungranted_bytes` counts what the caller has
-    taken of the further parts since the window was last extended.
+    that were retried although they may have run the call. `_collected` is the first part of a
+    response that is collected in `_parts` before it is passed on, so that the call can still be
+    retried. `_streamed` is the first part of one that is too large for that, and
+    `_ungranted_bytes` counts what its caller has taken since the window was last extended.
     """
 
     __slots__ = (
         "_body",
+        "_collected",
         "_core",
         "_deadline",
         "_deadline_timer",
@@ -56,6 +61,7 @@
         "_has_ended",
         "_link",
         "_objective_at",
+        "_parts",
         "_priority",
         "_refusal_reason",
         "_request",
@@ -99,6 +105,8 @@
         self._link: Link | None = None
         self._stream_id = 0
         self._upstream: Upstream | None = None
+        self._collected: Response | None = None
+        self._parts: list[bytes] = []
         self._streamed: Response | None = None
         self._response_bytes = 0
         self._ungranted_bytes = 0
@@ -172,7 +180,10 @@
             self._refuse("not connected")
 
     def handle_response(self, frame: Response) -> None:
-        """Pass the response on, or its first part."""
+        """Pass the response on, or its first part, or collect it."""
+        if not frame.is_last and 0 <= frame.body_bytes <= MAX_BUFFERED_RESPONSE_BYTES:
+            self._collected, self._parts = frame, [frame.body]
+            return
         self._response_bytes = len(frame.body)
         has_no_body = self.head.method == b"HEAD" or frame.status in (204, 304)
         closes_connection = self._request.decide_close()
@@ -184,14 +195,20 @@
             self._request.write_response(head + frame.body, is_last=True)
             return
         self._streamed = frame
-        data = head + self._encode_chunk(frame.body, frame.body_bytes)
-        # The window doesn't cover the first part.
-        self._ungranted_bytes = -len(data)
         self._request.is_chunked = frame.body_bytes < 0
-        self._request.write_response(data, is_last=False)
+        chunk = self._encode_chunk(frame.body, frame.body_bytes)
+        self._request.write_response(head + chunk, is_last=False)
 
     def handle_body(self, frame: BodyChunk) -> None:
-        """Pass a further part of the response on."""
+        """Pass a further part of the response on, or collect it."""
+        if self._collected is not None:
+            self._parts.append(frame.data)
+            if frame.is_last:
+                body = b"".join(self._parts)
+                whole = msgspec.structs.replace(self._collected, body=body, is_last=True)
+                self._collected, self._parts = None, []
+                self.handle_response(whole)
+            return
         assert self._streamed is not None, "the first part arrives before the others"
         self._response_bytes += len(frame.data)
         is_chunked = self._request.is_chunked
@@ -203,10 +220,15 @@
         self._request.write_response(data + (b"0\r\n\r\n" if is_chunked else b""), is_last=True)
 
     def handle_aborted(self) -> None:
-        """Abort the response, so that the caller doesn't take it for complete."""
+        """Retry the call, or abort the response so that its caller doesn't take it for complete."""
         now = self._core.now()
         upstream = self._detach(now)
         self._core.selector.record_failure(upstream.instance, now)
+        if self._streamed is None:
+            self._upstream_attempts += 1
+            self._excluded.add(upstream.instance)
+            self._retry_or_fail(upstream, "answer cut", now, Failure.RESET)
+            return
         self._abort_response("answer cut")
 
     # Called by the caller's connection.
@@ -241,7 +263,8 @@
             return
         self._upstream = upstream
         self._forward_count += 1
-        core.selector.record_sent(upstream.instance, len(self._body))
+        response_bytes = core.selector.estimate_response_bytes(self.route.name)
+        core.selector.record_sent(upstream.instance, len(self._body), response_bytes)
         stream_request = OpenStream(
             0,
             self._service,
@@ -255,10 +278,7 @@
             b"",
             self.head.request_id,
         )
-        largest_body_bytes = max(
-            len(self._body), core.selector.estimate_response_bytes(self.route.name)
-        )
-        link = core.get_link(upstream, largest_body_bytes)
+        link = core.get_link(upstream, max(len(self._body), response_bytes))
         self._link = link
         self._stream_id = link.open(self, stream_request, self._body)
 
@@ -347,6 +367,7 @@
         upstream = self._upstream
         assert upstream is not None
         self._link = None
+        self._collected, self._parts = None, []
         self._core.selector.record_done(upstream.instance)
         return upstream
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/inbound_peers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/inbound_peers.py
@@ -5,6 +5,7 @@
 
 from godwitpass.internal.relay.frames import (
     BodyChunk,
+    BodyReceived,
     CancelStream,
     Frame,
     FrameDecoder,
@@ -24,6 +25,8 @@
 class InboundPeerConnection(asyncio.Protocol):
     """A connection on which another daemon opens one stream per forwarded call."""
 
+    is_flow_controlled = True
+
     def __init__(
         self, runner: UpstreamRunner, open_connections: set["InboundPeerConnection"]
     ) -> None:
@@ -76,6 +79,7 @@
         self._open_connections.discard(self)
         for call in list(self._calls.values()):
             call.cancel()
+        self._runner.response_sender.drop_channel(self)
 
     def _handle_frame(self, frame: Frame) -> None:
         match frame:
@@ -91,6 +95,9 @@
                 found = self._calls.pop(stream_id, None)
                 if found is not None:
                     found.cancel()
+                self._runner.response_sender.cancel(self, stream_id)
+            case BodyReceived(stream_id, size_bytes):
+                self._runner.response_sender.record_received(self, stream_id, size_bytes)
             case WindowUpdate(stream_id, size_bytes):
                 found = self._calls.get(stream_id)
                 if found is not None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
@@ -11,7 +11,7 @@
 """Responses up to this size are buffered until complete; longer ones are streamed."""
 
 RESPONSE_WINDOW_BYTES = 256 * 1024
-"""Part of a streamed response that may be on its way to the caller."""
+"""Part of a streamed response that may be on its way to the caller; at least the first part."""
 
 RESPONSE_GRANT_BYTES = 64 * 1024
 """The window of a streamed response is extended after its caller has taken this much of it."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/links.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/links.py
@@ -10,6 +10,7 @@
 from godwitpass.internal.relay.frames import (
     BODY_CHUNK_BYTES,
     BodyChunk,
+    BodyReceived,
     CancelStream,
     Failed,
     Frame,
@@ -222,8 +223,14 @@
                 self._send_chunk(stream_id, size_bytes)
             case Response() | Refused() | Failed():
                 self._observer.record_load(self.instance, frame.load)
+                if isinstance(frame, Response) and not frame.is_last:
+                    self._write(BodyReceived(frame.stream_id, len(frame.body)))
                 self._dispatch(frame)
-            case BodyChunk() | ResponseAborted():
+            case BodyChunk():
+                if frame.data:
+                    self._write(BodyReceived(frame.stream_id, len(frame.data)))
+                self._dispatch(frame)
+            case ResponseAborted():
                 self._dispatch(frame)
             case _:
                 self._disconnect("unexpected frame", was_reached=True)
@@ -277,6 +284,8 @@
 class LocalLink:
     """Passes calls to the local upstream without a connection."""
 
+    is_flow_controlled = False
+
     def __init__(
         self,
         runner: UpstreamRunner,
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/metrics.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/metrics.py
@@ -38,6 +38,7 @@
         "peer_connections": core.open_link_count,
         "held_body_bytes": core.buffered_body_bytes,
         "inbound_backlog_seconds": runner.flow_control.backlog_s,
+        "outbound_backlog_seconds": runner.response_sender.flow_control.backlog_s,
         "upstream_connections_opened": runner.pool.opened_count,
         "configuration_version": core.table.version if core.table else 0,
         "configuration_rejected": int(has_rejected_document),
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
@@ -3,8 +3,11 @@
 import asyncio
 from typing import TYPE_CHECKING, Protocol
 
+import msgspec
+
 from godwitpass.internal.relay.admission import ScheduledCall
 from godwitpass.internal.relay.frames import (
+    BODY_CHUNK_BYTES,
     BodyChunk,
     Failed,
     Failure,
@@ -26,7 +29,15 @@
 
 
 class ReplyChannel(Protocol):
-    """Sends frames to the daemon that forwarded a call."""
+    """Sends frames to the daemon that forwarded a call.
+
+    `is_flow_controlled` tells whether large responses have to wait for the link to that daemon.
+    """
+
+    @property
+    def is_flow_controlled(self) -> bool:
+        """Return whether large responses wait for the link."""
+        ...
 
     def send(self, frame: Frame) -> None:
         """Send a frame."""
@@ -48,7 +59,7 @@
         "_head",
         "_is_connection_reused",
         "_is_streaming",
-        "_reply_channel",
+        "_response_bytes",
         "_response_chunks",
         "_runner",
         "_sent_at",
@@ -57,6 +68,7 @@
         "deadline",
         "has_ended",
         "remaining_body_bytes",
+        "reply_channel",
         "request",
         "scheduled",
     )
@@ -82,7 +94,7 @@
         )
         self.has_ended = False
         self._runner = runner
-        self._reply_channel = reply_channel
+        self.reply_channel = reply_channel
         self._body_chunks = [request.body] if request.body else []
         self.remaining_body_bytes = request.body_bytes - len(request.body)
         self._connect_task: asyncio.Task[None] | None = None
@@ -92,6 +104,7 @@
         self._head: ResponseHead | None = None
         self._response_chunks: list[bytes] = []
         self._buffered_response_bytes = 0
+        self._response_bytes = 0
         self._is_streaming = False
         self._window_bytes = RESPONSE_WINDOW_BYTES
 
@@ -118,7 +131,7 @@
     def grant_window(self, size_bytes: int) -> None:
         """Allow the forwarding daemon to send more of the body."""
         if not self.has_ended:
-            self._reply_channel.send(WindowUpdate(self.request.stream_id, size_bytes))
+            self.reply_channel.send(WindowUpdate(self.request.stream_id, size_bytes))
 
     def extend_window(self, size_bytes: int) -> None:
         """Send `size_bytes` more of a streamed response."""
@@ -146,7 +159,7 @@
         if not self.has_ended:
             self._runner.call_log.record_refused(self, reason, retry_after_s)
             load = self._finish()
-            self._reply_channel.send(
+            self.reply_channel.send(
                 Refused(
                     self.request.stream_id,
                     reason,
@@ -164,10 +177,13 @@
         self._drop_connection()
         if self._is_streaming:
             self._finish()
-            self._reply_channel.send(ResponseAborted(self.request.stream_id))
+            if self.reply_channel.is_flow_controlled:
+                self._runner.response_sender.abort(self.call_id)
+            else:
+                self.reply_channel.send(ResponseAborted(self.request.stream_id))
             return
         load = self._finish()
-        self._reply_channel.send(Failed(self.request.stream_id, reason, load))
+        self.reply_channel.send(Failed(self.request.stream_id, reason, load))
 
     def start(self) -> None:
         """Send the request on an idle connection or a new one."""
@@ -211,7 +227,9 @@
         self._is_streaming = True
         body = b"".join(self._response_chunks)
         self._response_chunks.clear()
-        self._send_response(head, body[:MAX_BUFFERED_RESPONSE_BYTES], is_last=False)
+        first = body[:MAX_BUFFERED_RESPONSE_BYTES]
+        self._send_response(head, first, is_last=False)
+        self._window_bytes -= len(first)
         self._stream(body[MAX_BUFFERED_RESPONSE_BYTES:])
 
     def handle_end(self) -> None:
@@ -222,7 +240,10 @@
             return
         if self._is_streaming:
             self._finish(is_completed=head.status < 500)
-            self._reply_channel.send(BodyChunk(self.request.stream_id, b"", is_last=True))
+            if self.reply_channel.is_flow_controlled:
+                self._runner.response_sender.finish(self.call_id)
+            else:
+                self.reply_channel.send(BodyChunk(self.request.stream_id, b"", is_last=True))
         elif self._is_refusal(head) or not self._is_valid_response(head):
             self._end_without_response(head)
         else:
@@ -254,8 +275,11 @@
 
     def _stream(self, data: bytes) -> None:
         """Send a part of the response, and pause the upstream once the window is used up."""
-        if data:
-            self._reply_channel.send(BodyChunk(self.request.stream_id, data))
+        if data and self.reply_channel.is_flow_controlled:
+            self._runner.response_sender.append(self.call_id, data)
+        elif data:
+            self.reply_channel.send(BodyChunk(self.request.stream_id, data))
+        self._response_bytes += len(data)
         self._window_bytes -= len(data)
         if self._window_bytes <= 0 and self._connection is not None:
             self._connection.pause_reading()
@@ -271,19 +295,31 @@
         wait_ms = int((self.scheduled.started_at - self.scheduled.arrived_at) * 1000)
         service_ms = int((now - self._sent_at) * 1000)
         self._runner.call_log.record_response_sent(self, head.status, wait_ms, service_ms)
-        load = self._finish(is_completed=head.status < 500) if is_last else self._runner.get_load()
-        self._reply_channel.send(
-            Response(
-                self.request.stream_id,
-                head.status,
-                head.encoded,
-                body,
-                len(body) if is_last else head.body_bytes,
-                is_last,
-                wait_ms,
-                service_ms,
-                load,
-            )
+        self._response_bytes = len(body)
+        is_flow_controlled = self.reply_channel.is_flow_controlled and (
+            not is_last or len(body) > BODY_CHUNK_BYTES
+        )
+        response = Response(
+            self.request.stream_id,
+            head.status,
+            head.encoded,
+            b"",
+            len(body) if is_last else head.body_bytes,
+            False,
+            wait_ms,
+            service_ms,
+            self._runner.get_load(),
+        )
+        if is_flow_controlled:
+            sender = self._runner.response_sender
+            sender.start(self.call_id, self.reply_channel, response, body, self.deadline)
+            if is_last:
+                sender.finish(self.call_id)
+                self._finish(is_completed=head.status < 500)
+            return
+        load = self._finish(is_completed=head.status < 500) if is_last else response.load
+        self.reply_channel.send(
+            msgspec.structs.replace(response, body=body, is_last=is_last, load=load)
         )
 
     def _connect(self) -> None:
@@ -345,5 +381,5 @@
         if self._connect_task is not None:
             self._connect_task.cancel()
             self._connect_task = None
-        self._reply_channel.remove_stream(self.request.stream_id)
-        return self._runner.finish_call(self, is_completed)
+        self.reply_channel.remove_stream(self.request.stream_id)
+        return self._runner.finish_call(self, is_completed, self._response_bytes)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
@@ -7,13 +7,19 @@
 from godwitpass.internal.relay.admission import ScheduledCall, SchedulingDecision, SlotScheduler
 from godwitpass.internal.relay.flow_control import Grant, InboundFlowControl
 from godwitpass.internal.relay.frames import BODY_CHUNK_BYTES, Load, OpenStream, Refusal
+from godwitpass.internal.relay.moving_averages import RouteAverages
+from godwitpass.internal.relay.outbound_flow_control import OutboundFlowControl
 from godwitpass.internal.relay.registration import Registration
 from godwitpass_daemon.relay.call_log import Emit, UpstreamCallLog
 from godwitpass_daemon.relay.headers import HeaderNames
 from godwitpass_daemon.relay.limits import HEARTBEAT_TIMEOUT_S
+from godwitpass_daemon.relay.response_sender import ResponseSender
 from godwitpass_daemon.relay.upstream_calls import ReplyChannel, UpstreamCall
 from godwitpass_daemon.relay.upstream_connections import UpstreamConnectionPool
 
+RESPONSE_BYTES_WEIGHT = 0.05
+"""Weight of the newest response in the moving average of its route's size."""
+
 
 class UpstreamRunner:
     """Runs forwarded calls; holds the upstream's registration, slots and connections."""
@@ -31,6 +37,9 @@
         self.registration = Registration()
         self.scheduler = SlotScheduler()
         self.flow_control = InboundFlowControl(bytes_per_s, BODY_CHUNK_BYTES)
+        self.response_sender = ResponseSender(
+            OutboundFlowControl(bytes_per_s, BODY_CHUNK_BYTES), now
+        )
         self.pool = UpstreamConnectionPool(header_names, now)
         self.is_stopping = False
         self.call_log = UpstreamCallLog(self, emit)
@@ -38,11 +47,12 @@
         self._calls: dict[int, UpstreamCall] = {}
         self._active_request_ids: Counter[str] = Counter()
         self._last_call_id = 0
+        self._response_bytes = RouteAverages(RESPONSE_BYTES_WEIGHT)
 
     @property
     def calls_in_progress(self) -> int:
-        """Return the number of calls at this daemon, running or waiting."""
-        return len(self._calls)
+        """Return the number of calls at this daemon: running, waiting or being answered."""
+        return len(self._calls) + len(self.response_sender)
 
     def is_in_progress(self, request_id: str) -> bool:
         """Tell whether a call with this request id is in progress here."""
@@ -51,12 +61,15 @@
     def get_load(self) -> Load:
         """Return the load that is reported to other daemons."""
         scheduler = self.scheduler
+        outbound = self.response_sender.flow_control
         return Load(
             len(scheduler.running),
             len(scheduler.waiting),
             scheduler.limit,
             int(self.flow_control.backlog_s * 1000),
             max(1, int(self.flow_control.bytes_per_s / 1000)),
+            int(outbound.backlog_s * 1000),
+            max(1, int(outbound.bytes_per_s / 1000)),
         )
 
     def accepts_service(self, service: ServiceName) -> bool:
@@ -103,9 +116,12 @@
         if reason is not None:
             call.refuse(reason, 0.0)
             return
+        if not self._reserve_link(call):
+            call.refuse(Refusal.NO_ROOM, self.response_sender.flow_control.backlog_s)
+            return
         self._apply_decision(self.scheduler.submit(call.scheduled, self.now()))
 
-    def finish_call(self, call: UpstreamCall, is_completed: bool) -> Load:
+    def finish_call(self, call: UpstreamCall, is_completed: bool, response_bytes: int) -> Load:
         """Free the resources of a call, start the next ones, and return the remaining load."""
         self._calls.pop(call.call_id, None)
         self.send_window_updates(self.flow_control.close(call.call_id))
@@ -114,6 +130,9 @@
         if not self._active_request_ids[request_id]:
             del self._active_request_ids[request_id]
         now = self.now()
+        if is_completed:
+            self._response_bytes.update(call.request.route, response_bytes)
+        self.response_sender.release(call.call_id)
         if self.scheduler.remove_waiting(call.call_id):
             return self.get_load()
         decision = self.scheduler.release(call.call_id, now, is_completed)
@@ -125,6 +144,7 @@
         """Refuse calls that would start too late, and end those past their deadline."""
         now = self.now()
         self.pool.close_expired()
+        self.response_sender.check_timeouts()
         self._apply_decision(self.scheduler.reschedule(now))
         for call in [call for call in self._calls.values() if now >= call.deadline]:
             call.expire()
@@ -148,6 +168,24 @@
             return True
         return self.now() - registration.last_heartbeat_at > HEARTBEAT_TIMEOUT_S
 
+    def _reserve_link(self, call: UpstreamCall) -> bool:
+        """Reserve the link for a large response; return False if it couldn't arrive in time."""
+        if not call.reply_channel.is_flow_controlled:
+            return True
+        route = call.request.route
+        expected_bytes = self._response_bytes.get(route, 0.0)
+        if expected_bytes <= BODY_CHUNK_BYTES:
+            return True
+        flow_control = self.response_sender.flow_control
+        delay_s = flow_control.estimate_delay_s(
+            expected_bytes, self.scheduler.estimate_service_time_s(route)
+        )
+        transfer_s = expected_bytes / flow_control.bytes_per_s
+        if not self.scheduler.accepts_delivery(call.scheduled, self.now(), delay_s, transfer_s):
+            return False
+        flow_control.reserve(call.call_id, expected_bytes)
+        return True
+
     def _can_queue(self) -> bool:
         current = self.registration.current
         return current is not None and self.accepts_service(current.service)
--- a/packages/godwitpass-daemon/tests/relay/test_upstream.py
+++ b/packages/godwitpass-daemon/tests/relay/test_upstream.py
@@ -5,14 +5,19 @@
 import httptools
 import pytest
 
+from godwitpass.events import FieldValue
 from godwitpass.ids import Address, InstanceId, RouteName, ServiceName
+from godwitpass.internal.relay.flow_control import MIN_WINDOW_BYTES
 from godwitpass.internal.relay.frames import (
+    BODY_CHUNK_BYTES,
     BodyChunk,
     Frame,
     FrameDecoder,
     OpenStream,
+    Refusal,
     Refused,
     Response,
+    ResponseAborted,
     encode_frame,
 )
 from godwitpass.internal.relay.registration import Heartbeat
@@ -206,7 +211,8 @@
 class RecordingReplyChannel:
     """Collects the frames that are sent to the forwarding daemon."""
 
-    def __init__(self) -> None:
+    def __init__(self, is_flow_controlled: bool = False) -> None:
+        self.is_flow_controlled = is_flow_controlled
         self.frames: list[Frame] = []
 
     def send(self, frame: Frame) -> None:
@@ -223,9 +229,16 @@
 class RunningCall:
     """A call that was sent to the upstream on `connection`."""
 
-    def __init__(self) -> None:
+    def __init__(self, is_flow_controlled: bool = False, bytes_per_s: float = 1e9) -> None:
         service = ServiceName("vault")
-        runner = UpstreamRunner(HEADER_NAMES, lambda: 0.0, lambda kind, fields: None, 1.0, 1e9)
+        self.events: list[dict[str, FieldValue]] = []
+        runner = UpstreamRunner(
+            HEADER_NAMES,
+            lambda: 0.0,
+            lambda kind, fields: self.events.append(fields),
+            1.0,
+            bytes_per_s,
+        )
         runner.registration.apply(
             Heartbeat(InstanceId("i-1"), service, Address("127.0.0.1:1"), 1, False, 1, 1), 0.0
         )
@@ -234,13 +247,16 @@
         self.transport = RecordingTransport()
         self.connection.connection_made(self.transport)
         runner.pool.release(self.connection)
-        self.channel = RecordingReplyChannel()
-        head = b"GET /pack/1 HTTP/1.1\r\n"
-        request = OpenStream(
-            1, service, RouteName("pack"), head, 5_000, 1_000, 1, True, 0, b"", "r"
-        )
+        self.channel = RecordingReplyChannel(is_flow_controlled)
         self.runner = runner
-        self.call: UpstreamCall = runner.open_call(self.channel, request)
+        self.call: UpstreamCall = runner.open_call(self.channel, self.build_request(1))
+
+    def build_request(self, stream_id: int) -> OpenStream:
+        """Return a call on the same route."""
+        service, head = ServiceName("vault"), b"GET /pack/1 HTTP/1.1\r\n"
+        return OpenStream(
+            stream_id, service, RouteName("pack"), head, 5_000, 1_000, 1, True, 0, b"", "r"
+        )
 
     def receive(self, response: bytes) -> int:
         """Receive `response` until reading is paused; return the bytes received."""
@@ -298,6 +314,76 @@
         assert isinstance(refused, Refused) and refused.reached_upstream
 
 
+class TestDelivery:
+    """Large responses to another daemon, which confirms what it has received."""
+
+    @pytest.mark.parametrize("body_bytes", [20_000, 90_000, MAX_BUFFERED_RESPONSE_BYTES])
+    def test_a_response_is_sent_in_chunks_as_they_are_confirmed(self, body_bytes: int) -> None:
+        running = RunningCall(is_flow_controlled=True)
+        body = bytes(range(250)) * (body_bytes // 250) + b"x" * (body_bytes % 250)
+        running.receive(encode_response(body, "x-seal: s"))
+        assert running.call.has_ended
+        received = self.confirm_all(running)
+        assert received == body
+        last = running.channel.frames[-1]
+        assert isinstance(last, BodyChunk) and last.is_last
+        assert running.runner.calls_in_progress == 0
+
+    def test_only_a_window_is_on_its_way_until_it_is_confirmed(self) -> None:
+        running = RunningCall(is_flow_controlled=True, bytes_per_s=600_000.0)
+        running.receive(encode_response(b"b" * 200_000, "x-seal: s"))
+        assert self.count_sent(running) <= MIN_WINDOW_BYTES + BODY_CHUNK_BYTES
+        assert running.runner.calls_in_progress == 1
+
+    def test_a_cancelled_response_is_dropped(self) -> None:
+        running = RunningCall(is_flow_controlled=True, bytes_per_s=600_000.0)
+        running.receive(encode_response(b"b" * 200_000, "x-seal: s"))
+        running.runner.response_sender.cancel(running.channel, 1)
+        assert running.runner.calls_in_progress == 0
+        assert running.runner.response_sender.flow_control.backlog_s == 0.0
+
+    def test_responses_to_a_daemon_that_is_gone_are_dropped(self) -> None:
+        running = RunningCall(is_flow_controlled=True, bytes_per_s=600_000.0)
+        running.receive(encode_response(b"b" * 200_000, "x-seal: s"))
+        running.runner.response_sender.drop_channel(running.channel)
+        assert running.runner.calls_in_progress == 0
+
+    def test_a_streamed_response_that_breaks_off_is_aborted(self) -> None:
+        running = RunningCall(is_flow_controlled=True)
+        running.receive(encode_response(b"b" * 8_000_000, "x-seal: s"))
+        running.connection.connection_lost(None)
+        assert isinstance(running.channel.frames[-1], ResponseAborted)
+        assert running.runner.calls_in_progress == 0
+
+    def test_a_call_whose_response_could_not_arrive_in_time_is_refused_at_once(self) -> None:
+        running = RunningCall(is_flow_controlled=True, bytes_per_s=100_000.0)
+        running.receive(encode_response(b"b" * 250_000, "x-seal: s"))
+        running.runner.open_call(running.channel, running.build_request(2))
+        refused = running.channel.frames[-1]
+        assert isinstance(refused, Refused) and refused.reason is Refusal.NO_ROOM
+        assert refused.retry_after_ms > 1_000
+        assert running.events[-1]["outbound_ms"] == refused.retry_after_ms
+
+    def count_sent(self, running: RunningCall) -> int:
+        return sum(
+            len(frame.body if isinstance(frame, Response) else frame.data)
+            for frame in running.channel.frames
+            if isinstance(frame, Response | BodyChunk)
+        )
+
+    def confirm_all(self, running: RunningCall) -> bytes:
+        """Confirm each frame of the response in order, and return the body."""
+        body, position = b"", 0
+        while position < len(running.channel.frames):
+            frame = running.channel.frames[position]
+            assert isinstance(frame, Response | BodyChunk)
+            data = frame.body if isinstance(frame, Response) else frame.data
+            body += data
+            position += 1
+            running.runner.response_sender.record_received(running.channel, 1, len(data))
+        return body
+
+
 class TestFrameSizes:
     def test_a_full_buffer_and_a_large_read_are_sent_in_frames_that_are_accepted(self) -> None:
         running = RunningCall()
--- a/packages/godwitpass/src/godwitpass/internal/relay/admission.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/admission.py
@@ -33,6 +33,9 @@
 LONG_SERVICE_DEVIATIONS = 2
 """Mean deviations by which few calls of a route exceed its mean service time."""
 
+DELIVERY_MARGIN_SHARE = 0.3
+"""Share of the time until the objective that is kept for errors of an estimated delivery."""
+
 MIN_RETRY_AFTER_S = 0.05
 """Lower bound of the retry-after time that a refused caller is given."""
 
@@ -100,6 +103,21 @@
         """Tell whether a call that can't start before `start_at` is to be refused."""
         return start_at > self._find_latest_start(call)
 
+    def accepts_delivery(
+        self, call: ScheduledCall, now: float, delay_s: float, transfer_s: float
+    ) -> bool:
+        """Tell whether a call may run whose response the link delays by `delay_s`.
+
+        `transfer_s` is the part of it that an idle link would need. The link delivers responses one
+        after the other, so a call that would meet its objective by an idle link and misses it by
+        this one makes all later ones late too.
+        """
+        ready_at = now + self.estimate_service_time_s(call.route)
+        deliver_by = call.objective_at - DELIVERY_MARGIN_SHARE * (call.objective_at - now)
+        if call.priority != NESTED_CALL_PRIORITY and ready_at + transfer_s <= deliver_by:
+            return ready_at + delay_s <= deliver_by
+        return not self.is_too_late(call, now + delay_s)
+
     def remove_waiting(self, call_id: int) -> bool:
         """Remove a call from the queue; return False if it isn't queued."""
         return self.waiting.pop(call_id, None) is not None
--- a/packages/godwitpass/src/godwitpass/internal/relay/frames.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/frames.py
@@ -44,7 +44,8 @@
 
     `running` and `waiting` count calls, and `slots` is the number of calls that may run at a time.
     `inbound_backlog_ms` is the time that the daemon's link needs for the request bodies still in
-    flight, at the rate `inbound_bytes_per_ms`.
+    flight, at the rate `inbound_bytes_per_ms`. `outbound_backlog_ms` is the same for its large
+    responses to other daemons, those of admitted calls included.
     """
 
     running: int
@@ -52,6 +53,8 @@
     slots: int
     inbound_backlog_ms: int
     inbound_bytes_per_ms: int
+    outbound_backlog_ms: int = 0
+    outbound_bytes_per_ms: int = 0
 
 
 class OpenStream(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -140,6 +143,13 @@
     stream_id: int
 
 
+class BodyReceived(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Confirms that `size_bytes` of a response that comes in several frames have arrived."""
+
+    stream_id: int
+    size_bytes: int
+
+
 class GoAway(msgspec.Struct, frozen=True, array_like=True, tag=10):
     """Announces that the daemon is stopping and accepts no further calls on this connection."""
 
@@ -163,6 +173,7 @@
     | ResponseAborted
     | GoAway
     | WindowUpdate
+    | BodyReceived
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/godwitpass/src/godwitpass/internal/relay/upstream_selection.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/upstream_selection.py
@@ -17,6 +17,9 @@
 CROSS_ZONE_PENALTY_S_PER_BYTE = 4e-6
 """The same per byte of request and response, because traffic between zones is billed."""
 
+LARGE_RESPONSE_BYTES = 16 * 1024
+"""Larger responses are expected to wait for the link of their upstream."""
+
 RESPONSE_BYTES_WEIGHT = 0.05
 DEFAULT_RESPONSE_BYTES = 2_000
 """Estimated size of a response on a route that has had none yet."""
@@ -63,8 +66,9 @@
     """What this daemon knows of an upstream.
 
     `own_in_flight` counts the calls in progress that this daemon forwarded. `calls_since_load` and
-    `bytes_since_load` count what it forwarded since it received `load`. `slowness` is the service
-    time relative to the average of the same route at all upstreams.
+    `bytes_since_load` count what it forwarded since it received `load`, and
+    `response_bytes_since_load` the expected bytes of the large responses to it. `slowness` is the
+    service time relative to the average of the same route at all upstreams.
     """
 
     upstream: Upstream
@@ -73,6 +77,7 @@
     load_received_at: float = 0.0
     calls_since_load: int = 0
     bytes_since_load: int = 0
+    response_bytes_since_load: float = 0.0
     slowness: float = 1.0
     failure_rate: float = 0.0
     failure_rate_at: float = 0.0
@@ -141,7 +146,8 @@
         if not reachable:
             return None
         service_time_s = self._service_time_s.get(route, DEFAULT_SERVICE_TIME_S)
-        transferred_bytes = body_bytes + self.estimate_response_bytes(route)
+        response_bytes = self.estimate_response_bytes(route)
+        transferred_bytes = body_bytes + response_bytes
         cross_zone_penalty_s = (
             CROSS_ZONE_PENALTY_S + CROSS_ZONE_PENALTY_S_PER_BYTE * transferred_bytes
         )
@@ -149,7 +155,9 @@
         comfortable_s = COMFORTABLE_SHARE * max(0.0, objective_s)
 
         def score(stats: UpstreamStats) -> float:
-            expected_s = self._estimate_response_time_s(stats, service_time_s, body_bytes, now)
+            expected_s = self._estimate_response_time_s(
+                stats, service_time_s, body_bytes, response_bytes, now
+            )
             weighted_s = (
                 max(0.0, expected_s - comfortable_s)
                 + min(expected_s, comfortable_s) * COMFORTABLE_TIME_WEIGHT
@@ -183,13 +191,17 @@
             fields["load_age_ms"] = int((now - stats.load_received_at) * 1000)
         return fields
 
-    def record_sent(self, instance: InstanceId, body_bytes: int = 0) -> None:
-        """Count a call forwarded to the daemon of `instance`."""
+    def record_sent(
+        self, instance: InstanceId, body_bytes: int = 0, response_bytes: float = 0.0
+    ) -> None:
+        """Count a call forwarded to the daemon of `instance`, with its expected response."""
         stats = self._stats.get(instance)
         if stats is not None:
             stats.own_in_flight += 1
             stats.calls_since_load += 1
             stats.bytes_since_load += body_bytes
+            if response_bytes > LARGE_RESPONSE_BYTES:
+                stats.response_bytes_since_load += response_bytes
 
     def record_done(self, instance: InstanceId) -> None:
         """Count the end of a call at `instance`, whatever its outcome."""
@@ -205,6 +217,7 @@
             stats.load_received_at = now
             stats.calls_since_load = 0
             stats.bytes_since_load = 0
+            stats.response_bytes_since_load = 0.0
             stats.backoff_s = 0.0
             stats.backoff_until = 0.0
 
@@ -254,7 +267,12 @@
         stats.failure_rate_at = now
 
     def _estimate_response_time_s(
-        self, stats: UpstreamStats, service_time_s: float, body_bytes: int, now: float
+        self,
+        stats: UpstreamStats,
+        service_time_s: float,
+        body_bytes: int,
+        response_bytes: float,
+        now: float,
     ) -> float:
         """Estimate the seconds until a response, of a call on a route with `service_time_s`."""
         slots = max(1, stats.upstream.slots)
@@ -263,7 +281,10 @@
         transfer_s = self._estimate_transfer_time_s(stats, body_bytes, now)
         # Jitter keeps daemons that see the same loads from choosing the same upstream.
         jitter_s = self._rng.random() * SCORE_JITTER_SHARE * service_time_s
-        return wait_s + expected_service_time_s + transfer_s + jitter_s
+        response_delay_s = self._estimate_response_delay_s(
+            stats, response_bytes, wait_s + expected_service_time_s, now
+        )
+        return wait_s + expected_service_time_s + transfer_s + response_delay_s + jitter_s
 
     def _compute_penalty_s(
         self, stats: UpstreamStats, cross_zone_penalty_s: float, now: float
@@ -286,6 +307,21 @@
             1000 * load.inbound_bytes_per_ms
         )
 
+    def _estimate_response_delay_s(
+        self, stats: UpstreamStats, response_bytes: float, ready_in_s: float, now: float
+    ) -> float:
+        """Estimate by how many seconds the upstream's link delays a large response."""
+        load = stats.load
+        is_local = stats.upstream.instance == self._own_instance
+        if load is None or is_local or response_bytes <= LARGE_RESPONSE_BYTES:
+            return 0.0
+        bytes_per_s = 1000 * load.outbound_bytes_per_ms
+        if not bytes_per_s:
+            return 0.0
+        backlog_s = max(0.0, load.outbound_backlog_ms / 1000 - (now - stats.load_received_at))
+        backlog_s += stats.response_bytes_since_load / bytes_per_s
+        return max(0.0, backlog_s - ready_in_s) + response_bytes / bytes_per_s
+
     def _estimate_wait_s(
         self, stats: UpstreamStats, slots: int, service_time_s: float, now: float
     ) -> float:
--- a/packages/godwitpass/tests/relay/test_admission.py
+++ b/packages/godwitpass/tests/relay/test_admission.py
@@ -112,6 +112,26 @@
         ]
 
 
+class TestDelivery:
+    """Calls with an objective of 1 s, a timeout of 8 s and a service time of 0.1 s."""
+
+    def accepts(self, delay_s: float, transfer_s: float, priority: int = 1) -> bool:
+        call = build_call(1, 0.0, priority, objective_s=1.0, timeout_s=8.0)
+        return SlotScheduler(1).accepts_delivery(call, 0.0, delay_s, transfer_s)
+
+    def test_a_response_that_the_link_delays_beyond_the_objective_is_not_accepted(self) -> None:
+        assert self.accepts(delay_s=0.5, transfer_s=0.1)
+        assert not self.accepts(delay_s=0.9, transfer_s=0.1)
+
+    def test_a_response_that_is_late_by_any_link_may_wait_a_share_of_the_timeout(self) -> None:
+        assert self.accepts(delay_s=1.1, transfer_s=1.0)
+        assert not self.accepts(delay_s=1.3, transfer_s=1.0)
+
+    def test_a_nested_call_is_accepted_until_its_deadline(self) -> None:
+        assert self.accepts(delay_s=7.8, transfer_s=0.1, priority=NESTED_CALL_PRIORITY)
+        assert not self.accepts(delay_s=8.0, transfer_s=0.1, priority=NESTED_CALL_PRIORITY)
+
+
 class Arrival(msgspec.Struct):
     arrived_at: float
     call_id: int
