Test servers that never respond to what they can't queue

No daemon hands a server more than its slots, and a silent connection is given up at the deadline of its call, not its server.

--- a/tests/cover/test_platform.py
+++ b/tests/cover/test_platform.py
@@ -206,6 +206,50 @@
         run_check(check)
 
 
+class TestSilentServers:
+    """Servers that never respond to a request that they can't queue, nor on that connection."""
+
+    def test_no_server_is_handed_more_than_it_takes(self, run_check: RunCheck) -> None:
+        async def check(deployment: Deployment) -> None:
+            for server in deployment.vault_servers:
+                server.work_s, server.is_silent_when_full = 0.1, True
+            clients = [await Client.connect(deployment.outbound_address) for _ in range(40)]
+            for number, client in enumerate(clients):
+                client.send(encode_call("/read/1", f"many{number}", 1_500))
+            statuses = [(await client.read_response()).status for client in clients]
+            for client in clients:
+                client.close()
+            assert set(statuses) <= {200, 503}
+            assert statuses.count(200) > 4
+            assert all(server.ignored_requests == 0 for server in deployment.vault_servers)
+
+        run_check(check)
+
+    def test_a_silent_connection_is_given_up_and_its_server_is_not(
+        self, run_check: RunCheck
+    ) -> None:
+        async def check(deployment: Deployment) -> None:
+            for server in deployment.vault_servers:
+                server.fault = "silent"
+            data = encode_call("/order/1", "unheard", 300, "POST", b"x")
+            response = await exchange(deployment.outbound_address, data)
+            assert response.status == 504
+            runs = sum(server.run_counts["unheard"] for server in deployment.vault_servers)
+            assert runs == 1
+
+            async def is_given_up() -> bool:
+                return sum(server.aborted_runs for server in deployment.vault_servers) == 1
+
+            await wait_until(is_given_up)
+            for server in deployment.vault_servers:
+                server.fault = ""
+            for number in range(10):
+                data = encode_call("/order/1", f"heard{number}", 1_000, "POST", b"x")
+                assert (await exchange(deployment.outbound_address, data)).status == 200
+
+        run_check(check)
+
+
 class TestDrainingServers:
     def test_a_draining_server_gets_no_calls_after_the_drain_time(
         self, run_check: RunCheck
