--- a/packages/godwitpass-daemon/tests/relay/test_callers.py
+++ b/packages/godwitpass-daemon/tests/relay/test_callers.py
@@ -10,20 +10,11 @@
 from godwitpass.ids import Address, InstanceId, RouteName, ServiceName
 from godwitpass.internal.relay.frames import BODY_CHUNK_BYTES, OpenStream
 from godwitpass_daemon.relay.core import RelayCore
-from godwitpass_daemon.relay.headers import HeaderNames, parse_request_head
+from godwitpass_daemon.relay.headers import parse_request_head
 from godwitpass_daemon.relay.ingress import CallerConnection
 from godwitpass_daemon.relay.links import PeerLink, PeerObserver, StreamHandler
 from godwitpass_daemon.relay.pipelining import PipelinedRequest
-
-HEADER_NAMES = HeaderNames(
-    request_id=b"x-id",
-    timeout_ms=b"x-timeout",
-    target=b"x-target",
-    caller_service=b"x-service",
-    not_run=b"x-not-run",
-    seal=b"x-seal",
-    instance=b"x-instance",
-)
+from godwitpass_testkit.relay import HEADER_NAMES
 
 
 def build_core(**attributes: Any) -> RelayCore:
--- a/packages/godwitpass-daemon/tests/relay/test_upstream.py
+++ b/packages/godwitpass-daemon/tests/relay/test_upstream.py
@@ -21,7 +21,7 @@
     encode_frame,
 )
 from godwitpass.internal.relay.registration import Heartbeat
-from godwitpass_daemon.relay.headers import HeaderNames, ResponseHead
+from godwitpass_daemon.relay.headers import ResponseHead
 from godwitpass_daemon.relay.limits import MAX_BUFFERED_RESPONSE_BYTES, RESPONSE_WINDOW_BYTES
 from godwitpass_daemon.relay.probe import probe_health
 from godwitpass_daemon.relay.upstream_calls import UpstreamCall
@@ -31,16 +31,8 @@
     UpstreamConnectionPool,
 )
 from godwitpass_daemon.relay.upstream_runner import UpstreamRunner
+from godwitpass_testkit.relay import HEADER_NAMES
 
-HEADER_NAMES = HeaderNames(
-    request_id=b"x-id",
-    timeout_ms=b"x-timeout",
-    target=b"x-target",
-    caller_service=b"x-service",
-    not_run=b"x-not-run",
-    seal=b"x-seal",
-    instance=b"x-instance",
-)
 BODY_SIZES = [0, 1, MAX_RESPONSE_HEAD_BYTES, 90_000, 256 * 1024, 540_000]
 LARGE_READ_BYTES = 256 * 1024
 READ_SIZES = [1_000, 16 * 1024, 64 * 1024, LARGE_READ_BYTES]
@@ -95,7 +87,7 @@
 
 
 def encode_response(body: bytes, *header_lines: str, request_id: str = "r") -> bytes:
-    lines = ["HTTP/1.1 200 OK", f"x-id: {request_id}", f"content-length: {len(body)}"]
+    lines = ["HTTP/1.1 200 OK", f"x-request-id: {request_id}", f"content-length: {len(body)}"]
     return "\r\n".join([*lines, *header_lines, "", ""]).encode() + body
 
 
--- a/testkit/src/godwitpass_testkit/load_model/fleet.py
+++ b/testkit/src/godwitpass_testkit/load_model/fleet.py
@@ -36,7 +36,7 @@
 from godwitpass.snapshot import Snapshot
 from godwitpass_daemon.relay.core import RelayCore
 from godwitpass_daemon.relay.forwarded_calls import ForwardedCall
-from godwitpass_daemon.relay.headers import HeaderNames, RequestHead
+from godwitpass_daemon.relay.headers import RequestHead
 from godwitpass_daemon.relay.limits import TIMEOUT_CHECK_INTERVAL_S
 from godwitpass_daemon.relay.links import Link, StreamHandler, dispatch_frame
 from godwitpass_daemon.relay.pipelining import PipelinedRequest
@@ -46,16 +46,8 @@
 from godwitpass_testkit.load_model.experiment import Experiment, ServiceSpec
 from godwitpass_testkit.load_model.upstreams import SimulatedPool, SimulatedUpstream
 from godwitpass_testkit.load_model.virtual_loop import VirtualLoop
+from godwitpass_testkit.relay import HEADER_NAMES
 
-HEADER_NAMES = HeaderNames(
-    request_id=b"x-request-id",
-    timeout_ms=b"x-timeout-ms",
-    target=b"x-target",
-    caller_service=b"x-caller-service",
-    not_run=b"x-not-run",
-    seal=b"x-seal",
-    instance=b"x-instance",
-)
 DRAIN_S = 2.0
 LINK_BYTES_PER_S = 1e9
 
