--- a/packages/godwitpass/tests/relay/test_outbound_flow_control.py
+++ b/packages/godwitpass/tests/relay/test_outbound_flow_control.py
@@ -59,6 +59,56 @@
         assert control.record_received(1, CHUNK_BYTES, 2.0) == []
 
 
+class TestRandomHistories:
+    """Receivers that confirm late, fall silent, come back, or are dropped at any moment."""
+
+    @pytest.mark.parametrize("seed", range(20))
+    def test_the_window_is_kept_and_every_byte_is_permitted_once(self, seed: int) -> None:
+        rng = random.Random(seed)
+        control = OutboundFlowControl(NARROW_BYTES_PER_S, CHUNK_BYTES)
+        window_bytes = max(MIN_WINDOW_BYTES, int(NARROW_BYTES_PER_S * 0.05))
+        sizes: dict[int, int] = {}
+        permitted: dict[int, int] = {}
+        unconfirmed: dict[int, list[int]] = {}
+        silent_since: dict[int, float] = {}
+        now = 0.0
+
+        def handle(permits: list[Permit]) -> None:
+            for permit in permits:
+                permitted[permit.call_id] += permit.size_bytes
+                unconfirmed[permit.call_id].append(permit.size_bytes)
+                assert permitted[permit.call_id] <= sizes[permit.call_id]
+
+        for call_id in range(400):
+            now += rng.expovariate(20.0)
+            sizes[call_id] = rng.choice((1, 20_000, 90_000, 300_000))
+            permitted[call_id], unconfirmed[call_id] = 0, []
+            handle(control.open(call_id, sizes[call_id], now))
+            for open_id in list(unconfirmed):
+                if rng.random() < 0.02:
+                    silent_since.setdefault(open_id, now)
+                if rng.random() < 0.02:
+                    del unconfirmed[open_id]
+                    handle(control.close(open_id, now))
+                elif unconfirmed[open_id] and open_id not in silent_since:
+                    handle(control.record_received(open_id, unconfirmed[open_id].pop(0), now))
+                    if permitted[open_id] == sizes[open_id] and not unconfirmed[open_id]:
+                        del unconfirmed[open_id]
+                        handle(control.close(open_id, now))
+            handle(control.skip_stalled(now))
+            on_their_way = sum(
+                sum(pieces)
+                for open_id, pieces in unconfirmed.items()
+                if now - silent_since.get(open_id, now) <= STALLED_AFTER_S
+            )
+            # A receiver that has been silent for long may hold one more window.
+            assert on_their_way <= 2 * window_bytes + CHUNK_BYTES
+        for open_id in list(unconfirmed):
+            control.close(open_id, now)
+        assert control.backlog_s == 0.0
+        assert count_bytes(control.open(1_000, 900_000, now)) >= window_bytes
+
+
 class TestEstimates:
     def test_the_backlog_includes_the_responses_of_admitted_calls(self) -> None:
         control = OutboundFlowControl(1_000_000.0, CHUNK_BYTES)
