Send no call again by itself on a connection that was in use a moment ago

The daemon beside the server took each such reset on a reused connection for one that the server had closed while idle, and sent the call again on a new one, outside the retry budget; then the sender retried too, so a download reached the same server twice for each attempt.

Only a connection that was idle for over a second is now taken for closed while idle, as for calls that must not run twice. Other losses go to the sender, who retries within the budget.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
@@ -44,8 +44,12 @@
 DEFAULT_KEEP_ALIVE_S = 4.0
 """Keep-alive time of upstreams that announce none."""
 
-MAX_NON_IDEMPOTENT_IDLE_S = 1.0
-"""Calls that can't be sent again reuse only connections that were idle for less than this."""
+MAX_SAFE_IDLE_S = 1.0
+"""A connection that was idle for less than this is taken for open at the upstream's end too.
+
+Calls that can't be sent again reuse only such connections, and if one is lost, the call that it
+carried is taken for run.
+"""
 
 DEADLINE_MARGIN_S = 0.003
 """The caller gets its response this long before its deadline."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
@@ -57,12 +57,12 @@
         "_connect_task",
         "_connection",
         "_head",
-        "_is_connection_reused",
         "_is_streaming",
         "_response_bytes",
         "_response_chunks",
         "_runner",
         "_sent_at",
+        "_was_connection_idle",
         "_window_bytes",
         "call_id",
         "deadline",
@@ -99,7 +99,7 @@
         self.remaining_body_bytes = request.body_bytes - len(request.body)
         self._connect_task: asyncio.Task[None] | None = None
         self._connection: UpstreamConnection | None = None
-        self._is_connection_reused = False
+        self._was_connection_idle = False
         self._sent_at = 0.0
         self._head: ResponseHead | None = None
         self._response_chunks: list[bytes] = []
@@ -254,9 +254,9 @@
         self._connection = None
         if self.has_ended:
             return
-        if self._is_connection_reused and not has_received and self.request.is_idempotent:
+        if self._was_connection_idle and not has_received and self.request.is_idempotent:
             # The upstream closed the idle connection while the request was being sent.
-            self._is_connection_reused = False
+            self._was_connection_idle = False
             self._connect()
             return
         self.fail(Failure.INVALID if is_invalid else Failure.RESET)
@@ -354,7 +354,7 @@
             self.refuse(Refusal.TOO_LATE if remaining_ms <= 0 else Refusal.DRAINING, 0.0)
             return
         self._connection = connection
-        self._is_connection_reused = connection.is_reused
+        self._was_connection_idle = connection.was_idle_for_long
         self._sent_at = now
         request = self.request
         head = encode_request_head(
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_connections.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_connections.py
@@ -13,7 +13,7 @@
 from godwitpass_daemon.relay.limits import (
     DEFAULT_KEEP_ALIVE_S,
     KEEP_ALIVE_MARGIN_S,
-    MAX_NON_IDEMPOTENT_IDLE_S,
+    MAX_SAFE_IDLE_S,
     UPSTREAM_CONNECT_TIMEOUT_S,
     WRITE_BUFFER_BYTES,
 )
@@ -47,7 +47,7 @@
     def __init__(self, pool: "UpstreamConnectionPool") -> None:
         self.idle_since = 0.0
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
-        self.is_reused = False
+        self.was_idle_for_long = False
         self._pool = pool
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -241,7 +241,7 @@
         """Return an idle connection or None.
 
         With `must_be_recent`, a connection is returned only if it was used in the last
-        `MAX_NON_IDEMPOTENT_IDLE_S` seconds.
+        `MAX_SAFE_IDLE_S` seconds.
         """
         now = self._now()
         while self._idle:
@@ -254,9 +254,10 @@
                 self._idle.pop()
                 connection.close()
                 continue
-            if must_be_recent and idle_time_s > MAX_NON_IDEMPOTENT_IDLE_S:
+            was_idle_for_long = idle_time_s > MAX_SAFE_IDLE_S
+            if must_be_recent and was_idle_for_long:
                 return None
-            connection.is_reused = True
+            connection.was_idle_for_long = was_idle_for_long
             return self._idle.pop()
         return None
 
--- a/packages/godwitpass-daemon/tests/relay/test_upstream.py
+++ b/packages/godwitpass-daemon/tests/relay/test_upstream.py
@@ -11,6 +11,8 @@
 from godwitpass.internal.relay.frames import (
     BODY_CHUNK_BYTES,
     BodyChunk,
+    Failed,
+    Failure,
     Frame,
     FrameDecoder,
     OpenStream,
@@ -221,7 +223,9 @@
 class RunningCall:
     """A call that was sent to the upstream on `connection`."""
 
-    def __init__(self, is_flow_controlled: bool = False, bytes_per_s: float = 1e9) -> None:
+    def __init__(
+        self, is_flow_controlled: bool = False, bytes_per_s: float = 1e9, idle_s: float = 0.0
+    ) -> None:
         service = ServiceName("vault")
         self.events: list[dict[str, FieldValue]] = []
         runner = UpstreamRunner(
@@ -239,6 +243,7 @@
         self.transport = RecordingTransport()
         self.connection.connection_made(self.transport)
         runner.pool.release(self.connection)
+        self.connection.idle_since = -idle_s
         self.channel = RecordingReplyChannel(is_flow_controlled)
         self.runner = runner
         self.call: UpstreamCall = runner.open_call(self.channel, self.build_request(1))
@@ -306,6 +311,31 @@
         assert isinstance(refused, Refused) and refused.reached_upstream
 
 
+class TestLostConnections:
+    """An idempotent call whose connection is lost before any part of a response."""
+
+    def lose_connection(self, idle_s: float) -> RunningCall:
+        running = RunningCall(idle_s=idle_s)
+        running.connection.connection_lost(None)
+        return running
+
+    def test_a_call_is_not_sent_again_on_a_connection_that_was_in_use_a_moment_ago(self) -> None:
+        async def check() -> None:
+            running = self.lose_connection(idle_s=0.5)
+            (failed,) = running.channel.frames
+            assert isinstance(failed, Failed) and failed.reason is Failure.RESET
+
+        asyncio.run(check())
+
+    def test_a_call_is_sent_again_after_the_upstream_closed_an_idle_connection(self) -> None:
+        async def check() -> None:
+            running = self.lose_connection(idle_s=2.0)
+            assert running.channel.frames == []
+            assert not running.call.has_ended
+
+        asyncio.run(check())
+
+
 class TestDelivery:
     """Large responses to another daemon, which confirms what it has received."""
 
--- a/testkit/src/godwitpass_testkit/load_model/upstreams.py
+++ b/testkit/src/godwitpass_testkit/load_model/upstreams.py
@@ -143,7 +143,7 @@
 class SimulatedConnection:
     """Stands for a connection to the upstream; it carries one call."""
 
-    is_reused = False
+    was_idle_for_long = False
 
     def __init__(self, upstream: SimulatedUpstream) -> None:
         self._upstream = upstream
