--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
@@ -45,10 +45,10 @@
 """Keep-alive time of upstreams that announce none."""
 
 MAX_SAFE_IDLE_S = 1.0
-"""A connection that was idle for less than this is taken for open at the upstream's end too.
+"""A connection that was idle for less than this is assumed to be still open at the upstream.
 
-Calls that can't be sent again reuse only such connections, and if one is lost, the call that it
-carried is taken for run.
+Calls that can't be sent again reuse only such connections. If one is lost, the call that it carried
+is assumed to have run.
 """
 
 DEADLINE_MARGIN_S = 0.003
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/response_sender.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/response_sender.py
@@ -1,4 +1,4 @@
-"""Sends large responses to the daemons that forwarded the calls, as fast as the link takes them."""
+"""Sends large responses to the daemons that forwarded the calls, at the rate of the link."""
 
 from collections.abc import Callable
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_connections.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_connections.py
@@ -87,7 +87,7 @@
             self._transport.pause_reading()
 
     def resume_reading(self) -> None:
-        """Read on."""
+        """Resume reading the response."""
         if self._transport is not None and self.is_open:
             self._transport.resume_reading()
 
--- a/packages/godwitpass/src/godwitpass/internal/relay/admission.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/admission.py
@@ -152,7 +152,7 @@
         return dropped
 
     def _sort(self, calls: Iterable[ScheduledCall], now: float) -> list[ScheduledCall]:
-        """Sort by priority, then calls that will most likely meet their objective, then by it.
+        """Sort by priority, then likely to meet the objective before unlikely, then by objective.
 
         Starting a call at the last moment that its mean service time allows would make every other
         call late under lasting overload.
--- a/packages/godwitpass/src/godwitpass/internal/relay/upstream_selection.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/upstream_selection.py
@@ -25,7 +25,7 @@
 """Estimated size of a response on a route that has had none yet."""
 
 COMFORTABLE_SHARE = 0.5
-"""Share of the time until a call's objective within which a response is early enough."""
+"""Share of the time until a call's objective within which a faster response gains little."""
 
 COMFORTABLE_TIME_WEIGHT = 0.25
 """Weight of the expected time within that share; a faster response is worth little to the caller.
