Name customers, software versions and permissions in documents, messages and settings

Cause: roll-outs, customers and quotas need the same names in the document, the frames, the membership records and the settings.

Change: documents hold customers with digests of their keys; a route may be anonymous. Heartbeats and membership records carry the software version of an upstream. A forwarded call names its customer and how long it is permitted. Nothing acts on any of it yet.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/peers/channels.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/peers/channels.py
@@ -13,6 +13,9 @@
     DISTRIBUTION = 2
     CLAIMS = 3
     CRASHES = 4
+    FRESHNESS = 5
+    QUOTAS = 6
+    ROLLOUTS = 7
 
 
 Handler = Callable[[Address, bytes], None]
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/headers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/headers.py
@@ -21,7 +21,7 @@
     daemon accepted the call. `not_run` marks a refusal by the upstream and `seal` a response that
     the upstream itself produced. `instance` identifies the upstream in the response to a health
     check. `rate_limit` holds the requests a second that an upstream takes, and `leaving` marks the
-    responses of one that leaves.
+    responses of one that leaves. `customer` names the customer whose key the caller sent.
     """
 
     request_id: bytes
@@ -33,6 +33,7 @@
     instance: bytes
     rate_limit: bytes
     leaving: bytes
+    customer: bytes
 
 
 class RequestRejected(Exception):
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -12,9 +12,12 @@
 from godwitpass.events import EventKind, FieldValue
 from godwitpass.ids import Address, InstanceId, ServiceName, ZoneId
 from godwitpass.internal.distribution.reader import RejectedDocument
+from godwitpass.internal.freshness.settings import FreshnessSettings
+from godwitpass.internal.quotas.settings import QuotaSettings
 from godwitpass.internal.relay import events as kinds
 from godwitpass.internal.relay.registration import Deregistration, Heartbeat, UpdateOutcome
 from godwitpass.internal.relay.retry_budget import RetryBudgetSettings
+from godwitpass.internal.rollouts.settings import RolloutSettings
 from godwitpass_daemon.admin.metrics import render_metrics
 from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.listeners import split_address
@@ -60,7 +63,9 @@
 
     `upstream` is the address of the local upstream, `drain_s` is how long a draining upstream still
     accepts calls, `grace_s` the time from the request to stop until the process ends, and
-    `bytes_per_s` the nominal rate of the instance's link.
+    `bytes_per_s` the nominal rate of the instance's link. Freshness proofs, rate limits and
+    roll-outs are off while their settings are None. `extra_request_share` is the share of calls
+    that may get an extra request when the first one is slow.
     """
 
     callers: Address
@@ -73,6 +78,10 @@
     grace_s: float
     bytes_per_s: float
     budget: RetryBudgetSettings
+    freshness: FreshnessSettings | None = None
+    quotas: QuotaSettings | None = None
+    rollouts: RolloutSettings | None = None
+    extra_request_share: float = 0.0
 
 
 class Readiness(msgspec.Struct, frozen=True):
@@ -336,7 +345,9 @@
         registration = self.core.runner.registration
         current = registration.current
         if current is not None and not self.core.is_stopping:
-            self._membership.announce(registration.state, current.slots, current.service)
+            self._membership.announce(
+                registration.state, current.slots, current.service, current.software_version
+            )
 
     async def _listen(self, loop: asyncio.AbstractEventLoop, core: RelayCore) -> None:
         settings = self._settings
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/membership.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/membership.py
@@ -8,7 +8,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from godwitpass.ids import Address, ServiceName
+from godwitpass.ids import Address, ServiceName, SoftwareVersion
 from godwitpass.internal.actions import MessageReceived, RecordEvent, Send, SetTimer, TimerFired
 from godwitpass.internal.membership import Announce, Identity, Leave, Membership, Start, Tuning
 from godwitpass.internal.membership.core import Event
@@ -93,14 +93,18 @@
         self._subscribers.append(callback)
 
     def announce(
-        self, state: UpstreamState, slots: int | None = None, service: ServiceName | None = None
+        self,
+        state: UpstreamState,
+        slots: int | None = None,
+        service: ServiceName | None = None,
+        software_version: SoftwareVersion | None = None,
     ) -> None:
         """Announce the state of the upstream beside this daemon.
 
-        `slots` and `service` don't change if None. Without an upstream, this does nothing.
+        The other fields don't change if None. Without an upstream, this does nothing.
         """
         if self._has_upstream:
-            self._handle(Announce(state, slots, service))
+            self._handle(Announce(state, slots, service, software_version))
 
     def announce_draining(self) -> None:
         """Announce that the upstream is draining, so that it gets no further calls."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/store.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/store.py
@@ -98,6 +98,10 @@
         """Write `value` if the entry is at revision `expected`; None writes unconditionally."""
         return await self._call(Request(Operation.PUT, key, value, expected, lease), WriteResult)
 
+    async def confirm(self, key: str, revision: Revision) -> bool:
+        """Tell whether the entry at `key` is at `revision`, by a linearizable read."""
+        return (await self.get(key)).revision == revision
+
     async def delete(self, key: str, expected: Revision | None) -> WriteResult:
         """Delete `key` if it is at revision `expected`; None deletes unconditionally."""
         return await self._call(Request(Operation.DELETE, key, expected=expected), WriteResult)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/store_requests.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/store_requests.py
@@ -5,6 +5,8 @@
 from godwitpass.errors import StoreOutcomeUnknown, StoreUnavailable
 from godwitpass.internal.requests import (
     Answer,
+    Confirm,
+    Confirmed,
     Delete,
     EntriesRead,
     EntryRead,
@@ -38,6 +40,8 @@
             return WriteDone(request.tag, result)
         case Delete():
             return WriteDone(request.tag, await store.delete(request.key, request.expected))
+        case Confirm():
+            return Confirmed(request.tag, await store.confirm(request.key, request.revision))
         case List():
             return EntriesRead(request.tag, await store.list(request.prefix))
         case _:
--- a/packages/godwitpass/src/godwitpass/difference.py
+++ b/packages/godwitpass/src/godwitpass/difference.py
@@ -5,7 +5,9 @@
 
 import msgspec
 
-from godwitpass.document import Document, Policy, Route, Service
+from godwitpass.document import Customer, Document, Policy, Route, Service
+
+NamedEntry = Service | Route | Policy | Customer
 
 
 class Alteration(Enum):
@@ -35,6 +37,7 @@
         *_compare_entries("services", old.services, new.services),
         *_compare_entries("routes", old.routes, new.routes),
         *_compare_entries("policies", old.policies, new.policies),
+        *_compare_entries("customers", old.customers, new.customers),
     ]
     if old.distribution != new.distribution:
         changed = _list_changed_fields(old.distribution, new.distribution)
@@ -43,12 +46,10 @@
 
 
 def _compare_entries(
-    section: str,
-    old: Sequence[Service | Route | Policy],
-    new: Sequence[Service | Route | Policy],
+    section: str, old: Sequence[NamedEntry], new: Sequence[NamedEntry]
 ) -> list[Difference]:
-    old_entries: dict[str, Service | Route | Policy] = {entry.name: entry for entry in old}
-    new_entries: dict[str, Service | Route | Policy] = {entry.name: entry for entry in new}
+    old_entries: dict[str, NamedEntry] = {entry.name: entry for entry in old}
+    new_entries: dict[str, NamedEntry] = {entry.name: entry for entry in new}
     differences: list[Difference] = []
     for name in sorted(old_entries.keys() | new_entries.keys()):
         if name not in old_entries:
--- a/packages/godwitpass/src/godwitpass/document.py
+++ b/packages/godwitpass/src/godwitpass/document.py
@@ -6,7 +6,7 @@
 import msgspec
 from msgspec import Meta
 
-from godwitpass.ids import PolicyName, RouteName, ServiceName
+from godwitpass.ids import CustomerName, PolicyName, RouteName, ServiceName
 
 DOCUMENT_FORMAT = 1
 """Format number of the documents that this release reads."""
@@ -22,16 +22,21 @@
 MAX_BODY_BYTES = 1024 * 1024 * 1024
 MAX_SLOTS = 10_000
 MAX_CONNECTIONS = 100_000
+MAX_KEYS = 256
+MAX_RATE_PER_S = 1e9
 
 NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}(?!\n)$"
 HOST_PATTERN = r"^([a-z0-9][a-z0-9.-]{0,252})?(?!\n)$"
 METHOD_PATTERN = r"^[A-Z]{1,16}(?!\n)$"
 PATH_PATTERN = r"^/$|^(/(?!\.{1,2}(/|$))[A-Za-z0-9._~!$&'()*+,;=:@-]+){1,32}(?!\n)$"
 """`/` or a normalized path: no empty, `.` or `..` segment, no escapes, no trailing slash."""
+
+DIGEST_PATTERN = r"^[0-9a-f]{32}(?!\n)$"
 PATTERN_REMEDIES = {
     NAME_PATTERN: "use 1 to 63 letters, digits, '.', '_' or '-', starting with a letter or digit",
     HOST_PATTERN: "write a lower-case host name without a port",
     METHOD_PATTERN: "write an HTTP method in upper case, such as GET",
+    DIGEST_PATTERN: "write the first 32 hexadecimal digits of the SHA-256 hash of the key",
     PATH_PATTERN: "write '/' or a path such as '/orders/new', without escapes or a trailing '/'",
 }
 """Remedy reported for a string that does not match a pattern."""
@@ -197,6 +202,36 @@
             description="Services that share the calls by weight; empty for `service` alone.",
         ),
     ] = ()
+    anonymous: Annotated[
+        bool, Meta(description="Whether calls need no key although the document has customers.")
+    ] = False
+
+
+class Customer(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+    """A customer whose callers identify themselves by a key."""
+
+    name: Annotated[
+        CustomerName, Meta(pattern=NAME_PATTERN, description="Unique among the customers.")
+    ]
+    key_digests: Annotated[
+        tuple[Annotated[str, Meta(pattern=DIGEST_PATTERN)], ...],
+        Meta(
+            max_length=MAX_KEYS,
+            description="The first 32 hexadecimal digits of the SHA-256 hash of each valid key.",
+        ),
+    ] = ()
+    priority: Annotated[
+        Annotated[int, Meta(ge=0, le=MAX_PRIORITY)] | None,
+        Meta(description="Priority that goes before that of the route; 0 is served first."),
+    ] = None
+    rate_per_s: Annotated[
+        float,
+        Meta(ge=0, le=MAX_RATE_PER_S, description="Calls a second at all daemons; 0 is no limit."),
+    ] = 0.0
+    burst: Annotated[
+        float,
+        Meta(ge=0, le=MAX_RATE_PER_S, description="Calls beyond the rate after a pause."),
+    ] = 0.0
 
 
 class Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
@@ -216,6 +251,10 @@
     limits: Annotated[
         CallerLimits, Meta(description="Limits on the size and duration of callers' requests.")
     ] = CallerLimits()
+    customers: Annotated[
+        tuple[Customer, ...],
+        Meta(description="Customers by key; without any, calls need no key."),
+    ] = ()
 
 
 def read_document(content: bytes | str, source: str = "") -> Document:
--- a/packages/godwitpass/src/godwitpass/ids.py
+++ b/packages/godwitpass/src/godwitpass/ids.py
@@ -11,6 +11,10 @@
 ServiceName = NewType("ServiceName", str)
 RouteName = NewType("RouteName", str)
 PolicyName = NewType("PolicyName", str)
+CustomerName = NewType("CustomerName", str)
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of the software of an upstream; empty if it reports none."""
+
 ChangeId = NewType("ChangeId", str)
 ContentHash = NewType("ContentHash", str)
 LeaseId = NewType("LeaseId", int)
--- a/packages/godwitpass/src/godwitpass/internal/distribution/delta.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/delta.py
@@ -9,11 +9,19 @@
 import msgspec
 import zstandard
 
-from godwitpass.document import CallerLimits, Distribution, Document, Policy, Route, Service
+from godwitpass.document import (
+    CallerLimits,
+    Customer,
+    Distribution,
+    Document,
+    Policy,
+    Route,
+    Service,
+)
 from godwitpass.ids import ContentHash
 from godwitpass.internal.codec import compress, decompress, encode_canonical, hash_content
 
-EntryT = TypeVar("EntryT", Service, Route, Policy)
+EntryT = TypeVar("EntryT", Service, Route, Policy, Customer)
 
 MIN_BYTES_TO_COMPRESS = 256
 PLAIN_PREFIX, COMPRESSED_PREFIX = b"p", b"z"
@@ -31,6 +39,8 @@
     routes: tuple[Route, ...] = ()
     policies: tuple[Policy, ...] = ()
     limits: CallerLimits = CallerLimits()
+    removed_customers: tuple[str, ...] = ()
+    customers: tuple[Customer, ...] = ()
 
 
 class InvalidContent(Exception):
@@ -66,6 +76,7 @@
     removed_services, services = _diff_entries(old.services, new.services)
     removed_routes, routes = _diff_entries(old.routes, new.routes)
     removed_policies, policies = _diff_entries(old.policies, new.policies)
+    removed_customers, customers = _diff_entries(old.customers, new.customers)
     return Delta(
         new.format,
         new.distribution,
@@ -76,6 +87,8 @@
         routes,
         policies,
         new.limits,
+        removed_customers,
+        customers,
     )
 
 
@@ -88,6 +101,7 @@
         _apply_to_entries(old.policies, delta.removed_policies, delta.policies),
         delta.distribution,
         delta.limits,
+        _apply_to_entries(old.customers, delta.removed_customers, delta.customers),
     )
 
 
--- a/packages/godwitpass/src/godwitpass/internal/membership/core.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/core.py
@@ -126,7 +126,10 @@
             )
         slots = current.slots if event.slots is None else event.slots
         service = current.service if event.service is None else event.service
-        upstream = AnnouncedUpstream(service, current.address, event.state, slots)
+        software_version = (
+            current.software_version if event.software_version is None else event.software_version
+        )
+        upstream = AnnouncedUpstream(service, current.address, event.state, slots, software_version)
         if upstream == current or self._state.is_leaving:
             return []
         self._state.update_own_upstream(now, upstream)
--- a/packages/godwitpass/src/godwitpass/internal/membership/inputs.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/inputs.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from godwitpass.ids import Address, InstanceId, RegionId, ServiceName, ZoneId
+from godwitpass.ids import Address, InstanceId, RegionId, ServiceName, SoftwareVersion, ZoneId
 from godwitpass.mesh import UpstreamState
 
 
@@ -41,6 +41,7 @@
     state: UpstreamState
     slots: int | None = None
     service: ServiceName | None = None
+    software_version: SoftwareVersion | None = None
 
 
 class Leave(msgspec.Struct, frozen=True):
--- a/packages/godwitpass/src/godwitpass/internal/membership/messages.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/messages.py
@@ -9,7 +9,7 @@
 import msgspec
 import xxhash
 
-from godwitpass.ids import Address, InstanceId, RegionId, ServiceName, ZoneId
+from godwitpass.ids import Address, InstanceId, RegionId, ServiceName, SoftwareVersion, ZoneId
 from godwitpass.mesh import MemberState, UpstreamState
 
 BoundedInt = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
@@ -38,6 +38,7 @@
     address: Address
     state: UpstreamState
     slots: int
+    software_version: SoftwareVersion = SoftwareVersion("")
 
 
 class MemberMetadata(msgspec.Struct, frozen=True, array_like=True, gc=False):
--- a/packages/godwitpass/src/godwitpass/internal/membership/records.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/records.py
@@ -108,6 +108,7 @@
         metadata.region,
         announced.state,
         announced.slots,
+        announced.software_version,
     )
 
 
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits of customers over all daemons together."""
--- a/packages/godwitpass/src/godwitpass/internal/relay/frames.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/frames.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from godwitpass.errors import GodwitpassError
-from godwitpass.ids import RouteName, ServiceName
+from godwitpass.ids import CustomerName, RouteName, ServiceName
 
 LENGTH_PREFIX = struct.Struct("!I")
 MAX_FRAME_BYTES = 512 * 1024
@@ -30,6 +30,9 @@
     UNREACHABLE = 6
     CANCELLED = 7
     CRASH_SUSPECT = 8
+    NOT_PERMITTED = 9
+    VERSION_CLOSED = 10
+    NESTED_REFUSED = 11
 
 
 class Failure(Enum):
@@ -66,6 +69,8 @@
 
     `head` is the request line with the forwarded headers. `remaining_ms` is the time until the
     caller's deadline, and `objective_ms` the time until its latency objective; it may be negative.
+    `customer` is empty for a call without one. The call may start until `permitted_ms` have passed
+    on a clock that runs through a pause of the process; -1 sets no bound.
     """
 
     stream_id: int
@@ -79,6 +84,9 @@
     body_bytes: int
     body: bytes = b""
     request_id: str = ""
+    customer: CustomerName = CustomerName("")
+    customer_priority: int = 0
+    permitted_ms: int = -1
 
 
 class BodyChunk(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/packages/godwitpass/src/godwitpass/internal/relay/registration.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/registration.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from godwitpass.ids import Address, InstanceId, ServiceName
+from godwitpass.ids import Address, InstanceId, ServiceName, SoftwareVersion
 from godwitpass.mesh import UpstreamState
 
 MAX_DEREGISTERED = 64
@@ -26,6 +26,7 @@
     is_draining: bool
     sequence: int
     started_ms: int
+    software_version: SoftwareVersion = SoftwareVersion("")
 
 
 class Deregistration(msgspec.Struct, frozen=True):
--- a/packages/godwitpass/src/godwitpass/internal/requests.py
+++ b/packages/godwitpass/src/godwitpass/internal/requests.py
@@ -46,6 +46,17 @@
     prefix: str
 
 
+class Confirm(msgspec.Struct, frozen=True):
+    """Action: checks by a linearizable read whether the entry at `key` is at `revision`.
+
+    Answered by `Confirmed` or `RequestFailed`.
+    """
+
+    tag: int
+    key: str
+    revision: Revision
+
+
 class Watch(msgspec.Struct, frozen=True):
     """Action: waits up to `timeout_s` for changes below `prefix` after revision `after`.
 
@@ -72,6 +83,13 @@
     result: WriteResult
 
 
+class Confirmed(msgspec.Struct, frozen=True):
+    """Event: the outcome of a `Confirm`."""
+
+    tag: int
+    is_current: bool
+
+
 class EntriesRead(msgspec.Struct, frozen=True):
     """Event: the outcome of a `List` or `Watch`."""
 
@@ -87,5 +105,5 @@
     reason: str = ""
 
 
-Request = Get | Put | Delete | List | Watch
-Answer = EntryRead | WriteDone | EntriesRead | RequestFailed
+Request = Get | Put | Delete | List | Confirm | Watch
+Answer = EntryRead | WriteDone | EntriesRead | Confirmed | RequestFailed
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-outs: a service moves to upstreams with another software version."""
--- a/packages/godwitpass/src/godwitpass/internal/validation/rules.py
+++ b/packages/godwitpass/src/godwitpass/internal/validation/rules.py
@@ -6,14 +6,22 @@
 
 import msgspec
 
-from godwitpass.document import DOCUMENT_FORMAT, Document, Execution, Policy, Route, Service
+from godwitpass.document import (
+    DOCUMENT_FORMAT,
+    Customer,
+    Document,
+    Execution,
+    Policy,
+    Route,
+    Service,
+)
 from godwitpass.ids import PolicyName
 from godwitpass.internal.validation.findings import Findings, join_pointer
 from godwitpass.policy import MAX_EXTENDS_DEPTH, resolve_policies
 
-EntryT = TypeVar("EntryT", Service, Route, Policy)
+EntryT = TypeVar("EntryT", Service, Route, Policy, Customer)
 
-SECTIONS = ("services", "routes", "policies")
+SECTIONS = ("services", "routes", "policies", "customers")
 
 
 class LocatedEntry(msgspec.Struct, Generic[EntryT], frozen=True):
@@ -37,6 +45,7 @@
     services: list[LocatedEntry[Service]]
     routes: list[LocatedEntry[Route]]
     policies: list[LocatedEntry[Policy]]
+    customers: list[LocatedEntry[Customer]]
     names: dict[str, list[EntryName]]
     used_services: frozenset[str]
 
@@ -53,6 +62,7 @@
         _locate("services", document.services),
         _locate("routes", document.routes),
         _locate("policies", document.policies),
+        _locate("customers", document.customers),
         names,
         frozenset(_list_used_services(document.routes)),
     )
@@ -68,6 +78,7 @@
         _collect_valid(value, "services", Service),
         routes,
         _collect_valid(value, "policies", Policy),
+        _collect_valid(value, "customers", Customer),
         {section: _list_names(value, section) for section in SECTIONS},
         frozenset(route_services.union(_list_used_services([located.entry for located in routes]))),
     )
--- a/packages/godwitpass/src/godwitpass/mesh.py
+++ b/packages/godwitpass/src/godwitpass/mesh.py
@@ -5,7 +5,14 @@
 
 import msgspec
 
-from godwitpass.ids import Address, InstanceId, RegionId, ServiceName, ZoneId
+from godwitpass.ids import (
+    Address,
+    InstanceId,
+    RegionId,
+    ServiceName,
+    SoftwareVersion,
+    ZoneId,
+)
 
 
 class MemberState(Enum):
@@ -48,6 +55,7 @@
     region: RegionId
     state: UpstreamState
     slots: int
+    software_version: SoftwareVersion = SoftwareVersion("")
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/godwitpass/src/godwitpass/store.py
+++ b/packages/godwitpass/src/godwitpass/store.py
@@ -60,6 +60,10 @@
         """Write `value` if the entry is at revision `expected`; None writes unconditionally."""
         ...
 
+    async def confirm(self, key: str, revision: Revision) -> bool:
+        """Tell whether the entry at `key` is at `revision`, by a linearizable read."""
+        ...
+
     async def delete(self, key: str, expected: Revision | None) -> WriteResult:
         """Delete `key` if it is at revision `expected`; None deletes unconditionally."""
         ...
--- a/testkit/src/godwitpass_testkit/relay.py
+++ b/testkit/src/godwitpass_testkit/relay.py
@@ -12,4 +12,5 @@
     instance=b"x-instance",
     rate_limit=b"x-rate-limit",
     leaving=b"x-leaving",
+    customer=b"x-customer",
 )
--- a/testkit/src/godwitpass_testkit/store/fake.py
+++ b/testkit/src/godwitpass_testkit/store/fake.py
@@ -32,6 +32,10 @@
         """Write `value` if the entry is at revision `expected`; None writes always."""
         return self.state.put(key, value, expected, lease, await self._apply_delay())
 
+    async def confirm(self, key: str, revision: Revision) -> bool:
+        """Tell whether the entry at `key` is at `revision`."""
+        return (await self.get(key)).revision == revision
+
     async def delete(self, key: str, expected: Revision | None) -> WriteResult:
         """Delete `key` if it is at revision `expected`; None deletes always."""
         return self.state.delete(key, expected, await self._apply_delay())
