--- a/packages/godwitpass/src/godwitpass/internal/membership/core.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/core.py
@@ -27,13 +27,14 @@
     SummaryUpdate,
     Update,
 )
-from godwitpass.internal.membership.records import build_member
+from godwitpass.internal.membership.records import PERMILLE, build_member
 from godwitpass.internal.membership.state import SharedState
 from godwitpass.internal.membership.token_bucket import TokenBucket
 from godwitpass.internal.membership.tuning import DEFAULT_TUNING, Tuning
 from godwitpass.internal.requests import Answer, Get, List, Put
 from godwitpass.mesh import Member, MemberState, Upstream
 
+ROUNDING = 1e-6
 IMMEDIATE_FANOUT = 8
 """Members to which a change of the own record is sent at once, ahead of the next gossip."""
 
@@ -129,7 +130,15 @@
         software_version = (
             current.software_version if event.software_version is None else event.software_version
         )
-        upstream = AnnouncedUpstream(service, current.address, event.state, slots, software_version)
+        # Rounded down, so that no share is exceeded.
+        canary_permille = (
+            current.canary_permille
+            if event.canary_share is None
+            else int(event.canary_share * PERMILLE + ROUNDING)
+        )
+        upstream = AnnouncedUpstream(
+            service, current.address, event.state, slots, software_version, canary_permille
+        )
         if upstream == current or self._state.is_leaving:
             return []
         self._state.update_own_upstream(now, upstream)
--- a/packages/godwitpass/src/godwitpass/internal/membership/inputs.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/inputs.py
@@ -42,6 +42,7 @@
     slots: int | None = None
     service: ServiceName | None = None
     software_version: SoftwareVersion | None = None
+    canary_share: float | None = None
 
 
 class Leave(msgspec.Struct, frozen=True):
--- a/packages/godwitpass/src/godwitpass/internal/membership/messages.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/messages.py
@@ -32,13 +32,17 @@
 
 
 class AnnouncedUpstream(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """What a daemon announces about the upstream beside it."""
+    """What a daemon announces about the upstream beside it.
+
+    `canary_permille` is `Upstream.canary_share` in thousandths, one byte if there is none.
+    """
 
     service: ServiceName
     address: Address
     state: UpstreamState
     slots: int
     software_version: SoftwareVersion = SoftwareVersion("")
+    canary_permille: Annotated[int, msgspec.Meta(ge=0, le=1000)] = 0
 
 
 class MemberMetadata(msgspec.Struct, frozen=True, array_like=True, gc=False):
--- a/packages/godwitpass/src/godwitpass/internal/membership/records.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/records.py
@@ -11,6 +11,7 @@
 
 _encoder = msgspec.msgpack.Encoder()
 
+PERMILLE = 1000
 GONE_STATES = (MemberState.DEAD, MemberState.LEFT)
 
 
@@ -109,6 +110,7 @@
         announced.state,
         announced.slots,
         announced.software_version,
+        announced.canary_permille / PERMILLE,
     )
 
 
--- a/packages/godwitpass/src/godwitpass/internal/relay/upstream_selection.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/upstream_selection.py
@@ -1,12 +1,13 @@
 """Selection of an upstream by the loads that daemons report and by the results of calls."""
 
 import random
-from collections.abc import Iterable, Set
+from collections.abc import Iterable, Sequence, Set
 
 import msgspec
 
 from godwitpass.events import FieldValue
 from godwitpass.ids import InstanceId, RouteName, ServiceName, ZoneId
+from godwitpass.internal.relay.canary_share import CanaryShares
 from godwitpass.internal.relay.frames import Load
 from godwitpass.internal.relay.moving_averages import RouteAverages
 from godwitpass.mesh import Upstream, UpstreamState
@@ -99,12 +100,15 @@
         self._rng = rng
         self._stats: dict[InstanceId, UpstreamStats] = {}
         self._ready_by_service: dict[ServiceName, list[UpstreamStats]] = {}
+        self._canaries_by_service: dict[ServiceName, list[UpstreamStats]] = {}
+        self._canary_shares = CanaryShares(rng)
         self._service_time_s = RouteAverages(SERVICE_TIME_WEIGHT)
         self._response_bytes = RouteAverages(RESPONSE_BYTES_WEIGHT)
 
     def update(self, service: ServiceName, upstreams: Iterable[Upstream]) -> None:
         """Set the upstreams of `service`; statistics of known upstreams are kept."""
         ready_stats: list[UpstreamStats] = []
+        canaries: list[UpstreamStats] = []
         for upstream in upstreams:
             stats = self._stats.get(upstream.instance)
             if stats is None or stats.upstream.service != upstream.service:
@@ -112,8 +116,9 @@
                 self._stats[upstream.instance] = stats
             stats.upstream = upstream
             if upstream.state is UpstreamState.READY:
-                ready_stats.append(stats)
+                (canaries if upstream.canary_share else ready_stats).append(stats)
         self._ready_by_service[service] = ready_stats
+        self._canaries_by_service[service] = canaries
 
     def keep_only(self, instances: set[InstanceId]) -> None:
         """Remove the statistics of all other upstreams."""
@@ -130,18 +135,26 @@
         body_bytes: int = 0,
         excluded: Set[InstanceId] = frozenset(),
         objective_s: float = 0.0,
+        is_repeated: bool = False,
     ) -> Upstream | None:
         """Return the upstream with the lowest score, which is its expected time to a response.
 
         `objective_s` is the time until the call's latency objective, 0 if any delay matters. If all
-        upstreams outside `excluded` are in backoff, they are tried nevertheless. Returns None if
-        there are none.
+        upstreams outside `excluded` are in backoff, they are tried nevertheless. Canaries get their
+        share of the calls, and none that `is_repeated`. Returns None if there are no upstreams.
         """
-        ready = [
+        ready: Sequence[UpstreamStats] = [
             stats
             for stats in self._ready_by_service.get(service, ())
             if stats.upstream.instance not in excluded
         ]
+        canaries = [
+            (stats, stats.upstream)
+            for stats in self._canaries_by_service.get(service, ())
+            if stats.upstream.instance not in excluded
+        ]
+        if canaries:
+            ready = self._canary_shares.choose_group(service, ready, canaries, is_repeated)
         reachable = [stats for stats in ready if stats.backoff_until <= now] or ready
         if not reachable:
             return None
@@ -173,7 +186,8 @@
 
     def count_ready(self, service: ServiceName) -> int:
         """Return the number of ready upstreams of `service`."""
-        return len(self._ready_by_service.get(service, ()))
+        canaries = self._canaries_by_service.get(service, ())
+        return len(self._ready_by_service.get(service, ())) + len(canaries)
 
     def describe(self, instance: InstanceId, now: float) -> dict[str, FieldValue]:
         """Return log fields about an upstream."""
--- a/packages/godwitpass/src/godwitpass/mesh.py
+++ b/packages/godwitpass/src/godwitpass/mesh.py
@@ -46,7 +46,11 @@
 
 
 class Upstream(msgspec.Struct, frozen=True, array_like=True):
-    """One server of a service; `slots` is the number of calls that it runs concurrently."""
+    """One server of a service; `slots` is the number of calls that it runs concurrently.
+
+    `canary_share` is above 0 while the service moves to this server's software version: the share
+    of all calls to the service that all servers of that version get together.
+    """
 
     instance: InstanceId
     service: ServiceName
@@ -56,6 +60,7 @@
     state: UpstreamState
     slots: int
     software_version: SoftwareVersion = SoftwareVersion("")
+    canary_share: float = 0.0
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
