Run calls only on a software version that an order or the fleet allows

Cause: the decisions on roll-outs need a service that performs them, and the relay has to ask it.

The runner refuses calls to a closed version (VERSION_CLOSED) when they arrive, while they wait and where they are handed to the upstream; a closed version is announced as starting.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
@@ -8,6 +8,7 @@
 
 from godwitpass.ids import Address
 from godwitpass.internal.distribution.reader import DocumentSource
+from godwitpass.internal.rollouts.records import RolloutSource
 from godwitpass.store import Store
 from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.kernel import Kernel, Service
@@ -18,6 +19,7 @@
 from godwitpass_daemon.services.crashes import CrashesService
 from godwitpass_daemon.services.distribution import DistributionService
 from godwitpass_daemon.services.membership import MembershipService
+from godwitpass_daemon.services.rollouts import RolloutsService
 from godwitpass_daemon.settings import Settings
 
 BuildApplication = Callable[[Callable[[], RelayService]], Application]
@@ -36,6 +38,7 @@
     settings: RelaySettings
     seeds: tuple[Address, ...]
     listeners: tuple[tuple[str, Address, BuildApplication], ...]
+    rollout_source: RolloutSource | None = None
 
 
 class ListenerService:
@@ -100,6 +103,7 @@
             services.find("events", EventLog),
         ),
     )
+    has_rollouts = _register_rollouts(kernel, settings, dependencies)
     # Registered before the relay, so that they still respond while it finishes its calls.
     for name, address, build in dependencies.listeners:
         _register_listener(kernel, name, address, build)
@@ -112,11 +116,32 @@
             services.find("membership", MembershipService),
             services.find("events", EventLog),
             services.find("crashes", CrashesService),
+            services.find("rollouts", RolloutsService) if has_rollouts else None,
         ),
     )
     return kernel
 
 
+def _register_rollouts(kernel: Kernel, settings: Settings, dependencies: RelayDependencies) -> bool:
+    """Register the roll-outs if the settings ask for them; return whether they do."""
+    rollouts, source = dependencies.settings.rollouts, dependencies.rollout_source
+    if rollouts is None or source is None:
+        return False
+    kernel.register(
+        "rollouts",
+        lambda services: RolloutsService(
+            settings,
+            rollouts,
+            source,
+            dependencies.store,
+            services.find("peers", PeerTransport),
+            services.find("membership", MembershipService),
+            services.find("events", EventLog),
+        ),
+    )
+    return True
+
+
 def _register_listener(
     kernel: Kernel, name: str, address: Address, build: BuildApplication
 ) -> None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
@@ -270,6 +270,7 @@
             len(self._body),
             self._excluded,
             0.0 if is_nested else self._objective_at - now,
+            self._forward_count > 0,
         )
         if upstream is None:
             self._refuse(self._refusal_reason or "no upstream")
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -15,9 +15,11 @@
 from godwitpass.internal.freshness.settings import FreshnessSettings
 from godwitpass.internal.quotas.settings import QuotaSettings
 from godwitpass.internal.relay import events as kinds
+from godwitpass.internal.relay.frames import Refusal
 from godwitpass.internal.relay.registration import Deregistration, Heartbeat, UpdateOutcome
 from godwitpass.internal.relay.retry_budget import RetryBudgetSettings
 from godwitpass.internal.rollouts.settings import RolloutSettings
+from godwitpass.mesh import UpstreamState
 from godwitpass_daemon.admin.metrics import render_metrics
 from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.listeners import split_address
@@ -32,6 +34,7 @@
 from godwitpass_daemon.relay.upstream_runner import UpstreamRunner
 from godwitpass_daemon.services.distribution import DistributionService
 from godwitpass_daemon.services.membership import MembershipService
+from godwitpass_daemon.services.rollouts import RolloutsService
 
 LISTEN_BACKLOG = 1024
 GC_THRESHOLDS = (20_000, 20, 50)
@@ -107,8 +110,10 @@
         membership: MembershipService,
         events: EventLog,
         crash_guard: CrashGuard | None = None,
+        rollouts: RolloutsService | None = None,
     ) -> None:
         self._crash_guard = crash_guard
+        self._rollouts = rollouts
         self._settings = settings
         self._header_names = header_names
         self._distribution = distribution
@@ -174,6 +179,9 @@
         )
         core.caller_service = settings.service.encode()
         runner.on_upstream_leaving = self._handle_leaving_response
+        if self._rollouts is not None:
+            runner.version_gate = self._rollouts
+            self._rollouts.attach(lambda: runner.calls_in_progress, self._handle_version_change)
         self._core = core
         snapshot = self._distribution.snapshot()
         if snapshot is not None:
@@ -291,6 +299,10 @@
             return outcome
         core.caller_service = heartbeat.service.encode()
         core.runner.apply_registration()
+        if self._rollouts is not None:
+            # A health check, which has start time 0, doesn't name the version.
+            version = heartbeat.software_version if heartbeat.started_ms else None
+            self._rollouts.update_upstream(heartbeat.service, version)
         self._announce_upstream()
         if previous_state != (heartbeat.upstream, registration.state):
             self._events.emit(
@@ -344,10 +356,23 @@
     def _announce_upstream(self) -> None:
         registration = self.core.runner.registration
         current = registration.current
-        if current is not None and not self.core.is_stopping:
-            self._membership.announce(
-                registration.state, current.slots, current.service, current.software_version
-            )
+        if current is None or self.core.is_stopping:
+            return
+        state, share = registration.state, 0.0
+        if self._rollouts is not None:
+            share = self._rollouts.share
+            if state is UpstreamState.READY and not self._rollouts.is_open:
+                # Nobody selects an upstream that is starting.
+                state = UpstreamState.STARTING
+        self._membership.announce(
+            state, current.slots, current.service, current.software_version, share
+        )
+
+    def _handle_version_change(self) -> None:
+        """Announce whether the local version takes calls, and refuse waiting ones if it doesn't."""
+        if self._rollouts is not None and not self._rollouts.is_open:
+            self.core.runner.refuse_waiting(Refusal.VERSION_CLOSED)
+        self._announce_upstream()
 
     async def _listen(self, loop: asyncio.AbstractEventLoop, core: RelayCore) -> None:
         settings = self._settings
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
@@ -31,6 +31,10 @@
     from godwitpass_daemon.relay.upstream_runner import UpstreamRunner
 
 
+CANCEL_TOLERANCE_S = 0.1
+"""A call cancelled this shortly before its deadline counts as not answered in time."""
+
+
 class ReplyChannel(Protocol):
     """Sends frames to the daemon that forwarded a call.
 
@@ -158,6 +162,8 @@
             self.refuse(Refusal.CANCELLED, 0.0)
             return
         self._runner.call_log.record_cancelled(self, self._sent_at)
+        # A sender cancels at the deadline what the upstream has not answered.
+        self._record_outcome(self._runner.now() >= self.deadline - CANCEL_TOLERANCE_S)
         if not self.request.is_idempotent:
             # A call that must not be repeated is left to finish, because it can't be run again.
             return
@@ -184,6 +190,7 @@
         if self.has_ended:
             return
         self._runner.call_log.record_failed(self, reason)
+        self._record_outcome(True, is_reset=reason is Failure.RESET)
         if reason is Failure.RESET and self._runner.crash_detector is not None:
             self._runner.crash_detector.record_reset(self.describe())
         self._drop_connection()
@@ -253,6 +260,8 @@
         if self.has_ended or head is None:
             return
         if self._is_streaming:
+            if head.status < 500:
+                self._record_outcome(False)
             self._finish(is_completed=head.status < 500)
             if self.reply_channel.is_flow_controlled:
                 self._runner.response_sender.finish(self.call_id)
@@ -309,6 +318,8 @@
         wait_ms = int((self.scheduled.started_at - self.scheduled.arrived_at) * 1000)
         service_ms = int((now - self._sent_at) * 1000)
         self._runner.call_log.record_response_sent(self, head.status, wait_ms, service_ms)
+        if is_last or head.status >= 500:
+            self._record_outcome(head.status >= 500)
         self._response_bytes = len(body)
         is_flow_controlled = self.reply_channel.is_flow_controlled and (
             not is_last or len(body) > BODY_CHUNK_BYTES
@@ -336,6 +347,13 @@
             msgspec.structs.replace(response, body=body, is_last=is_last, load=load)
         )
 
+    def _record_outcome(self, has_failed: bool, is_reset: bool = False) -> None:
+        """Count the end of a call that was handed to the upstream, as evidence on its version."""
+        gate = self._runner.version_gate
+        if gate is not None and self.was_sent:
+            duration_s = self._runner.now() - self._sent_at
+            gate.record_outcome(self.request.route, duration_s, has_failed, is_reset)
+
     def _connect(self) -> None:
         self._connect_task = asyncio.get_running_loop().create_task(self._open_connection())
 
@@ -367,6 +385,10 @@
             runner.pool.release(connection)
             self.refuse(Refusal.TOO_LATE if remaining_ms <= 0 else Refusal.DRAINING, 0.0)
             return
+        if runner.is_version_closed():
+            runner.pool.release(connection)
+            self.refuse(Refusal.VERSION_CLOSED, 0.0)
+            return
         guard = runner.crash_guard
         if guard is not None and guard.has_suspects and guard.is_refused(self.describe()):
             runner.pool.release(connection)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
@@ -22,6 +22,7 @@
 from godwitpass_daemon.relay.response_sender import ResponseSender
 from godwitpass_daemon.relay.upstream_calls import ReplyChannel, UpstreamCall
 from godwitpass_daemon.relay.upstream_connections import UpstreamConnectionPool
+from godwitpass_daemon.relay.version_gate import VersionGate
 
 RESPONSE_BYTES_WEIGHT = 0.05
 """Weight of the newest response in the moving average of its route's size."""
@@ -57,6 +58,7 @@
         self.call_log = UpstreamCallLog(self, emit)
         self.drain_s = drain_s
         self.on_upstream_leaving: Callable[[], None] | None = None
+        self.version_gate: VersionGate | None = None
         self._limited_upstream: Heartbeat | None = None
         self._rate_timer: asyncio.TimerHandle | None = None
         self._calls: dict[int, UpstreamCall] = {}
@@ -121,6 +123,8 @@
 
     def open_call(self, reply_channel: ReplyChannel, request: OpenStream) -> UpstreamCall:
         """Accept a forwarded call."""
+        if self.version_gate is not None:
+            self.version_gate.record_arrival()
         self._last_call_id += 1
         call = UpstreamCall(self, reply_channel, request, self._last_call_id)
         self._calls[call.call_id] = call
@@ -143,6 +147,15 @@
             )
         return call
 
+    def is_version_closed(self) -> bool:
+        """Tell whether the upstream's software version may run no calls now."""
+        return self.version_gate is not None and not self.version_gate.may_run()
+
+    def refuse_waiting(self, reason: Refusal) -> None:
+        """Refuse all calls that wait for a slot."""
+        for scheduled in self.scheduler.clear_waiting():
+            self._refuse(scheduled, reason, 0.0)
+
     def send_window_updates(self, grants: list[Grant]) -> None:
         """Allow the senders of request bodies to send more."""
         for grant in grants:
@@ -192,8 +205,9 @@
         for call in [call for call in self._calls.values() if call.deadline <= latest_deadline]:
             call.expire()
         if not self._can_queue():
-            for scheduled in self.scheduler.clear_waiting():
-                self._refuse(scheduled, Refusal.DRAINING, 0.0)
+            self.refuse_waiting(Refusal.DRAINING)
+        elif self.is_version_closed():
+            self.refuse_waiting(Refusal.VERSION_CLOSED)
 
     def apply_registration(self) -> None:
         """Apply the address and the slots of the current registration."""
@@ -249,6 +263,8 @@
             return Refusal.WRONG_SERVICE
         if self.is_stopping or not self.accepts_service(request.service):
             return Refusal.DRAINING
+        if self.is_version_closed():
+            return Refusal.VERSION_CLOSED
         return None
 
     def _apply_decision(self, decision: SchedulingDecision) -> None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/membership.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/membership.py
@@ -98,13 +98,14 @@
         slots: int | None = None,
         service: ServiceName | None = None,
         software_version: SoftwareVersion | None = None,
+        canary_share: float | None = None,
     ) -> None:
         """Announce the state of the upstream beside this daemon.
 
         The other fields don't change if None. Without an upstream, this does nothing.
         """
         if self._has_upstream:
-            self._handle(Announce(state, slots, service, software_version))
+            self._handle(Announce(state, slots, service, software_version, canary_share))
 
     def announce_draining(self) -> None:
         """Announce that the upstream is draining, so that it gets no further calls."""
