--- a/packages/godwitpass/src/godwitpass/internal/rollouts/judgement.py
+++ b/packages/godwitpass/src/godwitpass/internal/rollouts/judgement.py
@@ -34,6 +34,9 @@
 A server that is 2.5 times slower than the median stays below; a version 8 times slower is above.
 """
 
+MIN_SLOW_BUCKET = 10
+"""No response is slow below 32 ms, which is the noise of a machine with a part of a core."""
+
 MIN_SLOW_RATE = 0.05
 SLOW_RATE = 0.5
 MIN_BASELINE_DURATIONS = 10.0
@@ -81,7 +84,7 @@
         for bucket, count in enumerate(self.histogram):
             passed += count
             if passed >= total / 2:
-                return bucket + SLOW_BUCKETS + 1
+                return max(MIN_SLOW_BUCKET, bucket + SLOW_BUCKETS + 1)
         return None
 
     def estimate_slow_rate(self, slow_bucket: int) -> float:
--- a/packages/godwitpass/src/godwitpass/internal/rollouts/rollout.py
+++ b/packages/godwitpass/src/godwitpass/internal/rollouts/rollout.py
@@ -487,7 +487,7 @@
             "revision": self._revision,
             "reporting": sum(self._is_recent(instance, now) for instance in self.agents),
             "canaries": len(self.canaries),
-            "share": self.share,
+            "share": round(self.share, 4),
             "responses": judgement.target_responses,
             "failures": judgement.target_failures,
             "baseline": self._baseline_calls,
