Make the attempt of a forwarded call an object of its own

Cause: a call that may have two attempts in flight needs a link, a stream and a collected response for each, and must ignore what still arrives for one that has ended.

Change: `Attempt` handles the frames of one stream and tells its call what they mean; `ForwardedCall` keeps a list of attempts in flight. An ended attempt passes nothing on.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
@@ -4,8 +4,6 @@
 import math
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from godwitpass.ids import InstanceId, ServiceName
 from godwitpass.internal.relay.admission import NESTED_CALL_PRIORITY
 from godwitpass.internal.relay.frames import (
@@ -21,14 +19,13 @@
 from godwitpass.mesh import Upstream
 from godwitpass_daemon.edge.guards import RequestDescriptor
 from godwitpass_daemon.relay.crash_guard import describe_request
+from godwitpass_daemon.relay.forwarded_attempts import Attempt
 from godwitpass_daemon.relay.headers import RequestHead, encode_local_response, encode_response_head
 from godwitpass_daemon.relay.limits import (
     DEADLINE_MARGIN_S,
-    MAX_BUFFERED_RESPONSE_BYTES,
     MAX_FORWARDS,
     RESPONSE_GRANT_BYTES,
 )
-from godwitpass_daemon.relay.links import Link
 
 if TYPE_CHECKING:
     from godwitpass_daemon.relay.core import RelayCore
@@ -48,31 +45,28 @@
     """Forwards one call to an upstream, retries it and passes the response on.
 
     `_upstream_attempts` counts the attempts that reached an upstream, `_uncertain_attempts` those
-    that were retried although they may have run the call. `_collected` is the first part of a
-    response that is collected in `_parts` before it is passed on, so that the call can still be
-    retried. `_streamed` is the first part of one that is too large for that, and
-    `_ungranted_bytes` counts what its caller has taken since the window was last extended.
+    that were followed by another one although they may have run the call. `_in_flight` holds the
+    attempts that have not ended. `_streaming` is the attempt whose response is passed on before it
+    is complete, and `_ungranted_bytes` counts what the caller has taken since the window was last
+    extended.
     """
 
     __slots__ = (
         "_body",
-        "_collected",
         "_core",
         "_deadline",
         "_deadline_timer",
         "_excluded",
         "_forward_count",
         "_has_ended",
-        "_link",
+        "_in_flight",
         "_objective_at",
-        "_parts",
         "_priority",
         "_refusal_reason",
         "_request",
         "_response_bytes",
         "_retry_after_s",
-        "_stream_id",
-        "_streamed",
+        "_streaming",
         "_uncertain_attempts",
         "_ungranted_bytes",
         "_upstream",
@@ -106,12 +100,9 @@
         self._uncertain_attempts = 0
         self._retry_after_s: float | None = None
         self._refusal_reason = ""
-        self._link: Link | None = None
-        self._stream_id = 0
+        self._in_flight: list[Attempt] = []
         self._upstream: Upstream | None = None
-        self._collected: Response | None = None
-        self._parts: list[bytes] = []
-        self._streamed: Response | None = None
+        self._streaming: Attempt | None = None
         self._response_bytes = 0
         self._ungranted_bytes = 0
         self._has_ended = False
@@ -129,15 +120,15 @@
     def cancel(self) -> None:
         """Cancel the call after its caller has disconnected."""
         if not self._has_ended:
-            self._cancel_stream()
+            self._cancel_attempts()
             self._finish("cancelled", 0)
 
-    # Called by the link.
+    # Called by the attempts.
 
-    def handle_refused(self, frame: Refused) -> None:
+    def handle_refused(self, attempt: Attempt, frame: Refused) -> None:
         """Retry the call on another upstream, or refuse it."""
         now = self._core.now()
-        upstream = self._detach(now)
+        upstream = self._detach(attempt)
         if frame.reached_upstream:
             self._upstream_attempts += 1
             self._core.selector.record_failure(upstream.instance, now)
@@ -159,10 +150,10 @@
         else:
             self._refuse(self._refusal_reason)
 
-    def handle_failed(self, frame: Failed) -> None:
+    def handle_failed(self, attempt: Attempt, frame: Failed) -> None:
         """Retry the call on another upstream if it may run more than once, else fail it."""
         core, now = self._core, self._core.now()
-        upstream = self._detach(now)
+        upstream = self._detach(attempt)
         self._upstream_attempts += 1
         core.selector.record_failure(upstream.instance, now)
         self._excluded.add(upstream.instance)
@@ -171,13 +162,13 @@
             return
         self._retry_or_fail(upstream, frame.reason.name.lower(), now, frame.reason)
 
-    def handle_link_lost(self, was_sent: bool) -> None:
+    def handle_link_lost(self, attempt: Attempt, was_sent: bool) -> None:
         """Retry the call on another upstream if it wasn't sent or may run more than once."""
         now = self._core.now()
-        upstream = self._detach(now)
+        upstream = self._detach(attempt)
         self._excluded.add(upstream.instance)
         if was_sent:
-            if self._streamed is not None:
+            if attempt is self._streaming:
                 self._core.selector.record_failure(upstream.instance, now)
                 self._abort_response("link lost")
                 return
@@ -189,52 +180,40 @@
         else:
             self._refuse("not connected")
 
-    def handle_response(self, frame: Response) -> None:
-        """Pass the response on, or its first part, or collect it."""
-        if not frame.is_last and 0 <= frame.body_bytes <= MAX_BUFFERED_RESPONSE_BYTES:
-            self._collected, self._parts = frame, [frame.body]
-            return
+    def handle_response(self, attempt: Attempt, frame: Response) -> None:
+        """Pass a complete response on."""
         self._response_bytes = len(frame.body)
-        has_no_body = self.head.method == b"HEAD" or frame.status in (204, 304)
-        closes_connection = self._request.decide_close()
-        head = encode_response_head(
-            frame.status, frame.head, frame.body_bytes, closes_connection, has_no_body
-        )
-        if frame.is_last:
-            self._finish_answered(frame)
-            self._request.write_response(head + frame.body, is_last=True)
-            return
-        self._streamed = frame
+        head = self._encode_head(frame)
+        self._finish_answered(attempt, frame)
+        self._request.write_response(head + frame.body, is_last=True)
+
+    def handle_streamed(self, attempt: Attempt, frame: Response) -> None:
+        """Pass on the first part of a response that is too large to be collected."""
+        self._response_bytes = len(frame.body)
+        head = self._encode_head(frame)
+        self._streaming = attempt
         self._request.is_chunked = frame.body_bytes < 0
         chunk = self._encode_chunk(frame.body, frame.body_bytes)
         self._request.write_response(head + chunk, is_last=False)
 
-    def handle_body(self, frame: BodyChunk) -> None:
-        """Pass a further part of the response on, or collect it."""
-        if self._collected is not None:
-            self._parts.append(frame.data)
-            if frame.is_last:
-                body = b"".join(self._parts)
-                whole = msgspec.structs.replace(self._collected, body=body, is_last=True)
-                self._collected, self._parts = None, []
-                self.handle_response(whole)
-            return
-        assert self._streamed is not None, "the first part arrives before the others"
+    def handle_streamed_body(self, attempt: Attempt, frame: BodyChunk) -> None:
+        """Pass a further part of a streamed response on."""
+        assert attempt.response is not None, "the first part arrives before the others"
         self._response_bytes += len(frame.data)
         is_chunked = self._request.is_chunked
         data = self._encode_chunk(frame.data, -1 if is_chunked else 0)
         if not frame.is_last:
             self._request.write_response(data, is_last=False)
             return
-        self._finish_answered(self._streamed)
+        self._finish_answered(attempt, attempt.response)
         self._request.write_response(data + (b"0\r\n\r\n" if is_chunked else b""), is_last=True)
 
-    def handle_aborted(self) -> None:
+    def handle_aborted(self, attempt: Attempt) -> None:
         """Retry the call, or abort the response so that its caller doesn't take it for complete."""
         now = self._core.now()
-        upstream = self._detach(now)
+        upstream = self._detach(attempt)
         self._core.selector.record_failure(upstream.instance, now)
-        if self._streamed is None:
+        if attempt is not self._streaming:
             self._upstream_attempts += 1
             self._excluded.add(upstream.instance)
             self._retry_or_fail(upstream, "answer cut", now, Failure.RESET)
@@ -245,11 +224,11 @@
 
     def handle_output_taken(self, size_bytes: int) -> None:
         """Extend the window of a streamed response after the caller has taken a part of it."""
-        if self._streamed is None or self._link is None:
+        if self._streaming is None:
             return
         self._ungranted_bytes += size_bytes
         if self._ungranted_bytes >= RESPONSE_GRANT_BYTES:
-            self._link.extend_window(self._stream_id, self._ungranted_bytes)
+            self._streaming.extend_window(self._ungranted_bytes)
             self._ungranted_bytes = 0
 
     def _forward(self) -> None:
@@ -292,8 +271,9 @@
             self.head.request_id,
         )
         link = core.get_link(upstream, max(len(self._body), response_bytes))
-        self._link = link
-        self._stream_id = link.open(self, stream_request, self._body)
+        attempt = Attempt(self, upstream, now)
+        self._in_flight.append(attempt)
+        attempt.open(link, stream_request, self._body)
 
     def _can_forward(self, is_retry: bool, now: float) -> bool:
         """Tell whether the call may go to another upstream; a retry uses the retry budget."""
@@ -346,12 +326,12 @@
         """End a call at its deadline."""
         if self._has_ended:
             return
-        if self._streamed is not None:
-            self._cancel_stream()
+        if self._streaming is not None:
+            self._cancel_attempts()
             self._abort_response("deadline")
             return
-        was_forwarded = self._link is not None
-        self._cancel_stream()
+        was_forwarded = bool(self._in_flight)
+        self._cancel_attempts()
         if was_forwarded or self._uncertain_attempts:
             self._respond_locally(504, "deadline", None)
         else:
@@ -374,10 +354,17 @@
             is_last=True,
         )
 
-    def _finish_answered(self, response: Response) -> None:
+    def _encode_head(self, frame: Response) -> bytes:
+        has_no_body = self.head.method == b"HEAD" or frame.status in (204, 304)
+        closes_connection = self._request.decide_close()
+        return encode_response_head(
+            frame.status, frame.head, frame.body_bytes, closes_connection, has_no_body
+        )
+
+    def _finish_answered(self, attempt: Attempt, response: Response) -> None:
         """End the call after the last part of `response`."""
         now = self._core.now()
-        upstream = self._detach(now)
+        upstream = self._detach(attempt)
         self._core.selector.record_response(
             upstream.instance,
             self.route.name,
@@ -392,20 +379,16 @@
         self._finish(reason, 0)
         self._request.abort()
 
-    def _detach(self, now: float) -> Upstream:
-        """Detach the call from its upstream and return that upstream."""
-        upstream = self._upstream
-        assert upstream is not None
-        self._link = None
-        self._collected, self._parts = None, []
-        self._core.selector.record_done(upstream.instance)
-        return upstream
-
-    def _cancel_stream(self) -> None:
-        if self._link is not None and self._upstream is not None:
-            link, self._link = self._link, None
-            self._core.selector.record_done(self._upstream.instance)
-            link.cancel(self._stream_id)
+    def _detach(self, attempt: Attempt) -> Upstream:
+        """Remove an attempt that has ended and return its upstream."""
+        self._in_flight.remove(attempt)
+        self._core.selector.record_done(attempt.upstream.instance)
+        return attempt.upstream
+
+    def _cancel_attempts(self) -> None:
+        for attempt in list(self._in_flight):
+            self._detach(attempt)
+            attempt.cancel()
 
     def _finish(self, outcome: str, status: int, frame: Response | None = None) -> None:
         assert not self._has_ended, "a call ends once"
