Identify callers by their keys and name the customer to upstreams

Cause: where a document has customers, a request must carry a key that a customer holds. Every key was forwarded to the upstream, and nothing checked it.

Change: the routing table holds a directory from digests of keys to customers. Ingress checks each request when its head is read, when it is complete and when it is started, and answers 401 without a valid key unless the route is anonymous or the request is a nested call. The upstream receives the customer's name instead of the key, on every attempt; a header of that name from the caller is dropped, also when written with underscores. A nested call whose outer call has just ended gets 503. A key that two customers hold is valid for neither. Forwarded calls carry customer and customer_priority, which nothing uses yet; calls of no customer have the default priority, nested calls that of nested calls. Without customers requests are forwarded unchanged.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -11,6 +11,7 @@
 from godwitpass.document import CallerLimits
 from godwitpass.events import FieldValue
 from godwitpass.ids import Address, InstanceId, ServiceName, ZoneId
+from godwitpass.internal.customers.directory import NestedCall
 from godwitpass.internal.relay import events as kinds
 from godwitpass.internal.relay.admission import NESTED_CALL_PRIORITY
 from godwitpass.internal.relay.frames import Load
@@ -21,6 +22,7 @@
 from godwitpass.internal.relay.upstream_selection import UpstreamSelector
 from godwitpass.mesh import Upstream
 from godwitpass.snapshot import Snapshot
+from godwitpass_daemon.relay.call_admission import CallAdmission
 from godwitpass_daemon.relay.call_log import Emit
 from godwitpass_daemon.relay.forwarded_calls import ForwardedCall
 from godwitpass_daemon.relay.headers import HeaderNames
@@ -73,6 +75,7 @@
         self.loop = loop
         self.runner = runner
         self.header_names = header_names
+        self.admission = CallAdmission(header_names, self.find_nested_call)
         self.table: RelayTable | None = None
         self.caller_service = b""
         self.traffic_splitter = TrafficSplitter(rng)
@@ -159,6 +162,17 @@
             return NESTED_CALL_PRIORITY
         return route.policy.priority
 
+    def find_nested_call(self, request_id: str) -> NestedCall:
+        """Tell whether the upstream beside this daemon makes a call while it runs another one."""
+        outer_id, _, suffix = request_id.rpartition(".")
+        if not outer_id or not suffix:
+            return NestedCall.NONE
+        if self.runner.is_in_progress(outer_id):
+            return NestedCall.OUTER_IN_PROGRESS
+        if self.runner.ended_calls.may_contain(outer_id, self.now()):
+            return NestedCall.OUTER_MAY_HAVE_ENDED
+        return NestedCall.NONE
+
     def get_link(self, upstream: Upstream, body_bytes: float) -> Link:
         """Return the link to the daemon of `upstream`, and open one if there is none.
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from godwitpass.ids import InstanceId, ServiceName
+from godwitpass.ids import CustomerName, InstanceId, ServiceName
+from godwitpass.internal.customers.directory import Caller
 from godwitpass.internal.relay.admission import NESTED_CALL_PRIORITY
 from godwitpass.internal.relay.frames import (
     BodyChunk,
@@ -20,6 +21,7 @@
 from godwitpass.internal.relay.routes import RelayRoute
 from godwitpass.mesh import Upstream
 from godwitpass_daemon.edge.guards import RequestDescriptor
+from godwitpass_daemon.relay.call_admission import ANONYMOUS_CALLER
 from godwitpass_daemon.relay.crash_guard import describe_request
 from godwitpass_daemon.relay.headers import RequestHead, encode_local_response, encode_response_head
 from godwitpass_daemon.relay.limits import (
@@ -56,6 +58,7 @@
 
     __slots__ = (
         "_body",
+        "_caller",
         "_collected",
         "_core",
         "_deadline",
@@ -84,10 +87,16 @@
     )
 
     def __init__(
-        self, core: "RelayCore", request: "PipelinedRequest", head: RequestHead, route: RelayRoute
+        self,
+        core: "RelayCore",
+        request: "PipelinedRequest",
+        head: RequestHead,
+        route: RelayRoute,
+        caller: Caller = ANONYMOUS_CALLER,
     ) -> None:
         self._core = core
         self._request = request
+        self._caller = caller
         self.head = head
         self.route = route
         self.arrived_at = request.arrived_at
@@ -278,6 +287,7 @@
         self._forward_count += 1
         response_bytes = core.selector.estimate_response_bytes(self.route.name)
         core.selector.record_sent(upstream.instance, len(self._body), response_bytes)
+        customer = self._caller.customer
         stream_request = OpenStream(
             0,
             self.service,
@@ -290,6 +300,8 @@
             len(self._body),
             b"",
             self.head.request_id,
+            customer.name if customer is not None else CustomerName(""),
+            self._caller.priority,
         )
         link = core.get_link(upstream, max(len(self._body), response_bytes))
         self._link = link
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/headers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/headers.py
@@ -6,11 +6,14 @@
 
 import msgspec
 
+from godwitpass.customers import digest_key
 from godwitpass_daemon.edge.heads import HOP_BY_HOP_HEADERS, Framing, Header
 from godwitpass_daemon.relay.limits import MAX_HEADERS
 
 REASON_PHRASES = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+_KEY_HEADER = b"authorization"
+_KEY_SCHEME = b"token"
 
 
 class HeaderNames(msgspec.Struct, frozen=True):
@@ -46,7 +49,11 @@
 
 
 class RequestHead(msgspec.Struct):
-    """A validated request head; `encoded` holds the forwarded lines without the empty last one."""
+    """A validated request head; `encoded` holds the forwarded lines without the empty last one.
+
+    `key_digest` identifies the caller's key; it is None if the head has none and empty if the
+    value is not a key. `encoded_without_key` lacks the headers with the key and the customer.
+    """
 
     method: bytes
     host: str
@@ -55,6 +62,14 @@
     request_id: str
     timeout_ms: int | None
     expects_continue: bool
+    key_digest: str | None = None
+    encoded_without_key: bytes = b""
+
+    def identify(self, customer: bytes, header_names: HeaderNames) -> None:
+        """Forward the name of the customer instead of the key; an empty name is not sent."""
+        self.encoded = self.encoded_without_key
+        if customer:
+            self.encoded += b"%b: %b\r\n" % (header_names.customer, customer)
 
 
 class ResponseHead(msgspec.Struct):
@@ -81,10 +96,12 @@
     headers: list[Header],
     header_names: HeaderNames,
     caller_service: bytes,
+    has_customers: bool = False,
 ) -> RequestHead:
     """Validate a request head; raise `RequestRejected` if it is invalid.
 
-    `caller_service` replaces the value of the header of that name in the request.
+    `caller_service` replaces the value of the header of that name in the request. The key is kept
+    for an upstream only while the version in force has no customers.
     """
     if len(headers) > MAX_HEADERS:
         raise RequestRejected(431, "too many headers")
@@ -94,6 +111,8 @@
     connection_options: list[bytes] = []
     lines = [b"%b %b HTTP/1.1\r\n" % (method, raw_target)]
     unique_names, dropped_names = _classify_headers(header_names)
+    key_values: list[bytes] = []
+    private_lines: set[bytes] = set()
     for name, value in headers:
         lower_name = name.lower()
         if lower_name == b"connection":
@@ -105,21 +124,35 @@
             unique_values[lower_name] = value
         if lower_name in dropped_names:
             continue
-        lines.append(b"%b: %b\r\n" % (name, value))
+        line = b"%b: %b\r\n" % (name, value)
+        if lower_name == _KEY_HEADER:
+            key_values.append(value)
+            private_lines.add(line)
+        elif lower_name == header_names.customer or (
+            b"_" in lower_name and lower_name.replace(b"_", b"-") == header_names.customer
+        ):
+            # Many servers take an underscore in a header's name for a hyphen.
+            private_lines.add(line)
+        lines.append(line)
     _check_framing(unique_values)
     host = unique_values.get(b"host")
     if host is None:
         raise RequestRejected(400, "no host header")
     lines = _drop_connection_headers(lines, connection_options)
     lines.append(b"%b: %b\r\n" % (header_names.caller_service, caller_service))
+    encoded = encoded_without_key = b"".join(lines)
+    if private_lines:
+        encoded_without_key = b"".join(line for line in lines if line not in private_lines)
     return RequestHead(
         method=method,
         host=_drop_port(host).decode("latin-1").lower(),
         path=raw_target.partition(b"?")[0].decode("latin-1"),
-        encoded=b"".join(lines),
+        encoded=encoded_without_key if has_customers else encoded,
         request_id=unique_values.get(header_names.request_id, b"").decode("latin-1"),
         timeout_ms=_parse_timeout_ms(unique_values.get(header_names.timeout_ms)),
         expects_continue=unique_values.get(b"expect", b"").lower() == b"100-continue",
+        key_digest=_digest_key_values(key_values),
+        encoded_without_key=encoded_without_key,
     )
 
 
@@ -234,6 +267,8 @@
     lines = [b"HTTP/1.1 %d %b\r\n" % (status, REASON_PHRASES.get(status, b"Unknown"))]
     if request_id:
         lines.append(b"%b: %b\r\n" % (request_id_name, request_id))
+    if status == http.HTTPStatus.UNAUTHORIZED:
+        lines.append(b"www-authenticate: Token\r\n")
     if retry_after_s is not None:
         lines.append(b"retry-after: %.3f\r\n" % retry_after_s)
     lines.append(b"content-type: application/json\r\ncontent-length: %d\r\n" % len(body))
@@ -287,6 +322,23 @@
         raise RequestRejected(400, "the content length is not a number")
 
 
+def _digest_key_values(values: list[bytes]) -> str | None:
+    """Return the digest of the only key, None without a value, and "" if there is no single key.
+
+    >>> _digest_key_values([]), _digest_key_values([b"Basic YTpi"]), _digest_key_values([b"Token"])
+    (None, '', '')
+    >>> _digest_key_values([b"tOKEN  a"]) == _digest_key_values([b"Token a"]) != ""
+    True
+    """
+    if not values:
+        return None
+    scheme, _, key = values[0].strip().partition(b" ")
+    key = key.strip()
+    if len(values) > 1 or scheme.lower() != _KEY_SCHEME or not key:
+        return ""
+    return digest_key(key)
+
+
 def _parse_timeout_ms(value: bytes | None) -> int | None:
     if value is None:
         return None
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
@@ -195,7 +195,7 @@
         try:
             self._process_head(request)
         except RequestRejected as rejection:
-            if rejection.status in (404, 503):
+            if rejection.status in (401, 404, 503):
                 # Reject after the body has been read, so that the connection stays usable.
                 request.rejection = rejection
             else:
@@ -234,7 +234,8 @@
         if request.rejection is not None:
             self._reject(request, request.rejection)
         elif request.route is not None:
-            self._start(request)
+            if self._passes_check(request):
+                self._start(request)
         else:
             self._await_configuration(request)
 
@@ -244,9 +245,10 @@
         table, head = self._core.table, request.head
         assert table is not None and head is not None
         request.route = table.find(head.host, head.path)
+        request.version = table.version
         if request.route is None:
             self._reject(request, RequestRejected(404, "no route"))
-        else:
+        elif self._passes_check(request):
             self._start(request)
 
     def give_up_waiting(self, request: PipelinedRequest) -> None:
@@ -288,6 +290,7 @@
             self._headers,
             core.header_names,
             core.caller_service,
+            core.table is not None and core.table.customers.has_customers,
         )
         request.head = head
         if core.is_refusing:
@@ -296,8 +299,21 @@
         if table is None:
             return
         request.route = table.find(head.host, head.path)
+        request.version = table.version
         if request.route is None:
             raise RequestRejected(404, "no route")
+        core.admission.check(table, request.route, head)
+
+    def _passes_check(self, request: PipelinedRequest) -> bool:
+        """Check a complete request that may have to wait for earlier ones, and reject it."""
+        table, head, route = self._core.table, request.head, request.route
+        assert table is not None and head is not None and route is not None
+        try:
+            self._core.admission.check(table, route, head)
+        except RequestRejected as rejection:
+            self._reject(request, rejection)
+            return False
+        return True
 
     def _reject(self, request: PipelinedRequest, rejection: RequestRejected) -> None:
         """Send an error response to a request that is not routed, in the order of the requests."""
@@ -326,10 +342,16 @@
             not request.route.is_idempotent and self._requests[0] is not request
         ):
             return
-        assert request.head is not None
+        core = self._core
+        assert request.head is not None and core.table is not None
         request.is_started = True
+        try:
+            caller = core.admission.admit(core.table, request.route, request.head)
+        except RequestRejected as rejection:
+            self._reject(request, rejection)
+            return
         body = b"".join(request.body_chunks)
-        request.call = ForwardedCall(self._core, request, request.head, request.route)
+        request.call = ForwardedCall(core, request, request.head, request.route, caller)
         request.call.start(body)
         self._release_body(request)
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/pipelining.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/pipelining.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from godwitpass.ids import NO_VERSION, Version
 from godwitpass.internal.relay.routes import RelayRoute
 from godwitpass_daemon.relay.forwarded_calls import ForwardedCall
 from godwitpass_daemon.relay.headers import RequestHead, RequestRejected
@@ -14,7 +15,8 @@
 class PipelinedRequest:
     """Collects a request, and buffers its response until all earlier ones are written.
 
-    `wait_timer` bounds how long the request waits for the first configuration.
+    `wait_timer` bounds how long the request waits for the first configuration. `version` is the
+    version by which the route was found or the request was rejected.
     """
 
     __slots__ = (
@@ -33,6 +35,7 @@
         "keep_alive",
         "rejection",
         "route",
+        "version",
         "wait_timer",
     )
 
@@ -52,6 +55,7 @@
         self.keep_alive = True
         self.route: RelayRoute | None = None
         self.is_started = False
+        self.version: Version = NO_VERSION
         self.wait_timer: asyncio.TimerHandle | None = None
 
     def decide_close(self) -> bool:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
@@ -6,6 +6,7 @@
 
 from godwitpass.ids import ServiceName
 from godwitpass.internal.relay.admission import ScheduledCall, SchedulingDecision, SlotScheduler
+from godwitpass.internal.relay.ended_calls import EndedCalls
 from godwitpass.internal.relay.flow_control import Grant, InboundFlowControl
 from godwitpass.internal.relay.frames import BODY_CHUNK_BYTES, Load, OpenStream, Refusal
 from godwitpass.internal.relay.moving_averages import RouteAverages
@@ -61,6 +62,7 @@
         self._rate_timer: asyncio.TimerHandle | None = None
         self._calls: dict[int, UpstreamCall] = {}
         self._active_request_ids: Counter[str] = Counter()
+        self.ended_calls = EndedCalls(now())
         self._last_call_id = 0
         self._response_bytes = RouteAverages(RESPONSE_BYTES_WEIGHT)
 
@@ -172,6 +174,8 @@
         if not self._active_request_ids[request_id]:
             del self._active_request_ids[request_id]
         now = self.now()
+        if call.was_sent and not is_completed:
+            self.ended_calls.record(request_id, now)
         if is_completed:
             self._response_bytes.update(call.request.route, response_bytes)
         self.response_sender.release(call.call_id)
--- /dev/null
+++ b/packages/godwitpass/src/godwitpass/internal/customers/__init__.py
@@ -0,0 +1,1 @@
+"""Customers, and the keys by which their callers identify themselves."""
--- a/packages/godwitpass/src/godwitpass/internal/relay/routes.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/routes.py
@@ -4,16 +4,21 @@
 
 from godwitpass.document import CallerLimits, Execution, Route, Service
 from godwitpass.ids import RouteName, ServiceName, Version
+from godwitpass.internal.customers.directory import CustomerDirectory, compile_customers
 from godwitpass.policy import ResolvedPolicy, resolve_policies
 from godwitpass.snapshot import Snapshot
 
 
 class RelayRoute(msgspec.Struct, frozen=True):
-    """A route with its policy and the services that share its calls, with their weights."""
+    """A route with its policy and the services that share its calls, with their weights.
+
+    The calls of an anonymous route need no key.
+    """
 
     name: RouteName
     policy: ResolvedPolicy
     shares: tuple[tuple[ServiceName, int], ...]
+    is_anonymous: bool = False
 
     @property
     def is_idempotent(self) -> bool:
@@ -28,6 +33,7 @@
     limits: CallerLimits
     hosts: dict[str, dict[str, RelayRoute]]
     services: dict[ServiceName, Service]
+    customers: CustomerDirectory = CustomerDirectory()
 
     def find(self, host: str, path: str) -> RelayRoute | None:
         """Return the route of `host` with the longest prefix of `path`, or None."""
@@ -50,11 +56,14 @@
     policies = resolve_policies(document)
     hosts: dict[str, dict[str, RelayRoute]] = {}
     for route in document.routes:
-        compiled = RelayRoute(route.name, policies[route.policy], _list_shares(route))
+        compiled = RelayRoute(
+            route.name, policies[route.policy], _list_shares(route), route.anonymous
+        )
         prefix = route.path_prefix.rstrip("/") + "/"
         hosts.setdefault(route.host, {})[prefix] = compiled
     services = {service.name: service for service in document.services}
-    return RelayTable(snapshot.version, document.limits, hosts, services)
+    customers = compile_customers(document.customers)
+    return RelayTable(snapshot.version, document.limits, hosts, services, customers)
 
 
 def _list_shares(route: Route) -> tuple[tuple[ServiceName, int], ...]:
