--- a/packages/godwitpass/src/godwitpass/internal/distribution/view.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/view.py
@@ -47,7 +47,8 @@
         ]
 
 
-def _get_rank(member: Member) -> tuple[int, int, str]:
+def get_rank(member: Member) -> tuple[int, int, str]:
+    """Return the sort key of a member: fast links first, then by a hash of its id."""
     id_hash = xxhash.xxh64_intdigest(member.instance.encode())
     return -member.link_class, id_hash, member.instance
 
@@ -58,7 +59,7 @@
     members_by_zone: dict[ZoneId, list[Address]] = {zone: []}
     instances: dict[Address, InstanceId] = {}
     for member in sorted(
-        (item for item in members if item.state not in excluded_states), key=_get_rank
+        (item for item in members if item.state not in excluded_states), key=get_rank
     ):
         members_by_zone.setdefault(member.zone, []).append(member.address)
         if member.zone == zone:
