Admit calls with a key only under a freshness proof

Cause: a daemon that is cut off, paused or behind kept accepting keys that had been withdrawn, and answered 404 for routes that had been accepted seconds before.

Change: readers confirm the revision that they read last by a linearizable compare; other daemons get proofs from their parent in the distribution tree by request and response, or from random members once their own is half expired. A proof counts from the time the request was sent, on CLOCK_BOOTTIME. An answer may wait at the parent until there is news; its age is then measured from the arrival of the request, so that levels of the tree add no interval to the age. Ingress checks a keyed request when it is complete and when it starts, and answers 503 with a Retry-After of 0.3 s without a proof; 401 and 404 need a proof younger than configApply. A forwarded call says how long it may wait for its start, checked again at hand-over; a call refused there may be forwarded again without use of the retry budget. Ingress calls the quota gate, if one is set, after these checks. An unusable document is confirmed for the version number before its own. Daemons without these settings, or without customers and roll-outs, send none of these messages.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
@@ -17,6 +17,7 @@
 from godwitpass_daemon.relay.service import RelayService, RelaySettings
 from godwitpass_daemon.services.crashes import CrashesService
 from godwitpass_daemon.services.distribution import DistributionService
+from godwitpass_daemon.services.freshness import FreshnessService
 from godwitpass_daemon.services.membership import MembershipService
 from godwitpass_daemon.settings import Settings
 
@@ -92,6 +93,22 @@
             dependencies.source,
         ),
     )
+    relay_settings = dependencies.settings
+    freshness_settings = relay_settings.freshness
+    if freshness_settings is not None:
+        kernel.register(
+            "freshness",
+            lambda services: FreshnessService(
+                freshness_settings,
+                dependencies.source.key,
+                relay_settings.rollouts is not None,
+                dependencies.store,
+                services.find("peers", PeerTransport),
+                services.find("membership", MembershipService),
+                services.find("distribution", DistributionService),
+                services.find("events", EventLog),
+            ),
+        )
     kernel.register(
         "crashes",
         lambda services: CrashesService(
@@ -112,6 +129,7 @@
             services.find("membership", MembershipService),
             services.find("events", EventLog),
             services.find("crashes", CrashesService),
+            services.find("freshness", FreshnessService) if freshness_settings else None,
         ),
     )
     return kernel
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
@@ -8,6 +8,7 @@
 
 from godwitpass.ids import CustomerName, InstanceId, ServiceName
 from godwitpass.internal.customers.directory import Caller
+from godwitpass.internal.quotas.interface import Permit
 from godwitpass.internal.relay.admission import NESTED_CALL_PRIORITY
 from godwitpass.internal.relay.frames import (
     BodyChunk,
@@ -21,7 +22,7 @@
 from godwitpass.internal.relay.routes import RelayRoute
 from godwitpass.mesh import Upstream
 from godwitpass_daemon.edge.guards import RequestDescriptor
-from godwitpass_daemon.relay.call_admission import ANONYMOUS_CALLER
+from godwitpass_daemon.relay.call_admission import ANONYMOUS_CALLER, NO_PERMIT, UNBOUNDED_MS
 from godwitpass_daemon.relay.crash_guard import describe_request
 from godwitpass_daemon.relay.headers import RequestHead, encode_local_response, encode_response_head
 from godwitpass_daemon.relay.limits import (
@@ -69,6 +70,7 @@
         "_link",
         "_objective_at",
         "_parts",
+        "_permit",
         "_priority",
         "_refusal_reason",
         "_request",
@@ -93,10 +95,12 @@
         head: RequestHead,
         route: RelayRoute,
         caller: Caller = ANONYMOUS_CALLER,
+        permit: Permit = NO_PERMIT,
     ) -> None:
         self._core = core
         self._request = request
         self._caller = caller
+        self._permit = permit
         self.head = head
         self.route = route
         self.arrived_at = request.arrived_at
@@ -153,7 +157,8 @@
         if frame.reason is Refusal.CRASH_SUSPECT:
             self._refuse_crash_suspect()
             return
-        self._excluded.add(upstream.instance)
+        if frame.reason is not Refusal.NOT_PERMITTED:
+            self._excluded.add(upstream.instance)
         self._refusal_reason = f"refused: {frame.reason.name.lower()}"
         if frame.retry_after_ms:
             retry_after_s = frame.retry_after_ms / 1000
@@ -270,6 +275,10 @@
         if self._is_refused_as_crash_suspect():
             self._refuse_crash_suspect()
             return
+        permitted_ms = self._compute_permitted_ms()
+        if permitted_ms == 0:
+            self._refuse("the version held may not be the newest")
+            return
         # A nested call holds a slot of its caller, so any delay matters.
         is_nested = self._priority == NESTED_CALL_PRIORITY
         upstream = core.selector.select(
@@ -302,11 +311,20 @@
             self.head.request_id,
             customer.name if customer is not None else CustomerName(""),
             self._caller.priority,
+            permitted_ms,
         )
         link = core.get_link(upstream, max(len(self._body), response_bytes))
         self._link = link
         self._stream_id = link.open(self, stream_request, self._body)
 
+    def _compute_permitted_ms(self) -> int:
+        """Return how long the call may wait to start under the version held now."""
+        if self._caller.customer is None:
+            return UNBOUNDED_MS
+        table = self._core.table
+        assert table is not None, "a caller is identified by the customers of a version"
+        return self._core.admission.compute_permitted_ms(self._caller, self.head, table)
+
     def _can_forward(self, is_retry: bool, now: float) -> bool:
         """Tell whether the call may go to another upstream; a retry uses the retry budget."""
         if self._core.is_refusing or self._forward_count >= MAX_FORWARDS:
@@ -348,6 +366,9 @@
         if self._uncertain_attempts:
             self._respond_locally(502, reason, None)
             return
+        if not self._upstream_attempts:
+            self._core.admission.release(self._caller, self._permit)
+            self._permit = NO_PERMIT
         remaining_s = max(0.0, self._deadline - self._core.now())
         retry_after_s = (
             DEFAULT_RETRY_AFTER_S if self._retry_after_s is None else self._retry_after_s
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/headers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/headers.py
@@ -42,9 +42,10 @@
 class RequestRejected(Exception):
     """A request is rejected before it is routed."""
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(self, status: int, reason: str, retry_after_s: float | None = None) -> None:
         self.status = status
         self.reason = reason
+        self.retry_after_s = retry_after_s
         super().__init__(reason)
 
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
@@ -3,10 +3,13 @@
 import asyncio
 import math
 from collections import deque
+from functools import partial
 from typing import TYPE_CHECKING, cast
 
 import httptools
 
+from godwitpass.internal.customers.directory import Caller
+from godwitpass.internal.quotas.interface import QuotaDecision, QuotaRefused
 from godwitpass.internal.relay.configuration_wait import compute_configuration_wait_s
 from godwitpass.internal.relay.routes import RelayTable
 from godwitpass_daemon.edge.heads import Header
@@ -29,7 +32,7 @@
 
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 NO_CONFIGURATION_RETRY_AFTER_S = 0.3
-"""About the time until a daemon that has just started holds a configuration."""
+"""About the time until a daemon that has just started holds a configuration and a proof."""
 
 
 class CallerConnection(asyncio.Protocol):
@@ -232,7 +235,11 @@
             # Reading goes on, because it is the only way to notice that the caller disconnects.
             self._has_read_last_request = True
         if request.rejection is not None:
-            self._reject(request, request.rejection)
+            core = self._core
+            self._reject(
+                request,
+                core.admission.confirm_rejection(request.rejection, core.table, request.version),
+            )
         elif request.route is not None:
             if self._passes_check(request):
                 self._start(request)
@@ -242,13 +249,7 @@
     def resume_request(self, request: PipelinedRequest) -> None:
         """Route and start a request that waited for a configuration."""
         self._stop_waiting(request)
-        table, head = self._core.table, request.head
-        assert table is not None and head is not None
-        request.route = table.find(head.host, head.path)
-        request.version = table.version
-        if request.route is None:
-            self._reject(request, RequestRejected(404, "no route"))
-        elif self._passes_check(request):
+        if self._find_route(request) and self._passes_check(request):
             self._start(request)
 
     def give_up_waiting(self, request: PipelinedRequest) -> None:
@@ -302,14 +303,34 @@
         request.version = table.version
         if request.route is None:
             raise RequestRejected(404, "no route")
-        core.admission.check(table, request.route, head)
+        core.admission.identify(table, request.route, head)
+
+    def _find_route(self, request: PipelinedRequest) -> bool:
+        """Find the route of a complete request; reject it if there is none."""
+        table, head = self._core.table, request.head
+        assert table is not None and head is not None
+        request.route = table.find(head.host, head.path)
+        request.version = table.version
+        if request.route is None:
+            rejection = RequestRejected(404, "no route")
+            self._reject(
+                request, self._core.admission.confirm_rejection(rejection, table, table.version)
+            )
+        return request.route is not None
 
     def _passes_check(self, request: PipelinedRequest) -> bool:
-        """Check a complete request that may have to wait for earlier ones, and reject it."""
-        table, head, route = self._core.table, request.head, request.route
-        assert table is not None and head is not None and route is not None
+        """Check a complete request, which may have to wait for earlier ones; else reject it."""
+        admission, table = self._core.admission, self._core.table
+        assert table is not None and request.head is not None
+        if (
+            request.version != table.version
+            and admission.needs_proof(table)
+            and not self._find_route(request)
+        ):
+            return False
+        assert request.route is not None
         try:
-            self._core.admission.check(table, route, head)
+            admission.check(table, request.route, request.head)
         except RequestRejected as rejection:
             self._reject(request, rejection)
             return False
@@ -321,7 +342,9 @@
         request.route = None
         self._release_body(request)
         request_id = request.head.request_id if request.head else ""
-        retry_after_s = NO_CONFIGURATION_RETRY_AFTER_S if rejection.status == 503 else None
+        retry_after_s = rejection.retry_after_s
+        if retry_after_s is None and rejection.status == 503:
+            retry_after_s = NO_CONFIGURATION_RETRY_AFTER_S
         core.record_rejection(request_id, rejection.status, rejection.reason)
         request.write_response(
             encode_local_response(
@@ -342,16 +365,57 @@
             not request.route.is_idempotent and self._requests[0] is not request
         ):
             return
-        core = self._core
-        assert request.head is not None and core.table is not None
         request.is_started = True
+        caller = self._admit(request)
+        if caller is None:
+            return
+        decision = self._core.admission.acquire(
+            caller, partial(self._handle_late_quota_decision, request, caller)
+        )
+        if decision is not None:
+            self._handle_quota_decision(request, caller, decision)
+
+    def _admit(self, request: PipelinedRequest) -> Caller | None:
+        """Return the sender of a request that may start now, or reject it and return None."""
+        core = self._core
+        assert request.head is not None and request.route is not None and core.table is not None
         try:
-            caller = core.admission.admit(core.table, request.route, request.head)
+            return core.admission.admit(core.table, request.route, request.head)
         except RequestRejected as rejection:
             self._reject(request, rejection)
+            return None
+
+    def _handle_late_quota_decision(
+        self, request: PipelinedRequest, caller: Caller, decision: QuotaDecision
+    ) -> None:
+        """Start or refuse a request after a wait, unless its sender has left or lost its key."""
+        if isinstance(decision, QuotaRefused):
+            if not self._is_stopped:
+                self._handle_quota_decision(request, caller, decision)
             return
+        current = None if self._is_stopped else self._admit(request)
+        if (
+            current is None
+            or current.customer is None
+            or current.customer.name
+            != (caller.customer.name if caller.customer is not None else "")
+        ):
+            self._core.admission.release(caller, decision.permit)
+        else:
+            self._handle_quota_decision(request, current, decision)
+
+    def _handle_quota_decision(
+        self, request: PipelinedRequest, caller: Caller, decision: QuotaDecision
+    ) -> None:
+        if isinstance(decision, QuotaRefused):
+            rejection = RequestRejected(decision.status, decision.reason, decision.retry_after_s)
+            self._reject(request, rejection)
+            return
+        assert request.head is not None and request.route is not None
         body = b"".join(request.body_chunks)
-        request.call = ForwardedCall(core, request, request.head, request.route, caller)
+        request.call = ForwardedCall(
+            self._core, request, request.head, request.route, caller, decision.permit
+        )
         request.call.start(body)
         self._release_body(request)
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -21,6 +21,7 @@
 from godwitpass_daemon.admin.metrics import render_metrics
 from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.listeners import split_address
+from godwitpass_daemon.relay.call_admission import ProofSource
 from godwitpass_daemon.relay.core import RelayCore
 from godwitpass_daemon.relay.crash_guard import CrashGuard
 from godwitpass_daemon.relay.headers import HeaderNames
@@ -31,6 +32,7 @@
 from godwitpass_daemon.relay.probe import probe_health
 from godwitpass_daemon.relay.upstream_runner import UpstreamRunner
 from godwitpass_daemon.services.distribution import DistributionService
+from godwitpass_daemon.services.freshness import FreshnessService
 from godwitpass_daemon.services.membership import MembershipService
 
 LISTEN_BACKLOG = 1024
@@ -107,8 +109,10 @@
         membership: MembershipService,
         events: EventLog,
         crash_guard: CrashGuard | None = None,
+        freshness: FreshnessService | None = None,
     ) -> None:
         self._crash_guard = crash_guard
+        self._freshness = freshness
         self._settings = settings
         self._header_names = header_names
         self._distribution = distribution
@@ -173,6 +177,11 @@
             emit,
         )
         core.caller_service = settings.service.encode()
+        freshness = self._freshness
+        if freshness is not None:
+            core.admission.proofs = ProofSource(
+                freshness.settings, freshness.compute_age, freshness.needs_always
+            )
         runner.on_upstream_leaving = self._handle_leaving_response
         self._core = core
         snapshot = self._distribution.snapshot()
@@ -211,6 +220,7 @@
                 core.calls_in_progress
                 or core.runner.calls_in_progress
                 or core.requests_awaiting_configuration
+                or core.admission.waiting_count
             )
             if not is_busy and loop.time() - stopping_since > READINESS_PROPAGATION_S:
                 break
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
@@ -1,6 +1,7 @@
 """One call that another daemon forwarded, from its frames to the upstream and back."""
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
@@ -21,6 +22,7 @@
     WindowUpdate,
 )
 from godwitpass.internal.relay.registration import Heartbeat
+from godwitpass_daemon.boot_clock import read_boot_clock
 from godwitpass_daemon.edge.guards import RequestDescriptor
 from godwitpass_daemon.relay.crash_guard import describe_request
 from godwitpass_daemon.relay.headers import ResponseHead, encode_request_head
@@ -61,6 +63,7 @@
         "_connection",
         "_head",
         "_is_streaming",
+        "_permitted_until",
         "_response_bytes",
         "_response_chunks",
         "_runner",
@@ -88,6 +91,11 @@
         self.request = request
         self.call_id = call_id
         self.deadline = now + request.remaining_ms / 1000
+        self._permitted_until = (
+            math.inf
+            if request.permitted_ms < 0
+            else read_boot_clock() + request.permitted_ms / 1000
+        )
         self.scheduled = ScheduledCall(
             call_id,
             request.route,
@@ -367,6 +375,13 @@
             runner.pool.release(connection)
             self.refuse(Refusal.TOO_LATE if remaining_ms <= 0 else Refusal.DRAINING, 0.0)
             return
+        if self._permitted_until < math.inf and read_boot_clock() >= self._permitted_until:
+            runner.pool.release(connection)
+            if self.was_sent:
+                self.fail(Failure.RESET)
+            else:
+                self.refuse(Refusal.NOT_PERMITTED, 0.0)
+            return
         guard = runner.crash_guard
         if guard is not None and guard.has_suspects and guard.is_refused(self.describe()):
             runner.pool.release(connection)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
@@ -8,7 +8,7 @@
 from anyio.abc import TaskGroup
 
 from godwitpass.administration import Lag, Spread, ZoneSpread
-from godwitpass.ids import NO_VERSION, Address, RegionId, ZoneId
+from godwitpass.ids import NO_VERSION, Address, RegionId, Version, ZoneId
 from godwitpass.internal.actions import MessageReceived, RecordEvent, Send, SetTimer, TimerFired
 from godwitpass.internal.distribution.distributor import Distributor
 from godwitpass.internal.distribution.holdings import ConvergenceStatus
@@ -16,6 +16,8 @@
     Activate,
     ConvergenceRequested,
     Event,
+    HolderReported,
+    ReadRequested,
     ViewChanged,
 )
 from godwitpass.internal.distribution.messages import (
@@ -23,8 +25,12 @@
     decode_message,
     encode_message,
 )
-from godwitpass.internal.distribution.reader import DocumentSource, RejectedDocument
-from godwitpass.internal.distribution.view import build_view
+from godwitpass.internal.distribution.reader import (
+    DocumentSource,
+    RejectedDocument,
+    StoredVersion,
+)
+from godwitpass.internal.distribution.view import View, build_view
 from godwitpass.internal.requests import Get, Watch
 from godwitpass.mesh import Member, MemberState, classify_link
 from godwitpass.snapshot import Snapshot
@@ -72,6 +78,7 @@
             settings.listen.reachable_peer, random.Random(), source=source
         )
         self._snapshot: Snapshot | None = None
+        self._view: View | None = None
         self._callbacks: list[Callable[[Snapshot], None]] = []
         self._regions: dict[ZoneId, RegionId] = {}
         self._tasks: TaskGroup | None = None
@@ -99,6 +106,22 @@
         """Return the newest document in the store if this daemon read it and can't use it."""
         return self._distributor.rejected_document
 
+    def stored_version(self) -> StoredVersion | None:
+        """Return the version that this daemon, as a reader, has read last from the store."""
+        return self._distributor.stored_version
+
+    def view(self) -> View | None:
+        """Return the known members and the distribution tree, once the service is started."""
+        return self._view
+
+    def read_store(self) -> None:
+        """Read the store at once if this daemon is a reader."""
+        self._handle(ReadRequested())
+
+    def report_holder(self, address: Address, version: Version) -> None:
+        """Fetch `version` from the daemon at `address`, if it is later than the one held."""
+        self._handle(HolderReported(address, version))
+
     def subscribe(self, callback: Callable[[Snapshot], None]) -> None:
         """Call `callback` after each new version."""
         self._callbacks.append(callback)
@@ -152,7 +175,8 @@
     def _change_view(self) -> None:
         members = self._list_members()
         self._regions = {member.zone: member.region for member in members}
-        self._handle(ViewChanged(build_view(members, self._settings.zone)))
+        self._view = build_view(members, self._settings.zone)
+        self._handle(ViewChanged(self._view))
 
     def _receive(self, sender: Address, payload: bytes) -> None:
         self._handle(MessageReceived(sender, decode_message(payload)))
--- a/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
@@ -15,6 +15,8 @@
     Activate,
     ConvergenceRequested,
     Event,
+    HolderReported,
+    ReadRequested,
     ViewChanged,
 )
 from godwitpass.internal.distribution.messages import (
@@ -34,6 +36,7 @@
     DocumentSource,
     ReaderAction,
     RejectedDocument,
+    StoredVersion,
     StoreReader,
     VersionFound,
 )
@@ -112,6 +115,10 @@
             return self._change_view(event.view, now)
         if isinstance(event, ConvergenceRequested):
             return self._request_holdings()
+        if isinstance(event, HolderReported):
+            return [*self._fetcher.record_holder(event.address, event.version, now)]
+        if isinstance(event, ReadRequested):
+            return self._perform_reader_actions(self._reader.read_now(now), now)
         if isinstance(event, EntryRead | EntriesRead | RequestFailed):
             return self._perform_reader_actions(self._reader.handle(event, now), now)
         return []
@@ -173,6 +180,11 @@
         """Return the newest document in the store if this daemon read it and can't use it."""
         return self._reader.rejected_document
 
+    @property
+    def stored_version(self) -> StoredVersion | None:
+        """Return the version that this daemon, as a reader, has read last from the store."""
+        return self._reader.stored_version
+
     def _update_reader_role(self, view: View, now: float) -> None:
         """Start reading the store after a random delay, unless this daemon is no reader by then."""
         if not view.is_reader(self._own_address):
@@ -221,6 +233,7 @@
         if snapshot.version <= self._cache.version:
             return []
         if find_dangling_references(snapshot.document):
+            self._reader.record_unusable(snapshot.version)
             return [RecordEvent(events.VERSION_NOT_CLOSED, {"refused": snapshot.version})]
         previous = self._cache.version
         reader_fields = self._reader.describe(now)
--- a/packages/godwitpass/src/godwitpass/internal/distribution/interface.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/interface.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from godwitpass.ids import Address, Version
 from godwitpass.internal.actions import MessageReceived, RecordEvent, Send, SetTimer, TimerFired
 from godwitpass.internal.distribution.messages import Message
 from godwitpass.internal.distribution.view import View
@@ -25,5 +26,24 @@
     snapshot: Snapshot
 
 
-Event = ViewChanged | ConvergenceRequested | MessageReceived[Message] | TimerFired | Answer
+class HolderReported(msgspec.Struct, frozen=True):
+    """Event: the daemon at `address` was found to hold `version`."""
+
+    address: Address
+    version: Version
+
+
+class ReadRequested(msgspec.Struct, frozen=True):
+    """Event: the store holds another version than this daemon has read last."""
+
+
+Event = (
+    ViewChanged
+    | ConvergenceRequested
+    | HolderReported
+    | ReadRequested
+    | MessageReceived[Message]
+    | TimerFired
+    | Answer
+)
 Action = Send[Message] | SetTimer | RecordEvent | Get | Watch | Activate
--- a/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
@@ -66,10 +66,19 @@
     """A key at which another system stores the newest document in full.
 
     `read` converts an entry to a snapshot; it raises `InvalidDocument` if the entry is unusable.
+    `read_version` returns the version of an unusable entry, or None.
     """
 
     key: str
     read: Callable[[Entry], Snapshot]
+    read_version: Callable[[Entry], Version | None] = lambda entry: None
+
+
+class StoredVersion(msgspec.Struct, frozen=True):
+    """A daemon that holds `version` has all usable documents up to the entry at `revision`."""
+
+    revision: Revision
+    version: Version
 
 
 class RejectedDocument(msgspec.Struct, frozen=True):
@@ -121,6 +130,7 @@
         self._polls = 0
         self.is_store_reachable = True
         self.rejected_document: RejectedDocument | None = None
+        self.stored_version: StoredVersion | None = None
         self.pause_s = 0.0
         self.deadline = math.inf
 
@@ -148,6 +158,21 @@
         self._step = Step.IDLE
         self._tag += 1
         self.deadline = math.inf
+        self.stored_version = None
+
+    def read_now(self, now: float) -> list[ReaderAction]:
+        """Read the newest version, since the one read last isn't it, unless that is under way."""
+        return self._read_root(now) if self._step in (Step.WATCH, Step.PAUSE) else []
+
+    def record_unusable(self, version: Version) -> None:
+        """Record that the stored `version` can't be used.
+
+        Every usable document that was stored before it has a lower version.
+        """
+        stored = self.stored_version
+        if stored is not None and stored.version == version:
+            lower_version = Version(max(NO_VERSION, version - 1))
+            self.stored_version = StoredVersion(stored.revision, lower_version)
 
     def run_due(self, now: float) -> list[ReaderAction]:
         """Retry, end the pause, or give up a request that was not answered in time."""
@@ -289,13 +314,19 @@
     def _handle_document(
         self, source: DocumentSource, entry: Entry, now: float
     ) -> list[ReaderAction]:
+        self.stored_version = None
         if entry.value is None:
             return self._watch(now)
         try:
             snapshot = source.read(entry)
         except InvalidDocument as error:
+            rejected_version = source.read_version(entry)
+            if rejected_version is not None:
+                self.stored_version = StoredVersion(entry.revision, rejected_version)
+                self.record_unusable(rejected_version)
             return self._reject_document(RejectedDocument(entry.revision, str(error)), now)
         self.rejected_document = None
+        self.stored_version = StoredVersion(entry.revision, snapshot.version)
         if snapshot.version <= self._cache.version:
             self._is_behind = False
             return self._watch(now)
--- a/packages/godwitpass/tests/distribution/test_document_source.py
+++ b/packages/godwitpass/tests/distribution/test_document_source.py
@@ -22,7 +22,12 @@
 from godwitpass.internal.distribution.events import DOCUMENT_REJECTED
 from godwitpass.internal.distribution.interface import ViewChanged
 from godwitpass.internal.distribution.messages import Announce
-from godwitpass.internal.distribution.reader import DocumentSource, StoreReader, VersionFound
+from godwitpass.internal.distribution.reader import (
+    DocumentSource,
+    StoredVersion,
+    StoreReader,
+    VersionFound,
+)
 from godwitpass.internal.distribution.snapshot_cache import SnapshotCache
 from godwitpass.internal.distribution.view import View
 from godwitpass.internal.distribution.view import build_view as build_member_view
@@ -40,7 +45,7 @@
 
 def parse_entry(entry: Entry) -> Snapshot:
     assert entry.value is not None
-    if entry.value == b"bad":
+    if entry.value.startswith(b"bad"):
         raise InvalidDocument([Finding("", "not a document", "")])
     version = Version(int(entry.value))
     service = Service(ServiceName(f"s{version}"))
@@ -50,9 +55,14 @@
     return Snapshot(version, ChangeId(str(version)), content_hash, document)
 
 
+def parse_version(entry: Entry) -> Version | None:
+    digits = (entry.value or b"").removeprefix(b"bad")
+    return Version(int(digits)) if digits else None
+
+
 def build_reader() -> tuple[StoreReader, SnapshotCache]:
     cache = SnapshotCache(DocumentCodec())
-    source = DocumentSource(KEY, parse_entry)
+    source = DocumentSource(KEY, parse_entry, parse_version)
     return StoreReader(cache, DocumentCodec(), random.Random(1), source), cache
 
 
@@ -147,6 +157,25 @@
         reader.handle(listed, 0.3)
         assert reader.rejected_document is None
 
+    def test_the_stored_version_is_known_also_if_the_newest_document_is_unusable(self) -> None:
+        """A proof for too low a version would keep withdrawn keys valid."""
+        reader, _ = build_reader()
+        (get,) = reader.start(0.0)
+        assert isinstance(get, Get)
+        *_, watch = reader.handle(EntryRead(get.tag, build_entry(7, 40)), 0.1)
+        assert reader.stored_version == StoredVersion(Revision(40), Version(7))
+        (watch,) = reader.run_due(reader.deadline)
+        assert isinstance(watch, Watch)
+        listed = EntriesRead(watch.tag, EntryList(Revision(50), (build_entry("bad9", 50),)))
+        reader.handle(listed, 1.0)
+        assert reader.stored_version == StoredVersion(Revision(50), Version(8))
+        (get,) = reader.read_now(1.1)
+        assert isinstance(get, Get)
+        reader.handle(EntryRead(get.tag, build_entry("bad", 60)), 1.2)
+        assert reader.stored_version is None
+        reader.stop()
+        assert reader.read_now(1.3) == []
+
     def test_a_reader_that_falls_behind_reads_the_newest_until_nothing_is_newer(self) -> None:
         reader, cache = build_reader()
         (get,) = reader.start(0.0)
--- a/tests/cover/conftest.py
+++ b/tests/cover/conftest.py
@@ -15,8 +15,8 @@
 
 
 @asynccontextmanager
-async def run_deployment(folder: Path) -> AsyncIterator[Deployment]:
-    deployment = Deployment(folder, next(_base_ports))
+async def run_deployment(folder: Path, bounds: str) -> AsyncIterator[Deployment]:
+    deployment = Deployment(folder, next(_base_ports), bounds)
     async with anyio.create_task_group() as tasks:
         with anyio.fail_after(CHECK_TIMEOUT_S):
             await deployment.start(tasks)
@@ -27,15 +27,20 @@
 
 
 @pytest.fixture(scope="class")
-def run_check(tmp_path_factory: pytest.TempPathFactory) -> Iterator[RunCheck]:
+def run_check(
+    tmp_path_factory: pytest.TempPathFactory, request: pytest.FixtureRequest
+) -> Iterator[RunCheck]:
     """Return a function that runs a check against the class's deployment, with faults cleared.
 
+    The daemons' settings have the class's `bounds` in addition, if there are any.
     Checks run on uvloop, like the daemon.
     """
     folder = tmp_path_factory.mktemp("deployment")
     with (
         start_blocking_portal(backend_options={"use_uvloop": True}) as portal,
-        portal.wrap_async_context_manager(run_deployment(folder)) as deployment,
+        portal.wrap_async_context_manager(
+            run_deployment(folder, getattr(request.cls, "bounds", ""))
+        ) as deployment,
     ):
 
         async def clear_faults_and_check(check: Check) -> None:
