Keep the peers' clock through steps of the time of day

Cause: a frame whose time differs from the receiver's by more than 30 s is dropped as replayed. After a step of the time of day by 2,400 s a daemon was cut off from all others: it got no versions, no freshness proofs and no membership messages.

Change: frames carry the time of day at the start of the process plus the time passed on CLOCK_BOOTTIME. A process that is started while the time of day is wrong is still cut off.

Result: a new test fails with the previous clock; tests of the peer transport pass.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/peers/transport.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/peers/transport.py
@@ -8,6 +8,7 @@
 from anyio.abc import TaskGroup
 
 from godwitpass.ids import Address
+from godwitpass_daemon.boot_clock import read_boot_clock
 from godwitpass_daemon.peers.channels import Channel, Handler
 from godwitpass_daemon.peers.counters import DropCounter, TrafficCounter, build_traffic_counters
 from godwitpass_daemon.peers.datagrams import DatagramSocket
@@ -31,8 +32,16 @@
 IDLE_CHECK_INTERVAL_S = 5.0
 
 
+_CLOCK_OFFSET_S = time.time() - read_boot_clock()
+"""Time of day at the start of the process, less its boot clock."""
+
+
 def _read_clock_us() -> int:
-    return time.time_ns() // 1000
+    """Return the time of day without the steps that it made since the process was started.
+
+    A step of more than the replay window would separate this daemon from all others.
+    """
+    return int((_CLOCK_OFFSET_S + read_boot_clock()) * 1_000_000)
 
 
 class PeerTransport:
--- a/packages/godwitpass-daemon/tests/peers/test_transport.py
+++ b/packages/godwitpass-daemon/tests/peers/test_transport.py
@@ -1,4 +1,5 @@
 import socket
+import time
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from datetime import UTC, datetime, timedelta
@@ -16,7 +17,11 @@
 from godwitpass_daemon.peers import Channel, PeerTransport, TlsIdentity
 from godwitpass_daemon.peers.events import PEER_MESSAGES_DROPPED
 from godwitpass_daemon.peers.frames import seal_frame
-from godwitpass_daemon.peers.transport import MAX_DATAGRAM_PAYLOAD_BYTES, MAX_PAYLOAD_BYTES
+from godwitpass_daemon.peers.transport import (
+    MAX_DATAGRAM_PAYLOAD_BYTES,
+    MAX_PAYLOAD_BYTES,
+    _read_clock_us,
+)
 
 from .conftest import EventRecorder
 
@@ -189,3 +194,14 @@
             assert sender.dropped_outgoing.totals["backlog"] == 1
 
         anyio.run(send_to_absent_daemon)
+
+
+def test_a_step_of_the_time_of_day_does_not_separate_a_daemon(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Frames of a time that differs by more than 30 s are dropped, and the time may jump by 40 min."""
+    before_us = _read_clock_us()
+    stepped_ns = time.time_ns() + 2_400 * 10**9
+    monkeypatch.setattr(time, "time_ns", lambda: stepped_ns)
+    monkeypatch.setattr(time, "time", lambda: stepped_ns / 10**9)
+    assert 0 <= _read_clock_us() - before_us < 10 * 10**6
