Report fields and customers of a document that have no effect

Cause: fields that a release doesn't know, names given twice, keys held by two customers, customers without a key and bursts without a rate were accepted silently. A configuration nested more than about 1,000 levels deep ended every reader with a RecursionError.

Change: `godwitctl validate` and `apply` report findings about customers. On the platform, where documents aren't rejected for them, each reader logs document-remarks (223) once for each version; it quotes names and no values.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/peers/transport.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/peers/transport.py
@@ -140,7 +140,7 @@
         self.received[frame.channel].add(len(data))
         try:
             handler(frame.sender, frame.payload)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError):
             return DropReason.MALFORMED
         return None
 
--- a/packages/godwitpass/src/godwitpass/internal/distribution/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/events.py
@@ -66,6 +66,12 @@
     "The store's revision is lower than one seen before; the daemon keeps the version it holds.",
     Level.WARNING,
 )
+DOCUMENT_REMARKS = EventKind(
+    223,
+    "document-remarks",
+    "A new version is used although parts of its document are unknown or have no effect.",
+    Level.WARNING,
+)
 ZONE_CONVERGED = EventKind(
     220, "zone-converged", "All daemons of the availability zone hold the version."
 )
--- a/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
@@ -6,7 +6,7 @@
 
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from enum import Enum
 
 import msgspec
@@ -66,12 +66,14 @@
     """A key at which another system stores the newest document in full.
 
     `read` converts an entry to a snapshot; it raises `InvalidDocument` if the entry is unusable.
-    `read_version` returns the version of an unusable entry, or None.
+    `read_version` returns the version of an unusable entry, or None. `list_remarks` returns what an
+    operator should know of a document that is used.
     """
 
     key: str
     read: Callable[[Entry], Snapshot]
     read_version: Callable[[Entry], Version | None] = lambda entry: None
+    list_remarks: Callable[[Entry, Document], Sequence[str]] = lambda entry, document: ()
 
 
 class StoredVersion(msgspec.Struct, frozen=True):
@@ -124,6 +126,7 @@
         self._backoff_s = STORE_RETRY_MIN_S
         self._reported_contradiction: AcceptedVersion | None = None
         self._is_behind = False
+        self._remarked_version = NO_VERSION
         self._step_since = 0.0
         self._lost_at = 0.0
         self._failures = 0
@@ -327,10 +330,28 @@
             return self._reject_document(RejectedDocument(entry.revision, str(error)), now)
         self.rejected_document = None
         self.stored_version = StoredVersion(entry.revision, snapshot.version)
+        remarks = self._report_remarks(source, entry, snapshot)
         if snapshot.version <= self._cache.version:
             self._is_behind = False
-            return self._watch(now)
-        return [VersionFound(snapshot), *self._pause(now)]
+            return [*remarks, *self._watch(now)]
+        return [*remarks, VersionFound(snapshot), *self._pause(now)]
+
+    def _report_remarks(
+        self, source: DocumentSource, entry: Entry, snapshot: Snapshot
+    ) -> list[ReaderAction]:
+        """Report, once for each version, what has no effect in its document."""
+        if snapshot.version <= self._remarked_version:
+            return []
+        self._remarked_version = snapshot.version
+        remarks = source.list_remarks(entry, snapshot.document)
+        if not remarks:
+            return []
+        fields: dict[str, FieldValue] = {
+            "read": snapshot.version,
+            "count": len(remarks),
+            "remarks": "; ".join(remarks),
+        }
+        return [RecordEvent(events.DOCUMENT_REMARKS, fields)]
 
     def _reject_document(self, rejected: RejectedDocument, now: float) -> list[ReaderAction]:
         """Keep the version that is held, and report each rejected document once."""
--- a/packages/godwitpass/src/godwitpass/internal/validation/rules.py
+++ b/packages/godwitpass/src/godwitpass/internal/validation/rules.py
@@ -16,6 +16,7 @@
     Service,
 )
 from godwitpass.ids import PolicyName
+from godwitpass.internal.validation.customers import list_customer_findings
 from godwitpass.internal.validation.findings import Findings, join_pointer
 from godwitpass.policy import MAX_EXTENDS_DEPTH, resolve_policies
 
@@ -96,6 +97,7 @@
     _check_unused_services(entries, findings)
     _check_shares(entries.routes, findings)
     _check_overlaps(entries.routes, findings)
+    _check_customers(entries.customers, findings)
     if _check_extends_chains(entries.policies, findings):
         _check_attempts(entries.policies, findings)
 
@@ -183,6 +185,12 @@
             findings.add(f"{route.pointer}/shares", message, "give at least one share a weight")
 
 
+def _check_customers(customers: list[LocatedEntry[Customer]], findings: Findings) -> None:
+    entries = [(index, located.entry) for index, located in enumerate(customers)]
+    for index, field, message, remedy in list_customer_findings(entries):
+        findings.add(join_pointer(customers[index].pointer, field), message, remedy)
+
+
 def _check_overlaps(routes: list[LocatedEntry[Route]], findings: Findings) -> None:
     by_prefix: dict[tuple[str, str], list[LocatedEntry[Route]]] = defaultdict(list)
     for route in routes:
