--- a/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
@@ -6,7 +6,7 @@
 
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from enum import Enum
 
 import msgspec
@@ -66,10 +66,21 @@
     """A key at which another system stores the newest document in full.
 
     `read` converts an entry to a snapshot; it raises `InvalidDocument` if the entry is unusable.
+    `read_version` returns the version of an unusable entry, or None. `list_remarks` returns what an
+    operator should know of a document that is used.
     """
 
     key: str
     read: Callable[[Entry], Snapshot]
+    read_version: Callable[[Entry], Version | None] = lambda entry: None
+    list_remarks: Callable[[Entry, Document], Sequence[str]] = lambda entry, document: ()
+
+
+class StoredVersion(msgspec.Struct, frozen=True):
+    """A daemon that holds `version` has all usable documents up to the entry at `revision`."""
+
+    revision: Revision
+    version: Version
 
 
 class RejectedDocument(msgspec.Struct, frozen=True):
@@ -115,12 +126,14 @@
         self._backoff_s = STORE_RETRY_MIN_S
         self._reported_contradiction: AcceptedVersion | None = None
         self._is_behind = False
+        self._remarked_version = NO_VERSION
         self._step_since = 0.0
         self._lost_at = 0.0
         self._failures = 0
         self._polls = 0
         self.is_store_reachable = True
         self.rejected_document: RejectedDocument | None = None
+        self.stored_version: StoredVersion | None = None
         self.pause_s = 0.0
         self.deadline = math.inf
 
@@ -148,6 +161,21 @@
         self._step = Step.IDLE
         self._tag += 1
         self.deadline = math.inf
+        self.stored_version = None
+
+    def read_now(self, now: float) -> list[ReaderAction]:
+        """Read the newest version, since the one read last isn't it, unless that is under way."""
+        return self._read_root(now) if self._step in (Step.WATCH, Step.PAUSE) else []
+
+    def record_unusable(self, version: Version) -> None:
+        """Record that the stored `version` can't be used.
+
+        Every usable document that was stored before it has a lower version.
+        """
+        stored = self.stored_version
+        if stored is not None and stored.version == version:
+            lower_version = Version(max(NO_VERSION, version - 1))
+            self.stored_version = StoredVersion(stored.revision, lower_version)
 
     def run_due(self, now: float) -> list[ReaderAction]:
         """Retry, end the pause, or give up a request that was not answered in time."""
@@ -289,17 +317,41 @@
     def _handle_document(
         self, source: DocumentSource, entry: Entry, now: float
     ) -> list[ReaderAction]:
+        self.stored_version = None
         if entry.value is None:
             return self._watch(now)
         try:
             snapshot = source.read(entry)
         except InvalidDocument as error:
+            rejected_version = source.read_version(entry)
+            if rejected_version is not None:
+                self.stored_version = StoredVersion(entry.revision, rejected_version)
+                self.record_unusable(rejected_version)
             return self._reject_document(RejectedDocument(entry.revision, str(error)), now)
         self.rejected_document = None
+        self.stored_version = StoredVersion(entry.revision, snapshot.version)
+        remarks = self._report_remarks(source, entry, snapshot)
         if snapshot.version <= self._cache.version:
             self._is_behind = False
-            return self._watch(now)
-        return [VersionFound(snapshot), *self._pause(now)]
+            return [*remarks, *self._watch(now)]
+        return [*remarks, VersionFound(snapshot), *self._pause(now)]
+
+    def _report_remarks(
+        self, source: DocumentSource, entry: Entry, snapshot: Snapshot
+    ) -> list[ReaderAction]:
+        """Report, once for each version, what has no effect in its document."""
+        if snapshot.version <= self._remarked_version:
+            return []
+        self._remarked_version = snapshot.version
+        remarks = source.list_remarks(entry, snapshot.document)
+        if not remarks:
+            return []
+        fields: dict[str, FieldValue] = {
+            "read": snapshot.version,
+            "count": len(remarks),
+            "remarks": "; ".join(remarks),
+        }
+        return [RecordEvent(events.DOCUMENT_REMARKS, fields)]
 
     def _reject_document(self, rejected: RejectedDocument, now: float) -> list[ReaderAction]:
         """Keep the version that is held, and report each rejected document once."""
