Wire rate limits of customers into the daemon

Cause: the hook in ingress had no gate. Change: the service quotas is registered if the settings have quotas, and admission asks it.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
@@ -19,6 +19,7 @@
 from godwitpass_daemon.services.distribution import DistributionService
 from godwitpass_daemon.services.freshness import FreshnessService
 from godwitpass_daemon.services.membership import MembershipService
+from godwitpass_daemon.services.quotas import QuotaService
 from godwitpass_daemon.settings import Settings
 
 BuildApplication = Callable[[Callable[[], RelayService]], Application]
@@ -109,6 +110,18 @@
                 services.find("events", EventLog),
             ),
         )
+    quota_settings = relay_settings.quotas
+    if quota_settings is not None:
+        kernel.register(
+            "quotas",
+            lambda services: QuotaService(
+                quota_settings,
+                services.find("peers", PeerTransport),
+                services.find("membership", MembershipService),
+                services.find("distribution", DistributionService),
+                services.find("events", EventLog),
+            ),
+        )
     kernel.register(
         "crashes",
         lambda services: CrashesService(
@@ -130,6 +143,7 @@
             services.find("events", EventLog),
             services.find("crashes", CrashesService),
             services.find("freshness", FreshnessService) if freshness_settings else None,
+            services.find("quotas", QuotaService) if quota_settings else None,
         ),
     )
     return kernel
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -34,6 +34,7 @@
 from godwitpass_daemon.services.distribution import DistributionService
 from godwitpass_daemon.services.freshness import FreshnessService
 from godwitpass_daemon.services.membership import MembershipService
+from godwitpass_daemon.services.quotas import QuotaService
 
 LISTEN_BACKLOG = 1024
 GC_THRESHOLDS = (20_000, 20, 50)
@@ -110,9 +111,11 @@
         events: EventLog,
         crash_guard: CrashGuard | None = None,
         freshness: FreshnessService | None = None,
+        quotas: QuotaService | None = None,
     ) -> None:
         self._crash_guard = crash_guard
         self._freshness = freshness
+        self._quotas = quotas
         self._settings = settings
         self._header_names = header_names
         self._distribution = distribution
@@ -177,6 +180,7 @@
             emit,
         )
         core.caller_service = settings.service.encode()
+        core.admission.quota_gate = self._quotas
         freshness = self._freshness
         if freshness is not None:
             core.admission.proofs = ProofSource(
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/quotas.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/quotas.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import secrets
-import time
 from collections.abc import Iterator
 
 import anyio
@@ -34,6 +33,7 @@
 from godwitpass.internal.quotas.owner import DaemonsCounted, LimitsChanged, OwnerEvent, QuotaOwner
 from godwitpass.internal.quotas.settings import QuotaSettings
 from godwitpass.snapshot import Snapshot
+from godwitpass_daemon.boot_clock import read_boot_clock
 from godwitpass_daemon.peers.channels import Channel
 from godwitpass_daemon.services.ports import Events, Membership, Peers, Snapshots
 from godwitpass_daemon.services.wake_timer import WakeTimer
@@ -48,11 +48,6 @@
 MEMBER_CHECK_INTERVAL_S = 5.0
 
 
-def read_boot_time() -> float:
-    """Return the time in seconds on the only clock that runs through a pause."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class QuotaService:
     """The `QuotaGate` of this daemon; also grants tokens while this daemon coordinates."""
 
@@ -68,7 +63,7 @@
         self._membership = membership
         self._distribution = distribution
         self._events = events
-        now, session = read_boot_time(), secrets.randbits(SESSION_BITS)
+        now, session = read_boot_clock(), secrets.randbits(SESSION_BITS)
         self._asker = QuotaAsker(session, settings, random.Random(secrets.randbits(64)), now)
         self._owner = QuotaOwner(peers.address, session, settings, now)
         self._daemon_count = DaemonCount(MEMBER_HOLD_S)
@@ -76,7 +71,7 @@
         self._callbacks: dict[int, OnQuotaDecision] = {}
         self._last_call_id = 0
         self._loop: asyncio.AbstractEventLoop | None = None
-        self._wake_timer = WakeTimer(read_boot_time, self._handle_timer)
+        self._wake_timer = WakeTimer(read_boot_clock, self._handle_timer)
 
     async def start(self, tasks: TaskGroup) -> None:
         """Take part in the rate limits of the active version."""
@@ -98,6 +93,11 @@
         """Return the decisions as a coordinator, for metrics."""
         return self._owner
 
+    @property
+    def coordinators(self) -> tuple[Address, ...]:
+        """Return the daemons that coordinate, as far as known here."""
+        return self._asker.coordinators
+
     @property
     def messages_sent(self) -> int:
         """Return the number of requests to coordinators."""
@@ -142,7 +142,7 @@
     def _update_members(self) -> None:
         members = self._membership.members()
         addresses = {member.address for member in members} | {self._peers.address}
-        count = self._daemon_count.update(addresses, read_boot_time())
+        count = self._daemon_count.update(addresses, read_boot_clock())
         if self._limits:
             coordinators = choose_coordinators(members) or (self._peers.address,)
             self._tell_owner(DaemonsCounted(count))
@@ -162,13 +162,13 @@
             self._tell_asker(MessageReceived(sender, message))
 
     def _tell_owner(self, event: OwnerEvent) -> None:
-        for action in self._owner.handle(event, read_boot_time()):
+        for action in self._owner.handle(event, read_boot_clock()):
             self._send(action.to, action.message)
 
     def _tell_asker(self, event: AskerEvent, call_id: int = 0) -> QuotaDecision | None:
         """Handle an event; return the decision on the call `call_id` if it was made."""
         decision: QuotaDecision | None = None
-        for action in self._asker.handle(event, read_boot_time()):
+        for action in self._asker.handle(event, read_boot_clock()):
             match action:
                 case Send(to, message):
                     self._send(to, message)
--- a/packages/godwitpass/src/godwitpass/internal/quotas/asker.py
+++ b/packages/godwitpass/src/godwitpass/internal/quotas/asker.py
@@ -196,6 +196,11 @@
         """Return whether any customer has a limit."""
         return bool(self._limits)
 
+    @property
+    def coordinators(self) -> tuple[Address, ...]:
+        """Return the daemons that coordinate, as far as known here."""
+        return tuple(self._coordinators)
+
     def list_counts(self) -> Iterator[tuple[CustomerName, CustomerCounts]]:
         """Yield the counts of the customers that this daemon has had calls of."""
         for name, customer in self._customers.items():
