Show customers, refusals and the age of the proof to operators

Cause: an operator could not see why a customer is refused, nor whether a daemon has a proof.

The metrics have godwitpass_relay_customer_requests_total and godwitpass_relay_proof_age_seconds; the listener of the metrics serves /v1/customers, which `godwitctl customers ADDRESS...` shows with limits, rates and fingerprints of keys. The command sends no token there. `godwitctl` sends no Authorization header without a token; an empty one ended in a usage error. Ends of calls are logged with their customer.

--- a/packages/godwitpass-cli/src/godwitpass_cli/client.py
+++ b/packages/godwitpass-cli/src/godwitpass_cli/client.py
@@ -83,7 +83,9 @@
         return _decode(address, response.content, result_type)
 
     def _exchange(self, address: Address, request: ApiRequest) -> httpcore.Response:
-        headers = {"authorization": f"Bearer {self._configuration.token}", **request.headers}
+        headers = dict(request.headers)
+        if self._configuration.token:
+            headers["authorization"] = f"Bearer {self._configuration.token}"
         timeout = {
             "connect": CONNECT_TIMEOUT_S,
             "pool": CONNECT_TIMEOUT_S,
--- a/packages/godwitpass-cli/src/godwitpass_cli/main.py
+++ b/packages/godwitpass-cli/src/godwitpass_cli/main.py
@@ -29,6 +29,7 @@
     observation.timeline,
     observation.explain,
     observation.failures,
+    observation.customers,
     observation.drain,
 ):
     app.command()(command)
--- a/packages/godwitpass-cli/src/godwitpass_cli/observation.py
+++ b/packages/godwitpass-cli/src/godwitpass_cli/observation.py
@@ -7,14 +7,22 @@
 from pathlib import Path
 from typing import Annotated
 
+import msgspec
 import typer
 
-from godwitpass.administration import DrainResult, Status, Timeline
+from godwitpass.administration import (
+    CUSTOMERS_PATH,
+    CustomersReport,
+    CustomersStatus,
+    DrainResult,
+    Status,
+    Timeline,
+)
 from godwitpass.events import Level, TimelineEvent, list_levels
 from godwitpass.failures import FailureSummary, summarize_failures
 from godwitpass.ids import Address
 from godwitpass.timeline import concerns_request, merge_timelines, parse_timeline
-from godwitpass_cli.client import ApiRequest
+from godwitpass_cli.client import ApiRequest, Client
 from godwitpass_cli.errors import CommandError
 from godwitpass_cli.exit_codes import ExitCode
 from godwitpass_cli.options import OutputOption, find_session
@@ -170,6 +178,48 @@
         session.print_text(f"upstream of {result.instance} is {result.state.name.lower()}")
 
 
+def customers(
+    context: typer.Context,
+    addresses: Annotated[
+        list[str], typer.Argument(help="Addresses at which daemons serve their metrics.")
+    ],
+    output: OutputOption = OutputFormat.TABLE,
+) -> None:
+    """Show the customers at some daemons: limits, keys, rates and refusals."""
+    session = find_session(context)
+    # The listener of the metrics checks no token, so it gets none.
+    client = Client(msgspec.structs.replace(session.configuration, token=""))
+    request = ApiRequest("GET", CUSTOMERS_PATH)
+    try:
+        results = [client.send_to(Address(item), request, CustomersStatus) for item in addresses]
+    finally:
+        client.close()
+    if session.print_if_json(CustomersReport(tuple(results))):
+        return
+    for result in results:
+        age = "none" if result.proof_age_s < 0 else f"{result.proof_age_s:.1f} s old"
+        session.print_text(f"{result.instance}: version {result.version}, freshness proof {age}")
+        headings = ("CUSTOMER", "PRIORITY", "RATE/S", "BURST", "CALLS/S", "KEYS", "REQUESTS")
+        rows: list[tuple[object, ...]] = [
+            (
+                customer.name,
+                "-" if customer.priority is None else customer.priority,
+                f"{customer.rate_per_s:g}" if customer.rate_per_s else "no limit",
+                f"{customer.burst:g}",
+                f"{customer.calls_per_s:g}",
+                " ".join(customer.key_fingerprints),
+                _format_counts(customer.counts),
+            )
+            for customer in result.customers
+        ]
+        others = _format_counts(result.other_counts)
+        session.print_table(headings, [*rows, ("(others)", "", "", "", "", "", others)])
+
+
+def _format_counts(counts: dict[str, int]) -> str:
+    return " ".join(f"{event}={count}" for event, count in sorted(counts.items()))
+
+
 def _read_log(path: Path, text: str = "") -> list[TimelineEvent]:
     try:
         return parse_timeline(path.read_bytes(), str(path), text)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -75,7 +75,7 @@
         self.loop = loop
         self.runner = runner
         self.header_names = header_names
-        self.admission = CallAdmission(header_names, self.find_nested_call)
+        self.admission = CallAdmission(header_names, self.find_nested_call, loop.time)
         self.table: RelayTable | None = None
         self.caller_service = b""
         self.traffic_splitter = TrafficSplitter(rng)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from godwitpass.events import FieldValue
 from godwitpass.ids import CustomerName, InstanceId, ServiceName
 from godwitpass.internal.customers.directory import Caller
 from godwitpass.internal.quotas.interface import Permit
@@ -455,9 +456,14 @@
                 "handovers": self._forward_count,
                 "wait_ms": frame.wait_ms if frame else -1,
                 "service_ms": frame.service_ms if frame else -1,
+                **self._describe_customer(),
             },
         )
 
+    def _describe_customer(self) -> dict[str, FieldValue]:
+        customer = self._caller.customer
+        return {} if customer is None else {"customer": customer.name}
+
     def _encode_chunk(self, data: bytes, body_bytes: int) -> bytes:
         if body_bytes >= 0 or not data:
             return data
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
@@ -412,6 +412,7 @@
             self._reject(request, rejection)
             return
         assert request.head is not None and request.route is not None
+        self._core.admission.record_start(caller)
         body = b"".join(request.body_chunks)
         request.call = ForwardedCall(
             self._core, request, request.head, request.route, caller, decision.permit
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/metrics.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/metrics.py
@@ -18,6 +18,7 @@
     `has_rejected_document` tells that this daemon can't use the newest document in the store.
     """
     runner, now = core.runner, core.now()
+    yield _build_customer_counter(core)
     yield _build_counter("godwitpass_relay_calls_total", "Calls taken here, by event.", core.counts)
     yield _build_counter(
         "godwitpass_relay_runs_total", "Calls run here, by outcome.", runner.call_log.counts
@@ -45,6 +46,7 @@
         "configuration_rejected": int(has_rejected_document),
         "heartbeat_age_seconds": now - runner.registration.last_heartbeat_at,
         "upstream_ready": int(runner.registration.state is UpstreamState.READY),
+        "proof_age_seconds": core.admission.compute_proof_age_s(core.table),
         "log_lines_dropped": events.stdout_writer.dropped_lines if events.stdout_writer else 0,
     }
     for name, value in gauges.items():
@@ -52,6 +54,21 @@
         yield Metric(f"godwitpass_relay_{name}", summary, MetricKind.GAUGE, (Sample(value),))
 
 
+def _build_customer_counter(core: RelayCore) -> Metric:
+    samples = tuple(
+        Sample(count, (Label("customer", customer), Label("event", event.value)))
+        for (customer, event), count in sorted(
+            core.admission.counts.totals.items(), key=lambda item: (item[0][0], item[0][1].value)
+        )
+    )
+    return Metric(
+        "godwitpass_relay_customer_requests_total",
+        "Requests by customer and what became of them at admission.",
+        MetricKind.COUNTER,
+        samples,
+    )
+
+
 def _build_counter(name: str, summary: str, counts: dict[str, int]) -> Metric:
     samples = tuple(
         Sample(count, (Label("event", event),)) for event, count in sorted(counts.items())
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -9,6 +9,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
+from godwitpass.administration import CustomersStatus
 from godwitpass.events import EventKind, FieldValue
 from godwitpass.ids import Address, InstanceId, ServiceName, ZoneId
 from godwitpass.internal.distribution.reader import RejectedDocument
@@ -24,6 +25,7 @@
 from godwitpass_daemon.relay.call_admission import ProofSource
 from godwitpass_daemon.relay.core import RelayCore
 from godwitpass_daemon.relay.crash_guard import CrashGuard
+from godwitpass_daemon.relay.customers_status import build_customers_status
 from godwitpass_daemon.relay.headers import HeaderNames
 from godwitpass_daemon.relay.inbound_peers import InboundPeerConnection
 from godwitpass_daemon.relay.ingress import CallerConnection
@@ -276,6 +278,10 @@
         """Log that changed settings are invalid."""
         self._events.emit(kinds.SETTINGS_REFUSED, reason=reason)
 
+    def describe_customers(self) -> CustomersStatus:
+        """Return what operators see of the customers at this daemon."""
+        return build_customers_status(self.core, self._settings.instance)
+
     def render_metrics(self) -> str:
         """Return the metrics as text."""
         has_rejected = self._distribution.rejected_document() is not None
--- a/packages/godwitpass/src/godwitpass/administration.py
+++ b/packages/godwitpass/src/godwitpass/administration.py
@@ -12,6 +12,7 @@
     NO_VERSION,
     ChangeId,
     ContentHash,
+    CustomerName,
     InstanceId,
     RegionId,
     Version,
@@ -24,6 +25,9 @@
 
 MAX_CHANGE_ID_CHARS = 64
 
+CUSTOMERS_PATH = "/v1/customers"
+"""Path of the state of the customers, which a relay serves on the address of its metrics."""
+
 
 class ProblemKind(Enum):
     """Why a request was rejected or failed."""
@@ -44,6 +48,42 @@
     INTERNAL = "internal"
 
 
+class CustomerStatus(msgspec.Struct, frozen=True):
+    """A customer at one daemon; limits and keys are those of its version.
+
+    `key_fingerprints` are the first digits of the keys' digests, `calls_per_s` the rate of its
+    requests in the last 10 to 20 s, and `counts` its requests by what became of them since the
+    daemon was started.
+    """
+
+    name: CustomerName
+    priority: int | None
+    rate_per_s: float
+    burst: float
+    key_fingerprints: tuple[str, ...]
+    calls_per_s: float
+    counts: dict[str, int]
+
+
+class CustomersStatus(msgspec.Struct, frozen=True):
+    """The customers at one daemon; `proof_age_s` is -1 if its version may not be the newest.
+
+    `other_counts` are the requests without a valid key, and of customers that are not listed.
+    """
+
+    instance: InstanceId
+    version: Version
+    proof_age_s: float
+    customers: tuple[CustomerStatus, ...]
+    other_counts: dict[str, int]
+
+
+class CustomersReport(msgspec.Struct, frozen=True):
+    """The customers at several daemons."""
+
+    daemons: tuple[CustomersStatus, ...]
+
+
 class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
     """Response to a request that was rejected or failed.
 
--- a/packages/godwitpass/src/godwitpass/internal/customers/directory.py
+++ b/packages/godwitpass/src/godwitpass/internal/customers/directory.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from godwitpass.document import Customer
+from godwitpass.ids import CustomerName
 from godwitpass.internal.relay.admission import NESTED_CALL_PRIORITY
 from godwitpass.policy import DEFAULT_PRIORITY
 
@@ -50,13 +51,15 @@
 
 
 class CustomerDirectory(msgspec.Struct, frozen=True):
-    """The customers of one version by the digest of each of their keys.
-
-    `has_customers` is also set if no customer holds a key; then no key is valid.
-    """
+    """The customers of one version by the digest of each of their keys, and by name."""
 
     by_digest: dict[str, Customer] = {}
-    has_customers: bool = False
+    by_name: dict[CustomerName, Customer] = {}
+
+    @property
+    def has_customers(self) -> bool:
+        """Return whether requests need a key."""
+        return bool(self.by_name)
 
     def identify(
         self, key_digest: str | None, is_route_anonymous: bool, nested: NestedCall
@@ -86,12 +89,12 @@
     """
     by_digest: dict[str, Customer] = {}
     ambiguous_digests: set[str] = set()
-    has_customers = False
+    by_name: dict[CustomerName, Customer] = {}
     for customer in customers:
-        has_customers = True
+        by_name[customer.name] = customer
         for digest in customer.key_digests:
             if by_digest.setdefault(digest, customer) is not customer:
                 ambiguous_digests.add(digest)
     for digest in ambiguous_digests:
         del by_digest[digest]
-    return CustomerDirectory(by_digest, has_customers)
+    return CustomerDirectory(by_digest, by_name)
--- a/packages/godwitpass/tests/customers/test_directory.py
+++ b/packages/godwitpass/tests/customers/test_directory.py
@@ -5,6 +5,12 @@
 from godwitpass.customers import digest_key
 from godwitpass.document import Customer
 from godwitpass.ids import CustomerName
+from godwitpass.internal.customers.counts import (
+    MAX_COUNTED_CUSTOMERS,
+    OTHER_CUSTOMERS,
+    AdmissionEvent,
+    CustomerCounts,
+)
 from godwitpass.internal.customers.directory import (
     CallerKind,
     CustomerDirectory,
@@ -59,6 +65,17 @@
     assert DIRECTORY.identify(None, False, RUNNING).priority < 0
 
 
+def test_counts_have_a_bounded_number_of_customers() -> None:
+    counts = CustomerCounts()
+    for number in range(MAX_COUNTED_CUSTOMERS + 3):
+        counts.record(CustomerName(f"c{number}"), AdmissionEvent.ADMITTED, 5.0)
+    assert counts.totals[(OTHER_CUSTOMERS, AdmissionEvent.ADMITTED)] == 3
+    assert len(counts.totals) == MAX_COUNTED_CUSTOMERS + 1
+    assert counts.compute_rate_per_s(CustomerName("c1"), 10.0) == pytest.approx(0.1)
+    assert counts.compute_rate_per_s(CustomerName("c1"), 15.0) == pytest.approx(1 / 15)
+    assert counts.compute_rate_per_s(CustomerName("c1"), 45.0) == 0.0
+
+
 def test_ended_calls_are_forgotten_and_bounded() -> None:
     calls = EndedCalls(0.0)
     assert calls.may_contain("unknown", 14.9)
--- a/tests/cover/test_customers.py
+++ b/tests/cover/test_customers.py
@@ -8,9 +8,13 @@
 import pytest
 from msgspec.structs import replace
 
+from godwitpass.administration import CustomersReport
+from godwitpass.customers import digest_key
+from godwitpass_cli.main import run as run_command
 from godwitpass_daemon.boot_clock import read_boot_clock
 from godwitpass_daemon.peers import Channel, PeerTransport
 from godwitpass_daemon.relay.service import RelayService
+from godwitpass_platform.settings import METRICS_PORT
 from godwitpass_platform_stand_ins import (
     Client,
     Deployment,
@@ -202,6 +206,31 @@
 
         run_check(check)
 
+    def test_an_operator_sees_requests_by_customer(
+        self, run_check: RunCheck, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        async def check(deployment: Deployment) -> None:
+            await configure(deployment, TENANTS)
+            for value in (f"Token {KEY}", "Token withdrawn", None):
+                await call(deployment, "/read/1", "seen", value)
+            address = f"{deployment.machines[0].ip}:{METRICS_PORT}"
+            arguments = ["customers", address, "--output", "json"]
+            assert await anyio.to_thread.run_sync(run_command, arguments) == 0
+            (status,) = msgspec.json.decode(capsys.readouterr().out, type=CustomersReport).daemons
+            north, south = status.customers
+            assert (north.name, north.priority) == ("north", 0)
+            assert north.key_fingerprints == (digest_key(KEY)[:8],)
+            assert north.counts["admitted"] >= 1 and north.calls_per_s > 0
+            assert south.counts == {}
+            assert status.other_counts["unknown-key"] >= 1
+            assert status.other_counts["missing-key"] >= 1
+            assert await anyio.to_thread.run_sync(run_command, arguments[:2]) == 0
+            assert "admitted=" in capsys.readouterr().out
+            metrics = find_relay(deployment, 0).render_metrics()
+            assert 'customer_requests_total{customer="north",event="admitted"}' in metrics
+
+        run_check(check)
+
     def test_keys_are_in_no_log_and_no_metric(self, run_check: RunCheck) -> None:
         async def check(deployment: Deployment) -> None:
             await configure(deployment, TENANTS)
