Show rate limits of customers to operators

Cause: operators had no view of what is granted and refused. CallQuota counts calls in progress, so it is now ConcurrencyLimit: one word for one thing.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/core.py
@@ -11,7 +11,7 @@
 from godwitpass.events import EventKind, FieldValue
 from godwitpass.ids import ServiceName
 from godwitpass.internal.actions import RecordEvent, SetTimer
-from godwitpass.internal.admission.quota import CallQuota
+from godwitpass.internal.admission.concurrency_limit import ConcurrencyLimit
 from godwitpass.internal.balancing.subset import compute_idle_timeout_s
 from godwitpass.internal.calls import events
 from godwitpass.internal.calls.dispatcher import DaemonLocation, Dispatcher
@@ -85,7 +85,7 @@
         self._table: RoutingTable | None = None
         self._dispatchers: dict[ServiceName, Dispatcher] = {}
         self._stale_services: set[ServiceName] = set()
-        self._quota = CallQuota()
+        self._concurrency_limit = ConcurrencyLimit()
         self._calls: set[Call] = set()
         self._attempts: dict[AttemptId, Attempt] = {}
         self._last_check_at = self.now()
@@ -144,14 +144,14 @@
         caller: CallerKey,
         head: RequestHead,
     ) -> CompiledRoute | Reason:
-        """Return the route of a request, or the reason to refuse it; an admitted one uses quota."""
+        """Return the route of a request, or the reason to refuse it; an admitted one is counted."""
         table = self._table
         if table is None:
             return Reason.NO_CONFIGURATION
         route = table.find_route(head.target, head.method, listener)
         if isinstance(route, Mismatch):
             return Reason.METHOD if route is Mismatch.METHOD else Reason.NO_ROUTE
-        if not self._quota.acquire(route.service.name):
+        if not self._concurrency_limit.acquire(route.service.name):
             return Reason.OVERLOADED
         return route
 
@@ -176,9 +176,9 @@
         return call
 
     def remove_call(self, call: Call) -> None:
-        """Remove an ended call and release its quota."""
+        """Remove an ended call and count it no longer."""
         self._calls.remove(call)
-        self._quota.release(call.route.service.name)
+        self._concurrency_limit.release(call.route.service.name)
 
     def create_attempt_id(self) -> AttemptId:
         """Return an attempt id that is unique within this process."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -30,6 +30,7 @@
 from godwitpass_daemon.relay.limits import TIMEOUT_CHECK_INTERVAL_S
 from godwitpass_daemon.relay.metrics import collect_relay_metrics
 from godwitpass_daemon.relay.probe import probe_health
+from godwitpass_daemon.relay.quota_metrics import collect_quota_metrics
 from godwitpass_daemon.relay.upstream_runner import UpstreamRunner
 from godwitpass_daemon.services.distribution import DistributionService
 from godwitpass_daemon.services.freshness import FreshnessService
@@ -283,7 +284,10 @@
     def render_metrics(self) -> str:
         """Return the metrics as text."""
         has_rejected = self._distribution.rejected_document() is not None
-        return render_metrics(collect_relay_metrics(self.core, self._events, has_rejected))
+        quota_metrics = collect_quota_metrics(self._quotas) if self._quotas is not None else ()
+        return render_metrics(
+            [*collect_relay_metrics(self.core, self._events, has_rejected), *quota_metrics]
+        )
 
     def apply_heartbeat(self, heartbeat: Heartbeat) -> UpdateOutcome:
         """Apply a heartbeat of the local upstream, and announce the new state."""
--- a/packages/godwitpass/src/godwitpass/internal/admission/quota.py
+++ b/packages/godwitpass/src/godwitpass/internal/admission/concurrency_limit.py
@@ -11,7 +11,7 @@
 """Largest share of the limit for one service, enforced once the total reaches this share."""
 
 
-class CallQuota:
+class ConcurrencyLimit:
     """Counts calls in progress, in total and by service."""
 
     def __init__(self, limit: int = MAX_CALLS_IN_PROGRESS) -> None:
--- a/packages/godwitpass/tests/calls/test_retries.py
+++ b/packages/godwitpass/tests/calls/test_retries.py
@@ -2,7 +2,7 @@
 
 from godwitpass.document import Execution
 from godwitpass.ids import InstanceId, RegionId, ServiceName, ZoneId
-from godwitpass.internal.admission.quota import CallQuota
+from godwitpass.internal.admission.concurrency_limit import ConcurrencyLimit
 from godwitpass.internal.balancing.subset import choose_subset, compute_subset_size
 from godwitpass.internal.calls.deadlines import InvalidDeadline, parse_timeout_ms
 from godwitpass.internal.retrying.budget import RetryBudget
@@ -62,12 +62,12 @@
             parse_timeout_ms(value)
 
 
-class TestCallQuota:
-    def test_one_service_can_not_use_up_the_quota_of_the_daemon(self) -> None:
-        quota = CallQuota(limit=10)
-        acquired = sum(quota.acquire(ServiceName("greedy")) for _ in range(20))
+class TestConcurrencyLimit:
+    def test_one_service_can_not_use_up_the_limit_of_the_daemon(self) -> None:
+        limit = ConcurrencyLimit(limit=10)
+        acquired = sum(limit.acquire(ServiceName("greedy")) for _ in range(20))
         assert acquired == 5
-        assert quota.acquire(ServiceName("modest"))
+        assert limit.acquire(ServiceName("modest"))
 
 
 class TestSubsets:
--- a/tests/cover/test_quotas.py
+++ b/tests/cover/test_quotas.py
@@ -92,6 +92,9 @@
             assert len(admitted) + len(refused) == len(responses)
             assert len(refused) > 50
             assert RATE_PER_S * WINDOW_S <= len(admitted) <= BOUND
+            metrics = find(deployment, 0, RelayService).render_metrics()
+            assert 'godwitpass_quota_calls_total{customer="small",decision="granted"}' in metrics
+            assert "key-small" not in metrics
             waits = {float(item.headers["retry-after"]) for item in refused}
             # Callers that are told the same time come back together.
             assert min(waits) > 0 and len(waits) > len(refused) / 2
