Decide about extra requests in one module, within a share that the operator sets

Cause: the edge decided about hedges by its own rules, without a limit of the operator.

Policies have `extra_request_share`. The edge uses the module; where the field is unset it hedges as before, within its retry budget only. A retry may cost more than one run in the relay's budget.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
@@ -1,6 +1,7 @@
 """One call: from a parsed request head to a complete response or a refusal."""
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from godwitpass.document import Execution
@@ -11,9 +12,9 @@
 from godwitpass.internal.retrying.decision import (
     ExecutionCertainty,
     FailedAttempt,
-    may_hedge,
     may_retry,
 )
+from godwitpass.internal.retrying.extra_requests import CallFacts, Verdict, check_call
 from godwitpass.internal.routing.table import CompiledRoute
 from godwitpass_daemon.edge.attempts import Attempt
 from godwitpass_daemon.edge.bodies import RequestBody
@@ -326,6 +327,9 @@
         is_first = avoid is None
         if is_first:
             self.dispatcher.retry_budget.deposit()
+            share = self.route.policy.extra_request_share
+            if share:
+                self.dispatcher.extra_requests.count_call(self.dispatcher.service, share)
         attempt = Attempt(self, self.edge.create_attempt_id(), is_retry_or_hedge=not is_first)
         self._attempts.append(attempt)
         self.edge.register_attempt(attempt)
@@ -348,7 +352,7 @@
             self._schedule_hedge()
 
     def _schedule_hedge(self) -> None:
-        if not may_hedge(self.route.policy, self.head.method, self.head.context.is_retry):
+        if check_call(self._describe_facts()) is not Verdict.SEND:
             return
         delay_s = self.dispatcher.latencies.compute_hedge_delay_s(self.route.route.name)
         if delay_s is not None:
@@ -356,10 +360,31 @@
 
     def _hedge(self) -> None:
         is_waiting = self._responding_attempt is None and len(self._attempts) == 1
-        if is_waiting and not self._has_ended and self.dispatcher.retry_budget.withdraw():
+        if not is_waiting or self._has_ended:
+            return
+        dispatcher = self.dispatcher
+        verdict = dispatcher.extra_requests.spend(
+            self._describe_facts(), dispatcher.service, dispatcher.retry_budget.withdraw
+        )
+        if verdict is Verdict.SEND:
             self.edge.count("hedged")
             self._start_attempt(avoid=self._attempts[0])
 
+    def _describe_facts(self) -> CallFacts:
+        """Describe the call, whose only attempt is in flight, for the decision about a hedge.
+
+        A call that is itself a retry or hedge of an earlier hop isn't hedged again.
+        """
+        policy = self.route.policy
+        is_read = self.head.method in ("GET", "HEAD")
+        remaining_s = self._timers.compute_remaining_s()
+        return CallFacts(
+            policy.extra_request_share,
+            is_read and policy.execution is Execution.IDEMPOTENT,
+            0 if self.head.context.is_retry else policy.attempts - 1,
+            math.inf if remaining_s is None else remaining_s,
+        )
+
     def _may_have_run(self) -> bool:
         return self._ended_attempt_may_have_run or any(
             attempt.has_sent_bytes for attempt in self._attempts
--- a/packages/godwitpass/src/godwitpass/document.py
+++ b/packages/godwitpass/src/godwitpass/document.py
@@ -127,6 +127,13 @@
         Meta(description="Priority when there is no room for all calls; 0 is served first."),
     ] = None
     uploads: Annotated[bool | None, Meta(description="Whether request bodies are large.")] = None
+    extra_request_share: Annotated[
+        Annotated[float, Meta(ge=0, le=1)] | None,
+        Meta(
+            description="Share of the calls that may get a second, extra request while the first is"
+            " slow; 0 for none. Unset, the daemon's own setting applies, which is 0 by default."
+        ),
+    ] = None
 
 
 class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
--- a/packages/godwitpass/src/godwitpass/internal/calls/dispatcher.py
+++ b/packages/godwitpass/src/godwitpass/internal/calls/dispatcher.py
@@ -32,6 +32,7 @@
 )
 from godwitpass.internal.calls.outcomes import Reason
 from godwitpass.internal.retrying.budget import RetryBudget
+from godwitpass.internal.retrying.extra_requests import ExtraRequests
 from godwitpass.mesh import UpstreamState
 
 SLOW_UPSTREAM_RATIO = 2.0
@@ -75,6 +76,7 @@
     def __init__(self, service: ServiceName, location: DaemonLocation, rng: random.Random) -> None:
         self.service = service
         self.retry_budget = RetryBudget()
+        self.extra_requests = ExtraRequests()
         self.latencies = LatencyTracker()
         self._location = location
         self._rng = rng
--- a/packages/godwitpass/src/godwitpass/internal/relay/retry_budget.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/retry_budget.py
@@ -55,7 +55,7 @@
     def __init__(self, started_at: float) -> None:
         self.started_at = started_at
         self.calls = 0
-        self.retries = 0
+        self.retries = 0.0
 
 
 class RetryBudget:
@@ -65,7 +65,7 @@
         self._settings = settings
         self._buckets: deque[_Bucket] = deque()
         self._calls = 0
-        self._retries = 0
+        self._retries = 0.0
 
     def count_call(self, now: float) -> None:
         """Count the first attempt of a call."""
@@ -74,15 +74,18 @@
 
     def describe(self, slack_share: float) -> dict[str, FieldValue]:
         """Return log fields: the retries in the window, and how many are allowed."""
-        return {"retries": self._retries, "allowed": int(self._compute_allowed(slack_share))}
+        return {"retries": int(self._retries), "allowed": int(self._compute_allowed(slack_share))}
 
-    def try_retry(self, now: float, slack_share: float) -> bool:
-        """Count a retry and return True if this daemon's share of the budget allows it."""
+    def try_retry(self, now: float, slack_share: float, cost: float = 1.0) -> bool:
+        """Count a retry and return True if this daemon's share of the budget allows it.
+
+        `cost` is the number of runs that it repeats, those of its nested calls included.
+        """
         bucket = self._get_current_bucket(now)
-        if self._retries + 1 > self._compute_allowed(slack_share):
+        if self._retries + cost > self._compute_allowed(slack_share):
             return False
-        bucket.retries += 1
-        self._retries += 1
+        bucket.retries += cost
+        self._retries += cost
         return True
 
     def _compute_allowed(self, slack_share: float) -> float:
--- a/packages/godwitpass/src/godwitpass/internal/retrying/decision.py
+++ b/packages/godwitpass/src/godwitpass/internal/retrying/decision.py
@@ -1,4 +1,4 @@
-"""Decisions whether to retry or to hedge a call."""
+"""Decisions whether to retry a call."""
 
 from enum import Enum
 
@@ -58,10 +58,3 @@
     ):
         return False
     return budget.withdraw()
-
-
-def may_hedge(policy: ResolvedPolicy, method: str, is_retry: bool) -> bool:
-    """Return whether a second attempt may run in parallel with a slow first one."""
-    is_read = method in ("GET", "HEAD")
-    is_idempotent = policy.execution is Execution.IDEMPOTENT
-    return is_read and is_idempotent and policy.attempts > 1 and not is_retry
--- a/packages/godwitpass/src/godwitpass/policy.py
+++ b/packages/godwitpass/src/godwitpass/policy.py
@@ -26,7 +26,8 @@
     `timeout_ms` bounds the time until the first byte of the response, and `stall_timeout_ms` the
     time that a transfer may go without progress. `attempts` includes the first one, and `queue_ms`
     bounds the wait for a slot. `objective_ms` is the time within which a response has its full
-    value; it defaults to the timeout.
+    value; it defaults to the timeout. `extra_request_share` is None where the document leaves it to
+    the daemon's setting.
     """
 
     execution: Execution
@@ -37,6 +38,7 @@
     objective_ms: int = DEFAULT_TIMEOUT_MS
     priority: int = DEFAULT_PRIORITY
     uploads: bool = False
+    extra_request_share: float | None = None
 
 
 def resolve_policy(document: Document, route: Route) -> ResolvedPolicy:
@@ -88,6 +90,14 @@
         objective_ms=_first_not_none([policy.objective_ms for policy in ancestry], timeout_ms),
         priority=_first_not_none([policy.priority for policy in ancestry], DEFAULT_PRIORITY),
         uploads=_first_not_none([policy.uploads for policy in ancestry], False),
+        extra_request_share=next(
+            (
+                policy.extra_request_share
+                for policy in ancestry
+                if policy.extra_request_share is not None
+            ),
+            None,
+        ),
     )
 
 
