Send a slow idempotent call of the relay to a second upstream

Cause: a call at a slow upstream waited until its deadline, though another upstream had room.

Change: with a share over 0, a call without a response after the delay is sent to a second upstream, once. The first good response wins and the other attempt is cancelled at once; a server error waits for the other attempt. A call that still waits at the first daemon is withdrawn there by a message that is not awaited. A cancelled slow attempt still raises the slowness of its upstream and counts in the distribution. Frames after the begin of a response that contradict it abort the attempt; a refusal after the first part of a streamed response put a second head into it.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -19,6 +19,12 @@
 from godwitpass.internal.relay.sampling import is_sampled
 from godwitpass.internal.relay.traffic_split import TrafficSplitter
 from godwitpass.internal.relay.upstream_selection import UpstreamSelector
+from godwitpass.internal.retrying.extra_requests import (
+    ASSUMED_NESTED_CALLS,
+    CallFacts,
+    ExtraRequests,
+    Verdict,
+)
 from godwitpass.mesh import Upstream
 from godwitpass.snapshot import Snapshot
 from godwitpass_daemon.relay.call_log import Emit
@@ -69,6 +75,7 @@
         list_upstreams: ListUpstreams,
         count_daemons: Callable[[], int],
         emit: Emit,
+        extra_request_share: float = 0.0,
     ) -> None:
         self.loop = loop
         self.runner = runner
@@ -86,6 +93,8 @@
         self.is_refusing = False
         self.counts: Counter[str] = Counter()
         self.latency_us = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+        self.extra_requests = ExtraRequests()
+        self._extra_request_share = extra_request_share
         self._own_instance = own_instance
         self._retry_budget_settings = retry_budget
         self._retry_budgets: dict[ServiceName, RetryBudget] = {}
@@ -122,7 +131,9 @@
         if self.table is not None and table.version <= self.table.version:
             return
         self.table = table
-        self.traffic_splitter.keep_only({route.name for route in snapshot.document.routes})
+        route_names = {route.name for route in snapshot.document.routes}
+        self.traffic_splitter.keep_only(route_names)
+        self.extra_requests.keep_only(route_names, set(table.services))
         self.update_upstreams()
         self._emit(
             kinds.ROUTES_COMPILED,
@@ -155,7 +166,9 @@
 
         A nested call goes first, because refusing it wastes the work of the call that made it.
         """
-        if self.runner.is_in_progress(request_id.rpartition(".")[0]):
+        parent_id = request_id.rpartition(".")[0]
+        if self.runner.is_in_progress(parent_id):
+            self.runner.count_nested_call(parent_id)
             return NESTED_CALL_PRIORITY
         return route.policy.priority
 
@@ -179,11 +192,41 @@
         self.calls_in_progress += 1
         self._get_retry_budget(service).count_call(self.now())
 
-    def try_retry(self, service: ServiceName) -> bool:
-        """Take a retry to `service` out of the retry budget; return False if it is used up."""
+    def get_extra_request_share(self, route: RelayRoute) -> float:
+        """Return the share of the calls on `route` that may get an extra request."""
+        share = route.policy.extra_request_share
+        return self._extra_request_share if share is None else share
+
+    def decide_extra_request(
+        self, call: ForwardedCall, facts: CallFacts, slow: InstanceId, target: InstanceId
+    ) -> Verdict:
+        """Decide whether a call that is slow at `slow` is sent to `target` too; log the decision.
+
+        The nested calls that the second run makes are taken out of the retry budget with it.
+        """
+        service, route = call.service, call.route.name
+        room = self.selector.describe_room(service, slow, target, self.now())
+        nested_calls = self.runner.estimate_nested_calls(route, ASSUMED_NESTED_CALLS)
+        verdict = self.extra_requests.decide(
+            facts,
+            service,
+            route,
+            room,
+            self.selector.get_slowness(target),
+            lambda: self.try_retry(service, 1.0 + nested_calls),
+        )
+        is_sent = verdict is Verdict.SEND
+        self.counts["extra-request" if is_sent else f"no-extra-{_name(verdict)}"] += 1
+        return verdict
+
+    def try_retry(self, service: ServiceName, cost: float = 1.0) -> bool:
+        """Take a retry to `service` out of the retry budget; return False if it is used up.
+
+        `cost` is the number of runs that it repeats, those of its nested calls included.
+        """
         now, window_s = self.now(), self._retry_budget_settings.window_s
         share = self._slack_share.compute(now, self._count_daemons(), window_s)
-        is_allowed = self._get_retry_budget(service).try_retry(now, share)
+        is_allowed = self._get_retry_budget(service).try_retry(now, share, cost)
         self.counts["repeat" if is_allowed else "repeat-over-budget"] += 1
         return is_allowed
 
@@ -280,3 +323,7 @@
         if retry_budget is None:
             retry_budget = self._retry_budgets[service] = RetryBudget(self._retry_budget_settings)
         return retry_budget
+
+
+def _name(verdict: Verdict) -> str:
+    return verdict.name.lower().replace("_", "-")
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_attempts.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_attempts.py
@@ -56,6 +56,11 @@
             if self._link is not None:
                 self._link.cancel(self._stream_id)
 
+    def withdraw(self) -> None:
+        """Take the call back if it waits at the other daemon, which then refuses it."""
+        if not self.has_ended and self._link is not None:
+            self._link.withdraw(self._stream_id)
+
     def extend_window(self, size_bytes: int) -> None:
         """Let the other daemon send `size_bytes` more of a streamed response."""
         if not self.has_ended and self._link is not None:
@@ -64,19 +69,27 @@
     # Called by the link.
 
     def handle_refused(self, frame: Refused) -> None:
-        """End the attempt, which has not run."""
-        if self._end():
+        """End the attempt, which has not run unless it has begun to respond."""
+        if not self._end():
+            return
+        if self.response is None:
             self._call.handle_refused(self, frame)
+        else:
+            self._call.handle_aborted(self)
 
     def handle_failed(self, frame: Failed) -> None:
         """End the attempt, which may have run."""
-        if self._end():
+        if not self._end():
+            return
+        if self.response is None:
             self._call.handle_failed(self, frame)
+        else:
+            self._call.handle_aborted(self)
 
     def handle_link_lost(self, was_sent: bool) -> None:
         """End the attempt, which may have run if it was sent."""
         if self._end():
-            self._call.handle_link_lost(self, was_sent)
+            self._call.handle_link_lost(self, was_sent or self.response is not None)
 
     def handle_aborted(self) -> None:
         """End the attempt, whose response is incomplete."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
@@ -16,6 +16,7 @@
     Response,
 )
 from godwitpass.internal.relay.routes import RelayRoute
+from godwitpass.internal.retrying.extra_requests import CallFacts, Verdict
 from godwitpass.mesh import Upstream
 from godwitpass_daemon.edge.guards import RequestDescriptor
 from godwitpass_daemon.relay.crash_guard import describe_request
@@ -46,9 +47,10 @@
 
     `_upstream_attempts` counts the attempts that reached an upstream, `_uncertain_attempts` those
     that were followed by another one although they may have run the call. `_in_flight` holds the
-    attempts that have not ended. `_streaming` is the attempt whose response is passed on before it
-    is complete, and `_ungranted_bytes` counts what the caller has taken since the window was last
-    extended.
+    attempts that have not ended: one, or two while an extra request is made. `_server_error` is
+    the response that one of the two got while the other goes on. `_streaming` is the attempt whose
+    response is passed on before it is complete, and `_ungranted_bytes` counts what the caller has
+    taken since the window was last extended.
     """
 
     __slots__ = (
@@ -57,15 +59,20 @@
         "_deadline",
         "_deadline_timer",
         "_excluded",
+        "_extra_attempt",
+        "_extra_share",
+        "_extra_timer",
         "_forward_count",
         "_has_ended",
         "_in_flight",
+        "_is_crash_suspected",
         "_objective_at",
         "_priority",
         "_refusal_reason",
         "_request",
         "_response_bytes",
         "_retry_after_s",
+        "_server_error",
         "_streaming",
         "_uncertain_attempts",
         "_ungranted_bytes",
@@ -103,6 +110,11 @@
         self._in_flight: list[Attempt] = []
         self._upstream: Upstream | None = None
         self._streaming: Attempt | None = None
+        self._server_error: tuple[Attempt, Response] | None = None
+        self._extra_share = core.get_extra_request_share(route) if route.is_idempotent else 0.0
+        self._extra_attempt: Attempt | None = None
+        self._extra_timer: asyncio.TimerHandle | None = None
+        self._is_crash_suspected = False
         self._response_bytes = 0
         self._ungranted_bytes = 0
         self._has_ended = False
@@ -115,6 +127,8 @@
         self.service = core.traffic_splitter.choose_service(self.route)
         self._deadline_timer = core.loop.call_at(self._deadline, self._expire)
         core.count_call(self.service)
+        if self._extra_share:
+            core.extra_requests.count_call(self.service, self._extra_share)
         self._forward()
 
     def cancel(self) -> None:
@@ -133,7 +147,9 @@
             self._upstream_attempts += 1
             self._core.selector.record_failure(upstream.instance, now)
         if frame.reason is Refusal.CRASH_SUSPECT:
-            self._refuse_crash_suspect()
+            self._is_crash_suspected = True
+            if not self._leave_to_other():
+                self._refuse_crash_suspect()
             return
         self._excluded.add(upstream.instance)
         self._refusal_reason = f"refused: {frame.reason.name.lower()}"
@@ -144,6 +160,8 @@
                 if self._retry_after_s is None
                 else min(self._retry_after_s, retry_after_s)
             )
+        if self._leave_to_other():
+            return
         if self._can_forward(is_retry=frame.reached_upstream, now=now):
             self._core.record_retry(self, upstream, frame.reason.name.lower())
             self._forward()
@@ -157,7 +175,9 @@
         self._upstream_attempts += 1
         core.selector.record_failure(upstream.instance, now)
         self._excluded.add(upstream.instance)
-        if frame.reason is Failure.RESET and self._is_crash_suspect():
+        if self._leave_to_other(may_have_run=True):
+            return
+        if self._is_crash_suspected or (frame.reason is Failure.RESET and self._is_crash_suspect()):
             self._respond_locally(502, "crash suspect", None)
             return
         self._retry_or_fail(upstream, frame.reason.name.lower(), now, frame.reason)
@@ -173,7 +193,10 @@
                 self._abort_response("link lost")
                 return
             self._upstream_attempts += 1
-            self._retry_or_fail(upstream, "link lost", now, Failure.RESET)
+            if not self._leave_to_other(may_have_run=True):
+                self._retry_or_fail(upstream, "link lost", now, Failure.RESET)
+        elif self._leave_to_other():
+            return
         elif self._can_forward(is_retry=False, now=now):
             self._core.record_retry(self, upstream, "not connected")
             self._forward()
@@ -181,7 +204,14 @@
             self._refuse("not connected")
 
     def handle_response(self, attempt: Attempt, frame: Response) -> None:
-        """Pass a complete response on."""
+        """Pass a complete response on, or keep a server error while another attempt goes on."""
+        if frame.status >= 500 and len(self._in_flight) > 1:
+            self._record_response(attempt, frame, len(frame.body))
+            self._detach(attempt)
+            self._upstream_attempts += 1
+            self._excluded.add(attempt.upstream.instance)
+            self._server_error = attempt, frame
+            return
         self._response_bytes = len(frame.body)
         head = self._encode_head(frame)
         self._finish_answered(attempt, frame)
@@ -189,6 +219,11 @@
 
     def handle_streamed(self, attempt: Attempt, frame: Response) -> None:
         """Pass on the first part of a response that is too large to be collected."""
+        if frame.status >= 500 and len(self._in_flight) > 1:
+            attempt.cancel()
+            self.handle_aborted(attempt)
+            return
+        self._cancel_losers(attempt)
         self._response_bytes = len(frame.body)
         head = self._encode_head(frame)
         self._streaming = attempt
@@ -216,7 +251,8 @@
         if attempt is not self._streaming:
             self._upstream_attempts += 1
             self._excluded.add(upstream.instance)
-            self._retry_or_fail(upstream, "answer cut", now, Failure.RESET)
+            if not self._leave_to_other(may_have_run=True):
+                self._retry_or_fail(upstream, "answer cut", now, Failure.RESET)
             return
         self._abort_response("answer cut")
 
@@ -232,7 +268,7 @@
             self._ungranted_bytes = 0
 
     def _forward(self) -> None:
-        core, now = self._core, self._core.now()
+        now = self._core.now()
         remaining_s = self._deadline - now
         if remaining_s < MIN_FORWARD_TIME_S:
             self._refuse("no time left")
@@ -240,19 +276,29 @@
         if self._is_refused_as_crash_suspect():
             self._refuse_crash_suspect()
             return
+        upstream = self._select_upstream(self._excluded, now)
+        if upstream is None:
+            self._refuse(self._refusal_reason or "no upstream")
+            return
+        attempt = self._send(upstream, now)
+        if self._extra_share and self._extra_attempt is None:
+            self._schedule_extra_request(attempt)
+
+    def _select_upstream(self, excluded: set[InstanceId], now: float) -> Upstream | None:
         # A nested call holds a slot of its caller, so any delay matters.
         is_nested = self._priority == NESTED_CALL_PRIORITY
-        upstream = core.selector.select(
+        return self._core.selector.select(
             self.service,
             self.route.name,
             now,
             len(self._body),
-            self._excluded,
+            excluded,
             0.0 if is_nested else self._objective_at - now,
         )
-        if upstream is None:
-            self._refuse(self._refusal_reason or "no upstream")
-            return
+
+    def _send(self, upstream: Upstream, now: float) -> Attempt:
+        """Start an attempt at `upstream`."""
+        core = self._core
         self._upstream = upstream
         self._forward_count += 1
         response_bytes = core.selector.estimate_response_bytes(self.route.name)
@@ -262,7 +308,7 @@
             self.service,
             self.route.name,
             self.head.encoded,
-            int(remaining_s * 1000),
+            int((self._deadline - now) * 1000),
             int((self._objective_at - now) * 1000),
             self._priority,
             self.route.is_idempotent,
@@ -274,11 +320,77 @@
         attempt = Attempt(self, upstream, now)
         self._in_flight.append(attempt)
         attempt.open(link, stream_request, self._body)
+        return attempt
+
+    def _schedule_extra_request(self, attempt: Attempt) -> None:
+        core = self._core
+        delay_s = core.extra_requests.compute_delay_s(
+            self._describe_facts(attempt.started_at),
+            self.route.name,
+            core.selector.get_slowness(attempt.upstream.instance),
+        )
+        self._cancel_extra_timer()
+        if delay_s is not None:
+            self._extra_timer = core.loop.call_at(
+                attempt.started_at + delay_s, self._send_extra_request
+            )
+
+    def _send_extra_request(self) -> None:
+        """Send the call to a second upstream if its attempt has no response yet.
+
+        A call that still waits at the first upstream's daemon is withdrawn there. The message goes
+        out before the second request and is not awaited: an answer would take a round trip, and
+        none comes if the link is what delays the call.
+        """
+        self._extra_timer = None
+        core, now = self._core, self._core.now()
+        if self._has_ended or len(self._in_flight) != 1 or self._in_flight[0].response is not None:
+            return
+        if core.is_refusing or self._is_crash_suspect():
+            return
+        slow = self._in_flight[0]
+        target = self._select_upstream(self._excluded | {slow.upstream.instance}, now)
+        if target is None:
+            return
+        facts = self._describe_facts(now)
+        verdict = core.decide_extra_request(self, facts, slow.upstream.instance, target.instance)
+        if verdict is Verdict.SEND:
+            slow.withdraw()
+            self._extra_attempt = self._send(target, now)
+
+    def _describe_facts(self, now: float) -> CallFacts:
+        attempts_made = self._upstream_attempts + len(self._in_flight)
+        return CallFacts(
+            self._extra_share,
+            self.route.is_idempotent,
+            min(self.route.policy.attempts - attempts_made, MAX_FORWARDS - self._forward_count),
+            self._deadline - now - MIN_FORWARD_TIME_S,
+            len(self._body),
+        )
+
+    def _leave_to_other(self, may_have_run: bool = False) -> bool:
+        """Tell whether another attempt decides about the call after one has ended.
+
+        That is one still in flight, or one that got a server error, which is passed on now.
+        """
+        if self._in_flight:
+            self._uncertain_attempts += may_have_run
+            return True
+        if self._server_error is None:
+            return False
+        attempt, frame = self._server_error
+        self._upstream = attempt.upstream
+        head = self._encode_head(frame)
+        self._finish("answered", frame.status, frame)
+        self._request.write_response(head + frame.body, is_last=True)
+        return True
 
     def _can_forward(self, is_retry: bool, now: float) -> bool:
         """Tell whether the call may go to another upstream; a retry uses the retry budget."""
         if self._core.is_refusing or self._forward_count >= MAX_FORWARDS:
             return False
+        if self._is_crash_suspected:
+            return False
         if self._deadline - now < MIN_FORWARD_TIME_S:
             return False
         if self._upstream_attempts >= self.route.policy.attempts:
@@ -332,6 +444,8 @@
             return
         was_forwarded = bool(self._in_flight)
         self._cancel_attempts()
+        if self._leave_to_other():
+            return
         if was_forwarded or self._uncertain_attempts:
             self._respond_locally(504, "deadline", None)
         else:
@@ -363,17 +477,43 @@
 
     def _finish_answered(self, attempt: Attempt, response: Response) -> None:
         """End the call after the last part of `response`."""
-        now = self._core.now()
-        upstream = self._detach(attempt)
-        self._core.selector.record_response(
-            upstream.instance,
+        self._upstream = self._detach(attempt)
+        self._record_response(attempt, response, self._response_bytes)
+        self._cancel_losers(attempt)
+        self._finish("answered", response.status, response)
+
+    def _record_response(self, attempt: Attempt, response: Response, size_bytes: int) -> None:
+        core, now, instance = self._core, self._core.now(), attempt.upstream.instance
+        has_failed = response.status >= 500
+        if self._extra_share and not has_failed and attempt is not self._extra_attempt:
+            self._record_latency(attempt, now)
+        core.selector.record_response(
+            instance, self.route.name, response.service_ms / 1000, size_bytes, has_failed, now
+        )
+
+    def _record_latency(self, attempt: Attempt, now: float) -> None:
+        core = self._core
+        core.extra_requests.record_latency(
             self.route.name,
-            response.service_ms / 1000,
-            self._response_bytes,
-            response.status >= 500,
-            now,
+            now - attempt.started_at,
+            core.selector.get_slowness(attempt.upstream.instance),
         )
-        self._finish("answered", response.status, response)
+
+    def _cancel_losers(self, winner: Attempt) -> None:
+        """Cancel the attempts whose response is not needed any more, and record how slow they are.
+
+        Nothing is known of how long an extra request that was sent later would have taken.
+        """
+        self._cancel_extra_timer()
+        now = self._core.now()
+        for attempt in [attempt for attempt in self._in_flight if attempt is not winner]:
+            if attempt is not self._extra_attempt:
+                self._record_latency(attempt, now)
+                self._core.selector.record_slow(
+                    attempt.upstream.instance, self.route.name, now - attempt.started_at
+                )
+            self._detach(attempt)
+            attempt.cancel()
 
     def _abort_response(self, reason: str) -> None:
         self._finish(reason, 0)
@@ -395,6 +535,7 @@
         self._has_ended = True
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
+        self._cancel_extra_timer()
         upstream = self._upstream
         self._core.record_end(
             self,
@@ -408,6 +549,11 @@
             },
         )
 
+    def _cancel_extra_timer(self) -> None:
+        if self._extra_timer is not None:
+            self._extra_timer.cancel()
+            self._extra_timer = None
+
     def _encode_chunk(self, data: bytes, body_bytes: int) -> bytes:
         if body_bytes >= 0 or not data:
             return data
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/inbound_peers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/inbound_peers.py
@@ -15,6 +15,7 @@
     Ping,
     Pong,
     WindowUpdate,
+    WithdrawStream,
     encode_frame,
 )
 from godwitpass_daemon.relay.limits import WRITE_BUFFER_BYTES
@@ -96,6 +97,10 @@
                 if found is not None:
                     found.cancel()
                 self._runner.response_sender.cancel(self, stream_id)
+            case WithdrawStream(stream_id):
+                found = self._calls.get(stream_id)
+                if found is not None:
+                    found.withdraw()
             case BodyReceived(stream_id, size_bytes):
                 self._runner.response_sender.record_received(self, stream_id, size_bytes)
             case WindowUpdate(stream_id, size_bytes):
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/links.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/links.py
@@ -25,6 +25,7 @@
     Response,
     ResponseAborted,
     WindowUpdate,
+    WithdrawStream,
     encode_frame,
 )
 from godwitpass_daemon.listeners import split_address
@@ -157,6 +158,11 @@
         if self._handlers.pop(stream_id, None) is not None:
             self._write(CancelStream(stream_id))
 
+    def withdraw(self, stream_id: int) -> None:
+        """Take a call back that waits; its handler is told if it did, and not if it runs."""
+        if stream_id in self._handlers:
+            self._write(WithdrawStream(stream_id))
+
     def extend_window(self, stream_id: int, size_bytes: int) -> None:
         """Let the other daemon send `size_bytes` more of a streamed response."""
         if stream_id in self._handlers:
@@ -317,6 +323,12 @@
         if call is not None:
             call.cancel()
 
+    def withdraw(self, stream_id: int) -> None:
+        """Take a call back that waits; its handler is told if it did, and not if it runs."""
+        call = self._calls.get(stream_id)
+        if call is not None:
+            call.withdraw()
+
     def extend_window(self, stream_id: int, size_bytes: int) -> None:
         """Let the local call send `size_bytes` more of a streamed response."""
         call = self._calls.get(stream_id)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -171,6 +171,7 @@
             self._membership.upstreams,
             lambda: max(1, len(self._membership.members())),
             emit,
+            settings.extra_request_share,
         )
         core.caller_service = settings.service.encode()
         runner.on_upstream_leaving = self._handle_leaving_response
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
@@ -164,6 +164,11 @@
         self._drop_connection()
         self._finish()
 
+    def withdraw(self) -> None:
+        """Take the call back at its sender's request, unless the upstream may run it already."""
+        if not self.was_sent:
+            self.refuse(Refusal.CANCELLED, 0.0)
+
     def refuse(self, reason: Refusal, retry_after_s: float, reached_upstream: bool = False) -> None:
         """Report that the call has not run."""
         if not self.has_ended:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from godwitpass.ids import ServiceName
+from godwitpass.ids import RouteName, ServiceName
 from godwitpass.internal.relay.admission import ScheduledCall, SchedulingDecision, SlotScheduler
 from godwitpass.internal.relay.flow_control import Grant, InboundFlowControl
 from godwitpass.internal.relay.frames import BODY_CHUNK_BYTES, Load, OpenStream, Refusal
@@ -26,6 +26,9 @@
 RESPONSE_BYTES_WEIGHT = 0.05
 """Weight of the newest response in the moving average of its route's size."""
 
+NESTED_CALLS_WEIGHT = 0.05
+"""Weight of the newest run in the moving average of its route's nested calls."""
+
 MISDIRECTED_STATUS = 421
 """Status with which an upstream refuses a request that is meant for another one."""
 
@@ -61,6 +64,8 @@
         self._rate_timer: asyncio.TimerHandle | None = None
         self._calls: dict[int, UpstreamCall] = {}
         self._active_request_ids: Counter[str] = Counter()
+        self._nested_calls: Counter[str] = Counter()
+        self._mean_nested_calls = RouteAverages(NESTED_CALLS_WEIGHT)
         self._last_call_id = 0
         self._response_bytes = RouteAverages(RESPONSE_BYTES_WEIGHT)
 
@@ -73,6 +78,14 @@
         """Tell whether a call with this request id is in progress here."""
         return bool(request_id) and request_id in self._active_request_ids
 
+    def count_nested_call(self, request_id: str) -> None:
+        """Count a nested call of the run with this request id."""
+        self._nested_calls[request_id] += 1
+
+    def estimate_nested_calls(self, route: RouteName, default: float) -> float:
+        """Return the mean number of nested calls of a run, or `default` if none has run here."""
+        return self._mean_nested_calls.get(route, default)
+
     def get_load(self) -> Load:
         """Return the load that is reported to other daemons."""
         scheduler = self.scheduler
@@ -171,9 +184,11 @@
         self._active_request_ids[request_id] -= 1
         if not self._active_request_ids[request_id]:
             del self._active_request_ids[request_id]
+        nested_calls = self._nested_calls.pop(request_id, 0)
         now = self.now()
         if is_completed:
             self._response_bytes.update(call.request.route, response_bytes)
+            self._mean_nested_calls.update(call.request.route, nested_calls)
         self.response_sender.release(call.call_id)
         if self.scheduler.remove_waiting(call.call_id):
             return self.get_load()
--- a/packages/godwitpass/src/godwitpass/internal/relay/frames.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/frames.py
@@ -103,6 +103,15 @@
     stream_id: int
 
 
+class WithdrawStream(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """Takes a call back that has not been sent to the upstream; one that runs isn't affected.
+
+    It is sent only where extra requests are on.
+    """
+
+    stream_id: int
+
+
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag=4):
     """Requests a `Pong`."""
 
@@ -186,6 +195,7 @@
     | GoAway
     | WindowUpdate
     | BodyReceived
+    | WithdrawStream
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/godwitpass/src/godwitpass/internal/relay/upstream_selection.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/upstream_selection.py
@@ -9,6 +9,7 @@
 from godwitpass.ids import InstanceId, RouteName, ServiceName, ZoneId
 from godwitpass.internal.relay.frames import Load
 from godwitpass.internal.relay.moving_averages import RouteAverages
+from godwitpass.internal.retrying.extra_requests import Room
 from godwitpass.mesh import Upstream, UpstreamState
 
 CROSS_ZONE_PENALTY_S = 0.012
@@ -55,6 +56,12 @@
 MIN_SLOWNESS, MAX_SLOWNESS = 0.2, 8.0
 MIN_SERVICE_TIME_S = 0.001
 MIN_LOAD_HALF_LIFE_S = 0.01
+ROOM_REPORT_AGE_S = 2.0
+"""Age up to which a reported load tells whether its service has room for extra requests.
+
+A daemon that sends five calls a second to a service hears from ten of its upstreams in this time.
+"""
+
 UTILIZATION_PENALTY_SHARE = 0.3
 """Share of the service time that is added to the score of an upstream with all slots in use."""
 
@@ -191,6 +198,32 @@
             fields["load_age_ms"] = int((now - stats.load_received_at) * 1000)
         return fields
 
+    def describe_room(
+        self, service: ServiceName, slow: InstanceId, target: InstanceId, now: float
+    ) -> Room:
+        """Return the recently reported load of the upstreams of `service` other than `slow`.
+
+        `target` is the upstream that an extra request would be sent to.
+        """
+        slots = busy = waiting = 0
+        has_target_slot = False
+        for stats in self._ready_by_service.get(service, ()):
+            instance, load = stats.upstream.instance, stats.load
+            if instance == slow or load is None or now - stats.load_received_at > ROOM_REPORT_AGE_S:
+                continue
+            own_busy = load.running + stats.calls_since_load
+            slots += load.slots
+            busy += own_busy
+            waiting += load.waiting
+            if instance == target:
+                has_target_slot = own_busy < load.slots and stats.backoff_until <= now
+        return Room(slots, busy, waiting, has_target_slot)
+
+    def get_slowness(self, instance: InstanceId) -> float:
+        """Return the service time of an upstream relative to the average of the same routes."""
+        stats = self._stats.get(instance)
+        return stats.slowness if stats is not None else 1.0
+
     def record_sent(
         self, instance: InstanceId, body_bytes: int = 0, response_bytes: float = 0.0
     ) -> None:
@@ -243,6 +276,18 @@
             stats.slowness += SLOWNESS_WEIGHT * (ratio - stats.slowness)
         self._record_outcome(stats, has_failed, now)
 
+    def record_slow(self, instance: InstanceId, route: RouteName, elapsed_s: float) -> None:
+        """Raise the slowness of an upstream whose response was not awaited after `elapsed_s`.
+
+        The response would have taken longer. Otherwise an upstream whose slow calls are all
+        cancelled would never look slow.
+        """
+        stats = self._stats.get(instance)
+        usual_s = max(self._service_time_s.get(route, elapsed_s), MIN_SERVICE_TIME_S)
+        if stats is not None:
+            ratio = min(elapsed_s / usual_s, MAX_SLOWNESS)
+            stats.slowness += max(0.0, SLOWNESS_WEIGHT * (ratio - stats.slowness))
+
     def record_failure(self, instance: InstanceId, now: float) -> None:
         """Count a failed call at `instance`."""
         stats = self._stats.get(instance)
--- a/testkit/src/godwitpass_testkit/load_model/fleet.py
+++ b/testkit/src/godwitpass_testkit/load_model/fleet.py
@@ -85,6 +85,10 @@
         self._handlers.pop(stream_id, None)
         self._loop.call_later(self._delay_s, self._cancel_at_target, stream_id)
 
+    def withdraw(self, stream_id: int) -> None:
+        """Take a call back that waits at the target."""
+        self._loop.call_later(self._delay_s, self._withdraw_at_target, stream_id)
+
     def extend_window(self, stream_id: int, size_bytes: int) -> None:
         """Do nothing: responses are short."""
 
@@ -106,6 +110,11 @@
         if call is not None:
             call.cancel()
 
+    def _withdraw_at_target(self, stream_id: int) -> None:
+        call = self._calls.get(stream_id)
+        if call is not None:
+            call.withdraw()
+
     def _dispatch(self, frame: Frame) -> None:
         if isinstance(frame, Response | Refused | Failed):
             self._source.record_load(self._target.instance, frame.load)
@@ -272,6 +281,7 @@
         lambda name: upstreams_by_service.get(name, ()),
         lambda: daemon_count,
         _ignore_event,
+        experiment.extra_request_share,
     )
     faults = [
         fault
