--- a/tests/cover/test_platform.py
+++ b/tests/cover/test_platform.py
@@ -14,7 +14,7 @@
 from godwitpass_daemon.relay.service import RelayService
 from godwitpass_platform.process import build_platform_kernel
 from godwitpass_platform.reload import SettingsWatcher, read_file_stamp
-from godwitpass_platform.settings import read_platform_settings
+from godwitpass_platform.settings import EXTRA_REQUEST_SHARE_VARIABLE, read_platform_settings
 from godwitpass_platform_stand_ins import (
     Client,
     Deployment,
@@ -555,6 +555,16 @@
         with pytest.raises(InvalidSettings):
             read_platform_settings(path)
 
+    def test_the_share_of_extra_requests_is_read_from_the_environment(self, tmp_path: Path) -> None:
+        path = tmp_path / "settings.toml"
+        path.write_text(SETTINGS)
+        assert read_platform_settings(path, {}).relay.extra_request_share == 0
+        environment = {EXTRA_REQUEST_SHARE_VARIABLE: "0.02"}
+        assert read_platform_settings(path, environment).relay.extra_request_share == 0.02
+        for text in ("2%", "1.5", "-0.1", "nan", ""):
+            with pytest.raises(InvalidSettings, match="set it to a share"):
+                read_platform_settings(path, {EXTRA_REQUEST_SHARE_VARIABLE: text})
+
     def test_an_error_in_the_settings_names_the_file(self, tmp_path: Path) -> None:
         path = tmp_path / "settings.toml"
         path.write_text('[self]\nnodeName = "a"\n')
