Log extra requests, and judge room by the upstreams that report

Cause: a daemon that sends three calls a second to 67 upstreams has a recent load of few of them, so the target of an extra request seldom had one, and the request was not sent.

Change: a target without a recent report is assumed to have a slot if this daemon has not filled it; the others that reported still decide whether the service has room, and there must be some. Events 441 and 442 record an extra request with its inputs, and an attempt that ends while the other goes on; the event of the call's end says whether the extra request won.

The 117 tests of decisions and the 33 of two attempts pass.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -217,8 +217,38 @@
         )
         is_sent = verdict is Verdict.SEND
         self.counts["extra-request" if is_sent else f"no-extra-{_name(verdict)}"] += 1
+        if is_sent:
+            self._emit(
+                kinds.EXTRA_REQUEST_SENT,
+                {
+                    "request": call.head.request_id,
+                    "route": route,
+                    "slow": slow,
+                    "target": target,
+                    "took_ms": int((self.now() - call.arrived_at) * 1000),
+                    "left_ms": int(facts.remaining_s * 1000),
+                    "share": facts.share or 0.0,
+                    "cost": round(1.0 + nested_calls, 2),
+                    "others_slots": room.slots,
+                    "others_busy": room.busy,
+                    "others_waiting": room.waiting,
+                    **self._describe_retry_budget(service),
+                },
+            )
         return verdict
 
+    def record_attempt_ended(self, call: ForwardedCall, upstream: Upstream, reason: str) -> None:
+        """Count and log that one of two attempts ended without a good response."""
+        self.counts[f"attempt-ended-{reason.replace(' ', '-').replace('_', '-')}"] += 1
+        fields: dict[str, FieldValue] = {
+            "request": call.head.request_id,
+            "route": call.route.name,
+            "upstream": upstream.instance,
+            "reason": reason,
+            **self.selector.describe(upstream.instance, self.now()),
+        }
+        self._emit(kinds.ATTEMPT_ENDED, fields)
+
     def try_retry(self, service: ServiceName, cost: float = 1.0) -> bool:
         """Take a retry to `service` out of the retry budget; return False if it is used up.
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
@@ -4,6 +4,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from godwitpass.events import FieldValue
 from godwitpass.ids import InstanceId, ServiceName
 from godwitpass.internal.relay.admission import NESTED_CALL_PRIORITY
 from godwitpass.internal.relay.frames import (
@@ -148,7 +149,7 @@
             self._core.selector.record_failure(upstream.instance, now)
         if frame.reason is Refusal.CRASH_SUSPECT:
             self._is_crash_suspected = True
-            if not self._leave_to_other():
+            if not self._leave_to_other(upstream, "crash suspect"):
                 self._refuse_crash_suspect()
             return
         self._excluded.add(upstream.instance)
@@ -160,7 +161,7 @@
                 if self._retry_after_s is None
                 else min(self._retry_after_s, retry_after_s)
             )
-        if self._leave_to_other():
+        if self._leave_to_other(upstream, frame.reason.name.lower()):
             return
         if self._can_forward(is_retry=frame.reached_upstream, now=now):
             self._core.record_retry(self, upstream, frame.reason.name.lower())
@@ -175,7 +176,7 @@
         self._upstream_attempts += 1
         core.selector.record_failure(upstream.instance, now)
         self._excluded.add(upstream.instance)
-        if self._leave_to_other(may_have_run=True):
+        if self._leave_to_other(upstream, frame.reason.name.lower(), may_have_run=True):
             return
         if self._is_crash_suspected or (frame.reason is Failure.RESET and self._is_crash_suspect()):
             self._respond_locally(502, "crash suspect", None)
@@ -193,9 +194,9 @@
                 self._abort_response("link lost")
                 return
             self._upstream_attempts += 1
-            if not self._leave_to_other(may_have_run=True):
+            if not self._leave_to_other(upstream, "link lost", may_have_run=True):
                 self._retry_or_fail(upstream, "link lost", now, Failure.RESET)
-        elif self._leave_to_other():
+        elif self._leave_to_other(upstream, "not connected"):
             return
         elif self._can_forward(is_retry=False, now=now):
             self._core.record_retry(self, upstream, "not connected")
@@ -211,6 +212,7 @@
             self._upstream_attempts += 1
             self._excluded.add(attempt.upstream.instance)
             self._server_error = attempt, frame
+            self._core.record_attempt_ended(self, attempt.upstream, "server error")
             return
         self._response_bytes = len(frame.body)
         head = self._encode_head(frame)
@@ -251,7 +253,7 @@
         if attempt is not self._streaming:
             self._upstream_attempts += 1
             self._excluded.add(upstream.instance)
-            if not self._leave_to_other(may_have_run=True):
+            if not self._leave_to_other(upstream, "answer cut", may_have_run=True):
                 self._retry_or_fail(upstream, "answer cut", now, Failure.RESET)
             return
         self._abort_response("answer cut")
@@ -368,14 +370,19 @@
             len(self._body),
         )
 
-    def _leave_to_other(self, may_have_run: bool = False) -> bool:
-        """Tell whether another attempt decides about the call after one has ended.
+    def _leave_to_other(self, upstream: Upstream, reason: str, may_have_run: bool = False) -> bool:
+        """Tell whether another attempt decides about the call after that at `upstream` has ended.
 
         That is one still in flight, or one that got a server error, which is passed on now.
         """
         if self._in_flight:
             self._uncertain_attempts += may_have_run
+            self._core.record_attempt_ended(self, upstream, reason)
             return True
+        return self._respond_with_server_error()
+
+    def _respond_with_server_error(self) -> bool:
+        """Pass on the server error that one of two attempts got; return False without any."""
         if self._server_error is None:
             return False
         attempt, frame = self._server_error
@@ -444,7 +451,7 @@
             return
         was_forwarded = bool(self._in_flight)
         self._cancel_attempts()
-        if self._leave_to_other():
+        if self._respond_with_server_error():
             return
         if was_forwarded or self._uncertain_attempts:
             self._respond_locally(504, "deadline", None)
@@ -536,7 +543,12 @@
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
         self._cancel_extra_timer()
-        upstream = self._upstream
+        upstream, extra = self._upstream, self._extra_attempt
+        extra_fields: dict[str, FieldValue] = {}
+        if extra is not None:
+            has_won = outcome == "answered" and upstream is extra.upstream
+            extra_fields["extra"] = "won" if has_won else "lost"
+            self._core.counts["extra-won" if has_won else "extra-lost"] += 1
         self._core.record_end(
             self,
             {
@@ -546,6 +558,7 @@
                 "handovers": self._forward_count,
                 "wait_ms": frame.wait_ms if frame else -1,
                 "service_ms": frame.service_ms if frame else -1,
+                **extra_fields,
             },
         )
 
--- a/packages/godwitpass/src/godwitpass/internal/relay/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/events.py
@@ -79,6 +79,14 @@
     "relay.upstream-limited",
     "The upstream beside this daemon named a limit for its requests, or lifted it.",
 )
+EXTRA_REQUEST_SENT = EventKind(
+    441, "relay.extra-request", "A slow call is sent to a second upstream as well."
+)
+ATTEMPT_ENDED = EventKind(
+    442,
+    "relay.attempt-ended",
+    "One of the two attempts of a call ended without a good response; the other goes on.",
+)
 RUN_CANCELLED = EventKind(
     439, "relay.run-cancelled", "A call was cancelled by its sender while the upstream ran it."
 )
--- a/packages/godwitpass/src/godwitpass/internal/relay/upstream_selection.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/upstream_selection.py
@@ -203,13 +203,19 @@
     ) -> Room:
         """Return the recently reported load of the upstreams of `service` other than `slow`.
 
-        `target` is the upstream that an extra request would be sent to.
+        `target` is the upstream that an extra request would be sent to. If it has not reported
+        lately, it is assumed to have a slot: a daemon that sends three calls a second to 67
+        upstreams hears from few of them in time, and those tell whether the service is short.
         """
         slots = busy = waiting = 0
         has_target_slot = False
         for stats in self._ready_by_service.get(service, ()):
             instance, load = stats.upstream.instance, stats.load
-            if instance == slow or load is None or now - stats.load_received_at > ROOM_REPORT_AGE_S:
+            if instance == slow:
+                continue
+            if load is None or now - stats.load_received_at > ROOM_REPORT_AGE_S:
+                if instance == target and stats.backoff_until <= now:
+                    has_target_slot = stats.own_in_flight < stats.upstream.slots
                 continue
             own_busy = load.running + stats.calls_since_load
             slots += load.slots
--- a/packages/godwitpass/src/godwitpass/internal/retrying/extra_requests.py
+++ b/packages/godwitpass/src/godwitpass/internal/retrying/extra_requests.py
@@ -108,8 +108,10 @@
 
     @property
     def is_sufficient(self) -> bool:
-        """Return whether an extra request delays no other call."""
-        if not self.has_target_slot or self.waiting > MAX_WAITING_SHARE * self.slots:
+        """Return whether an extra request delays no other call; not if no load was reported."""
+        if not self.has_target_slot or not self.slots:
+            return False
+        if self.waiting > MAX_WAITING_SHARE * self.slots:
             return False
         return self.busy <= MAX_BUSY_SHARE * self.slots
 
