--- a/testkit/src/godwitpass_testkit/load_model/__main__.py
+++ b/testkit/src/godwitpass_testkit/load_model/__main__.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 from typing import Annotated
 
+import msgspec
 import typer
 
 from godwitpass_testkit.load_model.experiment import (
@@ -27,6 +28,9 @@
     daemons: Annotated[
         int | None, typer.Option(min=1, help="Scale the pattern to about so many daemons.")
     ] = None,
+    extra_request_share: Annotated[
+        float | None, typer.Option(min=0, max=1, help="Share of calls that may get one.")
+    ] = None,
     plot: Annotated[Path | None, typer.Option(help="File for a plot over time.")] = None,
 ) -> None:
     """Play a load pattern through the daemon's own relay in virtual time."""
@@ -40,6 +44,8 @@
         ) from error
     if daemons is not None:
         experiment = scale_experiment(experiment, daemons)
+    if extra_request_share is not None:
+        experiment = msgspec.structs.replace(experiment, extra_request_share=extra_request_share)
     result = simulate(experiment, seed)
     typer.echo(render_report(result))
     if plot is not None:
--- a/testkit/src/godwitpass_testkit/load_model/experiment.py
+++ b/testkit/src/godwitpass_testkit/load_model/experiment.py
@@ -100,6 +100,7 @@
     retry_ratio: NotNegative = 0.2
     retry_window_s: Positive = 10.0
     retry_slack: NotNegative = 64.0
+    extra_request_share: Share = 0.0
 
     @property
     def instance_count(self) -> int:
--- a/testkit/src/godwitpass_testkit/load_model/report.py
+++ b/testkit/src/godwitpass_testkit/load_model/report.py
@@ -34,7 +34,7 @@
         f"{result.experiment.shows}",
         "",
         f"worth {compute_worth(result, calls):.3f}, {len(calls)} calls, "
-        f"{result.handovers} sent on to another upstream",
+        f"{result.handovers} sent on to another upstream, {result.extra_requests} extra requests",
         "",
         "| Class | Calls | In time | Late | Refused | Failed | Worth | p50 s | p99 s |",
         "| --- | --- | --- | --- | --- | --- | --- | --- | --- |",
--- a/testkit/src/godwitpass_testkit/load_model/simulation.py
+++ b/testkit/src/godwitpass_testkit/load_model/simulation.py
@@ -46,6 +46,7 @@
     arrivals_by_service: dict[str, int]
     most_running_by_service: dict[str, int]
     handovers: int
+    extra_requests: int = 0
 
 
 class _Call:
@@ -164,4 +165,5 @@
         arrivals[service.name] = sum(upstream.arrival_count for upstream in upstreams)
         most_running[service.name] = max(upstream.most_running for upstream in upstreams)
     handovers = sum(daemon.core.counts["retry"] for daemon in daemons)
-    return Result(experiment, tuple(results), runs, arrivals, most_running, handovers)
+    extra = sum(daemon.core.counts["extra-request"] for daemon in daemons)
+    return Result(experiment, tuple(results), runs, arrivals, most_running, handovers, extra)
