--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -19,6 +19,7 @@
 SERVICES = {0: "desk", 1: "vault"}
 SEEDS = [3, 5]
 NEWER_SEEDS = [1, 2]
+EXTRA_REQUESTS_SEED = 41
 
 
 def build_checker(disturbances: Disturbances | None = None) -> Checker:
@@ -257,3 +258,10 @@
         assert not outcome.violations, outcome
         assert outcome.counts["status 200"] > 100
         assert outcome.counts["nested 200"] > 10
+
+    def test_extra_requests_violate_no_invariant_under_faults(self, tmp_path: Path) -> None:
+        plan = draw_plan(EXTRA_REQUESTS_SEED, 4, 14, True, extra_request_share=0.2)
+        outcome = run_soak(plan, tmp_path)
+        assert not outcome.violations, outcome
+        logs = b"".join(path.read_bytes() for path in tmp_path.glob("side-*.log"))
+        assert b"relay.extra-request" in logs, "the plan brings about a slow call"
