Add godwitctl check, which reviews a document before it is submitted

Cause: validation accepts entries that have no effect and limits that contradict each other.

Change: `check FILE` reports errors, routes that the relay never uses, shares of weight 0, services without calls, unused policies, contradicting limits of policies, customers and heads, and keys held twice; with a daemon configured, also the differences from the version in force. It exits with 0, 1 for findings and 2 if the file can't be read, and writes JSON on request.

--- a/packages/godwitpass-cli/src/godwitpass_cli/documents.py
+++ b/packages/godwitpass-cli/src/godwitpass_cli/documents.py
@@ -1,6 +1,7 @@
 """Commands that validate, apply, show and compare documents and their versions."""
 
 import sys
+from enum import IntEnum
 from pathlib import Path
 from typing import Annotated
 
@@ -17,8 +18,10 @@
 )
 from godwitpass.difference import Difference, compare_documents
 from godwitpass.document import DOCUMENT_FORMAT, Document, read_document
+from godwitpass.errors import Finding
 from godwitpass.ids import NO_VERSION, Version
 from godwitpass.internal.codec import encode_canonical, hash_content
+from godwitpass.internal.validation.review import UnreadableDocument, review_document
 from godwitpass_cli.client import ApiRequest, build_write_headers
 from godwitpass_cli.errors import CommandError
 from godwitpass_cli.exit_codes import ExitCode
@@ -35,6 +38,15 @@
 
 STANDARD_INPUT_PATH = "-"
 
+
+class CheckStatus(IntEnum):
+    """Exit status of `check`, which differs from that of other commands as linters' does."""
+
+    FINE = 0
+    FINDINGS = 1
+    UNREADABLE = 2
+
+
 DocumentFile = Annotated[
     Path, typer.Argument(help="Document in JSON with comments; - for standard input.")
 ]
@@ -54,6 +66,45 @@
     session.print_text(f"{file}: valid; {counts}, {len(document.policies)} policies")
 
 
+class CheckResult(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Findings about a document, and its differences from the version in force if that is known."""
+
+    findings: tuple[Finding, ...]
+    version: Version | None = None
+    differences: tuple[Difference, ...] = ()
+
+
+def check(
+    context: typer.Context, file: DocumentFile, output: OutputOption = OutputFormat.TABLE
+) -> None:
+    """Find errors, entries without effect and contradicting limits in a document.
+
+    The differences from the version in force are shown if a daemon is configured. Exits with 0
+    without findings, 1 with findings, 2 if the file can't be read.
+    """
+    session = find_session(context)
+    try:
+        review = review_document(_read_file(file), str(file))
+    except (CommandError, UnreadableDocument) as error:
+        session.print_error(error)
+        raise typer.Exit(CheckStatus.UNREADABLE) from error
+    result = CheckResult(tuple(review.findings))
+    if review.document is not None and session.configuration.addresses:
+        current = _fetch_version(session, None)
+        differences = tuple(compare_documents(current.document, review.document))
+        result = CheckResult(result.findings, current.version, differences)
+    if not session.print_if_json(result):
+        for finding in result.findings:
+            session.print_text(finding.render())
+        if not result.findings:
+            session.print_text(f"{file}: no findings")
+        if result.version is not None:
+            comparison = Comparison(result.version, NO_VERSION, result.differences)
+            _print_differences(session, comparison, str(file))
+    if result.findings:
+        raise typer.Exit(CheckStatus.FINDINGS)
+
+
 def apply(
     context: typer.Context,
     file: DocumentFile,
--- a/packages/godwitpass-cli/src/godwitpass_cli/main.py
+++ b/packages/godwitpass-cli/src/godwitpass_cli/main.py
@@ -20,6 +20,7 @@
 
 for command in (
     documents.validate,
+    documents.check,
     documents.apply,
     documents.get,
     documents.diff,
--- a/packages/godwitpass-cli/tests/test_commands.py
+++ b/packages/godwitpass-cli/tests/test_commands.py
@@ -63,6 +63,22 @@
         yield runner
 
 
+class TestCheck:
+    def test_the_exit_code_tells_scripts_whether_there_are_findings(
+        self, cli: CommandRunner
+    ) -> None:
+        cli.run("apply", cli.write_json(DOCUMENT))
+        assert cli.run("check", cli.write_json(DOCUMENT))[0] == 0
+        changed = {**DOCUMENT, "policies": [{"name": "unused"}]}
+        code, out, _ = cli.run("check", cli.write_json(changed), "--output", "json")
+        result = json.loads(out)
+        assert (code, result["version"], len(result["differences"])) == (1, 1, 1)
+        assert "no route uses policy" in result["findings"][0]["message"]
+        assert cli.run("check", "/nonexistent/document.json")[0] == 2
+        invalid, code = ({**DOCUMENT, "format": 2}, 1)
+        assert cli.run("check", cli.write_json(invalid))[0] == code
+
+
 class TestApply:
     def test_an_unreachable_daemon_and_one_without_a_store_are_skipped(
         self, cli: CommandRunner
