Play collected responses in the test of two attempts too

Cause: the test played only responses that are passed on in parts.

Change: every second stream announces a size, so that its response is collected first.

--- a/packages/godwitpass-cli/tests/test_commands.py
+++ b/packages/godwitpass-cli/tests/test_commands.py
@@ -75,8 +75,7 @@
         assert (code, result["version"], len(result["differences"])) == (1, 1, 1)
         assert "no route uses policy" in result["findings"][0]["message"]
         assert cli.run("check", "/nonexistent/document.json")[0] == 2
-        invalid, code = ({**DOCUMENT, "format": 2}, 1)
-        assert cli.run("check", cli.write_json(invalid))[0] == code
+        assert cli.run("check", cli.write_json({**DOCUMENT, "format": 2}))[0] == 1
 
 
 class TestApply:
--- a/packages/godwitpass-daemon/tests/relay/test_extra_requests.py
+++ b/packages/godwitpass-daemon/tests/relay/test_extra_requests.py
@@ -54,10 +54,13 @@
 
 
 class FakeStream:
-    """One opened stream; it keeps its handler after its end, as a lost link may call it then."""
+    """One opened stream; it keeps its handler after its end, as a lost link may call it then.
 
-    def __init__(self, attempt: Attempt, instance: InstanceId) -> None:
-        self.attempt = attempt
+    A response in parts is passed on at once if `is_streamed`, and collected else.
+    """
+
+    def __init__(self, attempt: Attempt, instance: InstanceId, is_streamed: bool) -> None:
+        self.attempt, self.is_streamed = attempt, is_streamed
         self.marker = b"<%s>" % instance.encode()
         self.ends: list[str] = []
         self.is_withdrawn = False
@@ -100,7 +103,8 @@
             self.ends.append(event)
 
     def _respond(self, status: int, is_last: bool) -> Response:
-        body_bytes = len(self.marker) if is_last else -1
+        body_bytes = -1 if self.is_streamed else 2 * len(self.marker)
+        body_bytes = len(self.marker) if is_last else body_bytes
         return Response(1, status, b"", self.marker, body_bytes, is_last, 0, 9, IDLE)
 
 
@@ -111,7 +115,8 @@
 
     def get_link(self, upstream: Upstream, body_bytes: float) -> Any:
         def open_stream(attempt: Attempt, request: OpenStream, body: bytes) -> int:
-            self.streams.append(FakeStream(attempt, upstream.instance))
+            is_streamed = len(self.streams) % 2 == 0
+            self.streams.append(FakeStream(attempt, upstream.instance, is_streamed))
             return len(self.streams) - 1
 
         return SimpleNamespace(
