--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -186,6 +186,7 @@
             self._membership.upstreams,
             lambda: max(1, len(self._membership.members())),
             emit,
+            settings.extra_request_share,
         )
         core.caller_service = settings.service.encode()
         core.admission.quota_gate = self._quotas
