--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -6,6 +6,7 @@
 
 from godwitpass_platform_soak import draw_plan, run_soak
 from godwitpass_platform_soak.checker import (
+    MAX_CUSTOMER_CALLS,
     Checker,
     Disturbances,
     Invariant,
@@ -240,8 +241,25 @@
         checker.record_unrecovered(1, 20.0)
         assert list_violated_invariants(checker) == [Invariant.PROCESS_RUNNING, Invariant.RECOVERED]
 
+    def test_calls_of_a_customer_beyond_its_limit_are_found(self) -> None:
+        checker, path = Checker(Disturbances(), SERVICES), "/read/1"
+        for number in range(80):
+            sent_at = 10.0 + number * 0.05
+            checker.record_probe_call(0, f"q{number}", path, sent_at)
+            checker.record_run(
+                "i-1-0", 1, f"q{number}", f"GET {path} HTTP/1.1", b"", "desk", sent_at, "limited"
+            )
+        assert set(list_violated_invariants(checker)) == {Invariant.RATE_LIMITED}
+        assert len(checker.violations) == 80 - int(MAX_CUSTOMER_CALLS)
+
 
 class TestShortRun:
+    def test_a_customer_beyond_its_limit_is_bounded_under_faults(self, tmp_path: Path) -> None:
+        outcome = run_soak(draw_plan(9001, 4, 12, with_limited_customer=True), tmp_path)
+        assert not outcome.violations, outcome
+        assert outcome.counts["status 429"] > 100
+        assert outcome.counts["of the limited customer"] > 30
+
     @pytest.mark.parametrize("seed", SEEDS)
     def test_real_daemons_violate_no_invariant(self, seed: int, tmp_path: Path) -> None:
         outcome = run_soak(draw_plan(seed, 3, 8), tmp_path)
