Let the first-ranked controller collect all reports, and complete only with a majority

In a later trial a roll-out was completed 0.14 s after switching by a controller that had no reports and took all old servers for silent.

Change: reports sent within 0.2 s of each other don't count as unanswered. A controller that hears one ranked before it sends no pokes and reads the record again. Completion needs reports of most servers; a switch that can't end within 3.5 s after the deadline is rolled back. A request to the store without an answer for 0.6 s is followed by a read. Metrics of roll-outs.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -277,7 +277,10 @@
     def render_metrics(self) -> str:
         """Return the metrics as text."""
         has_rejected = self._distribution.rejected_document() is not None
-        return render_metrics(collect_relay_metrics(self.core, self._events, has_rejected))
+        metrics = [*collect_relay_metrics(self.core, self._events, has_rejected)]
+        if self._rollouts is not None:
+            metrics += self._rollouts.collect_metrics()
+        return render_metrics(metrics)
 
     def apply_heartbeat(self, heartbeat: Heartbeat) -> UpdateOutcome:
         """Apply a heartbeat of the local upstream, and announce the new state."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/rollouts.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/rollouts.py
@@ -3,12 +3,11 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 import anyio
 from anyio.abc import TaskGroup
 
-from godwitpass.events import FieldValue
 from godwitpass.ids import Address, RouteName, ServiceName, SoftwareVersion
 from godwitpass.internal.actions import MessageReceived, RecordEvent, Send, SetTimer, TimerFired
 from godwitpass.internal.distribution.view import build_view
@@ -38,6 +37,7 @@
 from godwitpass.internal.rollouts.settings import RolloutSettings
 from godwitpass.mesh import Member
 from godwitpass.store import Store
+from godwitpass_daemon.admin.metrics import Label, Metric, MetricKind, Sample
 from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.peers import Channel, PeerTransport
 from godwitpass_daemon.services.membership import MembershipService
@@ -48,6 +48,16 @@
 MIN_READER_DELAY_S, MAX_READER_DELAY_S = 0.2, 1.0
 """Delay of reading after the start; daemons that start together know the readers by then."""
 
+CONTROLLED_METRICS = {
+    "elapsed_ms": "Time since the order, at the controller of the service.",
+    "reporting": "Daemons of the service that reported lately.",
+    "canaries": "Servers that are canaries.",
+    "responses": "Responses of the target version.",
+    "failures": "Failures of the target version.",
+    "baseline": "Responses of the other versions.",
+}
+"""Fields of a roll-out that are exported, with their help texts."""
+
 
 def read_boot_time() -> float:
     """Return the time of the clock that also runs while the process or machine is paused."""
@@ -150,15 +160,22 @@
         now = read_boot_time()
         self._perform(self._agent.record_response(route, duration_s, has_failed, is_reset, now))
 
-    def describe(self) -> dict[str, list[dict[str, FieldValue]]]:
-        """Return the roll-outs known to this daemon, for operators."""
+    def collect_metrics(self) -> Iterator[Metric]:
+        """Yield whether the local version is open, and the roll-outs that this daemon controls."""
+        own = {"version_open": float(self.may_run()), "canary_share": self.share}
+        for name, value in own.items():
+            summary = f"{name.replace('_', ' ').capitalize()} of the local upstream."
+            yield Metric(f"godwitpass_rollout_{name}", summary, MetricKind.GAUGE, (Sample(value),))
         now = read_boot_time()
-        return {
-            "rollouts": [
-                {**rollout.describe(now), "controls": is_acting}
-                for rollout, is_acting in self._controller.rollouts
-            ]
-        }
+        controlled = [
+            rollout.describe(now) for rollout, is_acting in self._controller.rollouts if is_acting
+        ]
+        for name, summary in CONTROLLED_METRICS.items():
+            samples = tuple(
+                Sample(float(fields[name]), (Label("service", str(fields["service"])),))
+                for fields in controlled
+            )
+            yield Metric(f"godwitpass_rollout_{name}", summary, MetricKind.GAUGE, samples)
 
     async def _start_reading(self) -> None:
         await anyio.sleep(random.uniform(MIN_READER_DELAY_S, MAX_READER_DELAY_S))
--- a/packages/godwitpass/src/godwitpass/internal/rollouts/agent.py
+++ b/packages/godwitpass/src/godwitpass/internal/rollouts/agent.py
@@ -27,6 +27,9 @@
 MAX_SILENT_REPORTS = 2
 """Reports without an answer after which the agent turns to the next candidate."""
 
+MIN_SILENCE_S = 0.2
+"""A report followed by another one sooner than this isn't counted as unanswered."""
+
 CLOSE_DELAY_S = 0.5
 """Time between learning of the step `switching` and refusing calls to an old server.
 
@@ -346,7 +349,7 @@
         if self._controller not in self._list_candidates(self._service):
             self._controller = None
             self._turn_to_next_candidate()
-        if self._nonce:
+        if self._nonce and now - self._sent_at >= MIN_SILENCE_S:
             self._silent_reports += 1
             if self._silent_reports >= MAX_SILENT_REPORTS:
                 self._silent_reports = 0
--- a/packages/godwitpass/src/godwitpass/internal/rollouts/controller.py
+++ b/packages/godwitpass/src/godwitpass/internal/rollouts/controller.py
@@ -260,6 +260,10 @@
                 rank = candidates.index(sender)
                 if rank <= control.poked_rank or now - control.poked_at > HEARD_S:
                     control.poked_at, control.poked_rank = now, rank
+                is_preceded = self._own in candidates and rank < candidates.index(self._own)
+                if control.is_acting and is_preceded and not control.rollout.is_waiting:
+                    # The other controller may have gone on to another step.
+                    control.rollout.is_record_known = False
             return []
         if not isinstance(message, Report) or not self._is_reader:
             return []
@@ -339,6 +343,11 @@
         rollout, record = control.rollout, control.rollout.record
         if record is None or not rollout.is_record_known or not self.has_store(now):
             return []
+        candidates = self._list_candidates(rollout.service)
+        own_rank = candidates.index(self._own) if self._own in candidates else len(candidates)
+        if control.poked_rank < own_rank and now - control.poked_at < HEARD_S:
+            # The controller that is ranked before this one collects the reports.
+            return []
         if rollout.order is None and not rollout.is_running and control.announced == ():
             # An agent asked what the record says; nothing else needs to know.
             return []
@@ -358,11 +367,7 @@
             if has_changed or not is_needless:
                 actions.append(Send(member.address, poke))
         if not rollout.is_done:
-            others = [
-                address
-                for address in self._list_candidates(rollout.service)[:MAX_CANDIDATES]
-                if address != self._own
-            ]
+            others = [address for address in candidates[:MAX_CANDIDATES] if address != self._own]
             poked = {action.to for action in actions if isinstance(action, Send)}
             actions += [Send(address, poke) for address in others if address not in poked]
         return actions
--- a/packages/godwitpass/src/godwitpass/internal/rollouts/rollout.py
+++ b/packages/godwitpass/src/godwitpass/internal/rollouts/rollout.py
@@ -46,6 +46,9 @@
 MIN_SWITCH_S = 0.9
 """Time that old servers need to close and report; a switch that starts later would end too late."""
 
+MAX_OVERRUN_S = 3.5
+"""Time after the deadline at which a switch that can't end is rolled back; calls last 3.1 s."""
+
 GIVE_UP_MARGIN_S = 0.35
 """Time before the deadline from which a silent daemon no longer delays the completion."""
 
@@ -61,7 +64,9 @@
 MIN_BASELINE_CALLS, MIN_TARGET_CALLS = 200, 5
 """With so many calls at the old version, a target with fewer calls is taken to be unreachable."""
 
-REQUEST_TIMEOUT_S = 4.0
+MIN_REQUEST_TIMEOUT_S, MAX_REQUEST_TIMEOUT_S = 0.6, 4.0
+"""Time after which the record is read anew; it doubles, for a store that is slow."""
+
 RETRY_S = 0.3
 
 
@@ -103,6 +108,7 @@
         self._pending: Record | None = None
         self._is_waiting = False
         self._request_at = -math.inf
+        self._request_timeout_s = MIN_REQUEST_TIMEOUT_S
         self._retry_at = -math.inf
         self._lost_completion_at: Revision | None = None
         self._baseline_calls = 0
@@ -112,6 +118,11 @@
         """Return whether the record says that a roll-out runs."""
         return self.record is not None and self.record.phase is Phase.RUNNING
 
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether a request to the store has not been answered."""
+        return self._is_waiting
+
     @property
     def is_done(self) -> bool:
         """Return whether there is nothing to decide: no order, or one whose record is final."""
@@ -272,8 +283,9 @@
     ) -> list[Get | Put | RecordEvent]:
         """Return the next request to the store, if any, and what to log."""
         if self._is_waiting:
-            if now - self._request_at < REQUEST_TIMEOUT_S:
+            if now - self._request_at < self._request_timeout_s:
                 return []
+            self._request_timeout_s = min(MAX_REQUEST_TIMEOUT_S, 2 * self._request_timeout_s)
             self._fail(now, is_outcome_unknown=True)
         if now < self._retry_at:
             return []
@@ -334,6 +346,8 @@
                 return None, self._report_delay(reason, remaining_s)
             return msgspec.structs.replace(record, step=Step.SWITCHING), []
         reason = self._find_completion_obstacle(upstreams, remaining_s, now)
+        if reason and remaining_s < -MAX_OVERRUN_S:
+            return self._end(record, Phase.ROLLED_BACK, f"not completed in time: {reason}"), []
         if reason:
             return None, self._report_delay(reason, remaining_s)
         return self._end(record, Phase.COMPLETED, ""), []
@@ -369,10 +383,7 @@
         old, targets = self._split(upstreams)
         if not any(self._is_recent(upstream.instance, now) for upstream in targets):
             return "no target server reports"
-        servers = [*old, *targets]
-        recent = sum(self._is_recent(upstream.instance, now) for upstream in servers)
-        if 2 * recent <= len(servers):
-            # Of two controllers, at most one hears a majority.
+        if not self._hears_majority([*old, *targets], now):
             return "most servers don't report"
         target_calls = self.judgement.target_responses
         if self._baseline_calls >= MIN_BASELINE_CALLS and target_calls < MIN_TARGET_CALLS:
@@ -383,6 +394,11 @@
             return "too late to complete in time"
         return ""
 
+    def _hears_majority(self, servers: Sequence[Upstream], now: float) -> bool:
+        """Return whether most servers report here; of two controllers, at most one hears them."""
+        recent = sum(self._is_recent(upstream.instance, now) for upstream in servers)
+        return 2 * recent > len(servers)
+
     def _find_completion_obstacle(
         self, upstreams: Sequence[Upstream], remaining_s: float, now: float
     ) -> str:
@@ -390,6 +406,8 @@
         old, targets = self._split(upstreams)
         if not any(self._is_recent(upstream.instance, now) for upstream in targets):
             return "no target server reports"
+        if not self._hears_majority([*old, *targets], now):
+            return "most servers don't report"
         silent = busy = 0
         for upstream in old:
             status = self.agents.get(upstream.instance)
@@ -409,6 +427,8 @@
         """Apply the store's answer to the last request."""
         if answer.tag != self._tag or not self._is_waiting:
             return []
+        if not isinstance(answer, RequestFailed):
+            self._request_timeout_s = MIN_REQUEST_TIMEOUT_S
         match answer:
             case EntryRead():
                 return self._adopt(answer.entry, now)
@@ -449,7 +469,7 @@
                 fields: dict[str, FieldValue] = {"service": self.service, "reason": str(error)}
                 actions.append(RecordEvent(events.ORDER_INVALID, fields))
         revision = NO_REVISION if entry.value is None else entry.revision
-        has_changed = revision != self._revision or not self.is_record_known
+        has_changed = revision != self._revision
         self._revision = revision
         self.is_record_known = True
         self._set_record(record, now)
--- a/testkit/src/godwitpass_testkit/rollouts.py
+++ b/testkit/src/godwitpass_testkit/rollouts.py
@@ -257,9 +257,8 @@
         self._order = itertools.count()
         self._readers: tuple[Address, ...] = ()
         self.machines: list[Machine] = []
-        for number in range(old + new):
-            self.machines.append(Machine(self, number, OLD if number < old else NEW))
-        self.refresh_members()
+        self.add(OLD, old)
+        self.add(NEW, new)
         self.at(0.01, self._call)
 
     @property
@@ -290,6 +289,12 @@
             if machine.is_up and any(is_acting for _, is_acting in machine.controller.rollouts)
         ]
 
+    def add(self, version: SoftwareVersion, count: int) -> None:
+        """Start further machines."""
+        for _ in range(count):
+            self.machines.append(Machine(self, len(self.machines), version))
+        self.refresh_members()
+
     def order(self, target: SoftwareVersion = NEW, duration_s: float = 12.0) -> None:
         """Write an order."""
         if not self.deadline:
