--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
@@ -18,7 +18,9 @@
 from godwitpass_daemon.relay.service import RelayService, RelaySettings
 from godwitpass_daemon.services.crashes import CrashesService
 from godwitpass_daemon.services.distribution import DistributionService
+from godwitpass_daemon.services.freshness import FreshnessService
 from godwitpass_daemon.services.membership import MembershipService
+from godwitpass_daemon.services.quotas import QuotaService
 from godwitpass_daemon.services.rollouts import RolloutsService
 from godwitpass_daemon.settings import Settings
 
@@ -95,6 +97,34 @@
             dependencies.source,
         ),
     )
+    relay_settings = dependencies.settings
+    freshness_settings = relay_settings.freshness
+    if freshness_settings is not None:
+        kernel.register(
+            "freshness",
+            lambda services: FreshnessService(
+                freshness_settings,
+                dependencies.source.key,
+                relay_settings.rollouts is not None,
+                dependencies.store,
+                services.find("peers", PeerTransport),
+                services.find("membership", MembershipService),
+                services.find("distribution", DistributionService),
+                services.find("events", EventLog),
+            ),
+        )
+    quota_settings = relay_settings.quotas
+    if quota_settings is not None:
+        kernel.register(
+            "quotas",
+            lambda services: QuotaService(
+                quota_settings,
+                services.find("peers", PeerTransport),
+                services.find("membership", MembershipService),
+                services.find("distribution", DistributionService),
+                services.find("events", EventLog),
+            ),
+        )
     kernel.register(
         "crashes",
         lambda services: CrashesService(
@@ -117,6 +147,8 @@
             services.find("events", EventLog),
             services.find("crashes", CrashesService),
             services.find("rollouts", RolloutsService) if has_rollouts else None,
+            services.find("freshness", FreshnessService) if freshness_settings else None,
+            services.find("quotas", QuotaService) if quota_settings else None,
         ),
     )
     return kernel
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -9,6 +9,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
+from godwitpass.administration import CustomersStatus
 from godwitpass.events import EventKind, FieldValue
 from godwitpass.ids import Address, InstanceId, ServiceName, ZoneId
 from godwitpass.internal.distribution.reader import RejectedDocument
@@ -23,17 +24,22 @@
 from godwitpass_daemon.admin.metrics import render_metrics
 from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.listeners import split_address
+from godwitpass_daemon.relay.call_admission import ProofSource
 from godwitpass_daemon.relay.core import RelayCore
 from godwitpass_daemon.relay.crash_guard import CrashGuard
+from godwitpass_daemon.relay.customers_status import build_customers_status
 from godwitpass_daemon.relay.headers import HeaderNames
 from godwitpass_daemon.relay.inbound_peers import InboundPeerConnection
 from godwitpass_daemon.relay.ingress import CallerConnection
 from godwitpass_daemon.relay.limits import TIMEOUT_CHECK_INTERVAL_S
 from godwitpass_daemon.relay.metrics import collect_relay_metrics
 from godwitpass_daemon.relay.probe import probe_health
+from godwitpass_daemon.relay.quota_metrics import collect_quota_metrics
 from godwitpass_daemon.relay.upstream_runner import UpstreamRunner
 from godwitpass_daemon.services.distribution import DistributionService
+from godwitpass_daemon.services.freshness import FreshnessService
 from godwitpass_daemon.services.membership import MembershipService
+from godwitpass_daemon.services.quotas import QuotaService
 from godwitpass_daemon.services.rollouts import RolloutsService
 
 LISTEN_BACKLOG = 1024
@@ -111,9 +117,13 @@
         events: EventLog,
         crash_guard: CrashGuard | None = None,
         rollouts: RolloutsService | None = None,
+        freshness: FreshnessService | None = None,
+        quotas: QuotaService | None = None,
     ) -> None:
         self._crash_guard = crash_guard
         self._rollouts = rollouts
+        self._freshness = freshness
+        self._quotas = quotas
         self._settings = settings
         self._header_names = header_names
         self._distribution = distribution
@@ -178,6 +188,12 @@
             emit,
         )
         core.caller_service = settings.service.encode()
+        core.admission.quota_gate = self._quotas
+        freshness = self._freshness
+        if freshness is not None:
+            core.admission.proofs = ProofSource(
+                freshness.settings, freshness.compute_age, freshness.needs_always
+            )
         runner.on_upstream_leaving = self._handle_leaving_response
         if self._rollouts is not None:
             runner.version_gate = self._rollouts
@@ -219,6 +235,7 @@
                 core.calls_in_progress
                 or core.runner.calls_in_progress
                 or core.requests_awaiting_configuration
+                or core.admission.waiting_count
             )
             if not is_busy and loop.time() - stopping_since > READINESS_PROPAGATION_S:
                 break
@@ -274,10 +291,16 @@
         """Log that changed settings are invalid."""
         self._events.emit(kinds.SETTINGS_REFUSED, reason=reason)
 
+    def describe_customers(self) -> CustomersStatus:
+        """Return what operators see of the customers at this daemon."""
+        return build_customers_status(self.core, self._settings.instance)
+
     def render_metrics(self) -> str:
         """Return the metrics as text."""
         has_rejected = self._distribution.rejected_document() is not None
         metrics = [*collect_relay_metrics(self.core, self._events, has_rejected)]
+        if self._quotas is not None:
+            metrics += collect_quota_metrics(self._quotas)
         if self._rollouts is not None:
             metrics += self._rollouts.collect_metrics()
         return render_metrics(metrics)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
@@ -1,6 +1,7 @@
 """One call that another daemon forwarded, from its frames to the upstream and back."""
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
@@ -21,6 +22,7 @@
     WindowUpdate,
 )
 from godwitpass.internal.relay.registration import Heartbeat
+from godwitpass_daemon.boot_clock import read_boot_clock
 from godwitpass_daemon.edge.guards import RequestDescriptor
 from godwitpass_daemon.relay.crash_guard import describe_request
 from godwitpass_daemon.relay.headers import ResponseHead, encode_request_head
@@ -65,6 +67,7 @@
         "_connection",
         "_head",
         "_is_streaming",
+        "_permitted_until",
         "_response_bytes",
         "_response_chunks",
         "_runner",
@@ -92,6 +95,11 @@
         self.request = request
         self.call_id = call_id
         self.deadline = now + request.remaining_ms / 1000
+        self._permitted_until = (
+            math.inf
+            if request.permitted_ms < 0
+            else read_boot_clock() + request.permitted_ms / 1000
+        )
         self.scheduled = ScheduledCall(
             call_id,
             request.route,
@@ -385,9 +393,14 @@
             runner.pool.release(connection)
             self.refuse(Refusal.TOO_LATE if remaining_ms <= 0 else Refusal.DRAINING, 0.0)
             return
-        if runner.is_version_closed():
+        refusal = self._find_late_refusal()
+        if refusal is not None:
             runner.pool.release(connection)
-            self.refuse(Refusal.VERSION_CLOSED, 0.0)
+            if self.was_sent:
+                # The first connection was lost after the request had been sent on it.
+                self.fail(Failure.RESET)
+            else:
+                self.refuse(refusal, 0.0)
             return
         guard = runner.crash_guard
         if guard is not None and guard.has_suspects and guard.is_refused(self.describe()):
@@ -410,6 +423,14 @@
         request_id = request.request_id.encode("latin-1")
         connection.send(self, method, request_id, b"".join([head, *self._body_chunks]))
 
+    def _find_late_refusal(self) -> Refusal | None:
+        """Return why the call must not be handed to the upstream after its wait, if so."""
+        if self._runner.is_version_closed():
+            return Refusal.VERSION_CLOSED
+        if self._permitted_until < math.inf and read_boot_clock() >= self._permitted_until:
+            return Refusal.NOT_PERMITTED
+        return None
+
     def _drop_connection(self) -> None:
         if self._connection is not None:
             self._connection.close()
