Permit no canary whose share is too small to announce

Cause: a server that is announced with share 0 counts as being in service and would get all calls. With exposeShare 0, or below 0.00125, a canary was announced so.

Result: the new test fails without the rule and passes with it.

--- a/packages/godwitpass/src/godwitpass/internal/rollouts/rollout.py
+++ b/packages/godwitpass/src/godwitpass/internal/rollouts/rollout.py
@@ -37,6 +37,9 @@
 SHARE_FACTOR = 0.8
 """Part of the agreed share that canaries get; the rest is for calls sent around a change."""
 
+MIN_SHARE = 0.001
+"""Smaller shares can't be announced: a server with share 0 counts as being in service."""
+
 SWITCH_MARGIN_S = 2.5
 """Time before the deadline at which the target takes all calls."""
 
@@ -232,7 +235,8 @@
             closes = is_switching and (not is_halted or self._may_be_completed)
             return msgspec.structs.replace(answer, closes=closes)
         self._choose_canaries(upstreams, now)
-        permits = not is_halted and (is_switching or report.instance in self.canaries)
+        is_canary = report.instance in self.canaries and self.share >= MIN_SHARE
+        permits = not is_halted and (is_switching or is_canary)
         share = 1.0 if is_switching else self.share
         return msgspec.structs.replace(answer, permits=permits, share=share if permits else 0.0)
 
--- a/packages/godwitpass/tests/rollouts/test_rollouts.py
+++ b/packages/godwitpass/tests/rollouts/test_rollouts.py
@@ -443,6 +443,20 @@
         answer = rollout.receive_report(old, upstreams, True, 10.2)
         assert answer is not None and not answer.closes
 
+    @pytest.mark.parametrize("share", [0.0, 0.0009])
+    def test_a_share_too_small_to_announce_permits_no_canary(self, share: float) -> None:
+        """Guards against a canary that is announced with share 0 and taken to be in service."""
+        rollout = Rollout(SERVICE, SOURCE, share, 0.0)
+        rollout.set_order(Order(SERVICE, NEW, 12.0, Revision(3)), 0.0)
+        rollout.decide([], True, 1, 0.0)
+        record = Record(Phase.RUNNING, NEW, Step.CANARY, Revision(3))
+        entry = Entry("status/desk", SOURCE.encode_record(record), Revision(7))
+        rollout.handle_answer(EntryRead(1, entry), 0.0)
+        upstreams = [machine.announced for machine in World(old=0, new=1).machines]
+        report = self.report(NEW, upstreams[0].instance)
+        answer = rollout.receive_report(report, upstreams, True, 1.0)
+        assert answer is not None and not answer.permits
+
     def report(self, version: SoftwareVersion, name: str, is_closed: bool = False) -> Report:
         return Report(
             1,
