--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -299,10 +299,12 @@
     def render_metrics(self) -> str:
         """Return the metrics as text."""
         has_rejected = self._distribution.rejected_document() is not None
-        quota_metrics = collect_quota_metrics(self._quotas) if self._quotas is not None else ()
-        return render_metrics(
-            [*collect_relay_metrics(self.core, self._events, has_rejected), *quota_metrics]
-        )
+        metrics = [*collect_relay_metrics(self.core, self._events, has_rejected)]
+        if self._quotas is not None:
+            metrics += collect_quota_metrics(self._quotas)
+        if self._rollouts is not None:
+            metrics += self._rollouts.collect_metrics()
+        return render_metrics(metrics)
 
     def apply_heartbeat(self, heartbeat: Heartbeat) -> UpdateOutcome:
         """Apply a heartbeat of the local upstream, and announce the new state."""
