Refuse calls whose nested calls nearly all fail, and keep the retry budget for costly ones

Cause: when all servers of an inner service turn away what reaches them, outer calls are started, use a slot and end in an error after their work. Nested calls that were refused took the retry budget first come, first served.

Change: the daemon beside a server learns which nested routes an outer route uses and how many are refused. A refused nested call is tried at up to 10 servers.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/call_log.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/call_log.py
@@ -7,6 +7,7 @@
 from godwitpass.events import EventKind, FieldValue
 from godwitpass.internal.relay import events as kinds
 from godwitpass.internal.relay.frames import Failure, Refusal
+from godwitpass.internal.relay.nested_calls import NestedRefusal
 from godwitpass.internal.relay.sampling import is_sampled
 from godwitpass_daemon.relay.upstream_calls import UpstreamCall
 
@@ -51,6 +52,18 @@
             },
         )
 
+    def record_nested_refusal(self, call: UpstreamCall, refusal: NestedRefusal) -> None:
+        """Log why the nested calls of a refused call can't be served."""
+        self._emit(
+            kinds.NESTED_CALLS_REFUSED,
+            {
+                "request": call.request.request_id,
+                "route": call.request.route,
+                "loss": round(refusal.loss, 2),
+                "retry_ms": int(refusal.retry_after_s * 1000),
+            },
+        )
+
     def record_rate_limit(self, rate_per_s: float | None, previous: float | None) -> None:
         """Log that the upstream named a limit, changed it much or lifted it."""
         if rate_per_s is not None and previous is not None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -14,6 +14,7 @@
 from godwitpass.internal.relay import events as kinds
 from godwitpass.internal.relay.admission import NESTED_CALL_PRIORITY
 from godwitpass.internal.relay.frames import Load
+from godwitpass.internal.relay.nested_calls import NestedRefusals
 from godwitpass.internal.relay.retry_budget import DaemonShare, RetryBudget, RetryBudgetSettings
 from godwitpass.internal.relay.routes import RelayRoute, RelayTable, compile_routes
 from godwitpass.internal.relay.sampling import is_sampled
@@ -22,7 +23,7 @@
 from godwitpass.mesh import Upstream
 from godwitpass.snapshot import Snapshot
 from godwitpass_daemon.relay.call_log import Emit
-from godwitpass_daemon.relay.forwarded_calls import ForwardedCall
+from godwitpass_daemon.relay.forwarded_calls import ANSWERED, CRASH_SUSPECT, ForwardedCall
 from godwitpass_daemon.relay.headers import HeaderNames
 from godwitpass_daemon.relay.inbound_peers import InboundPeerConnection
 from godwitpass_daemon.relay.ingress import CallerConnection
@@ -76,6 +77,7 @@
         self.table: RelayTable | None = None
         self.caller_service = b""
         self.traffic_splitter = TrafficSplitter(rng)
+        self.nested_refusals = NestedRefusals()
         self.selector = UpstreamSelector(own_instance, zone, rng)
         self.caller_connections: set[CallerConnection] = set()
         self.requests_awaiting_configuration: dict[PipelinedRequest, CallerConnection] = {}
@@ -155,7 +157,9 @@
 
         A nested call goes first, because refusing it wastes the work of the call that made it.
         """
-        if self.runner.is_in_progress(request_id.rpartition(".")[0]):
+        outer_id = request_id.rpartition(".")[0]
+        if self.runner.is_in_progress(outer_id):
+            self.runner.nested_calls.count_nested(outer_id, route.name)
             return NESTED_CALL_PRIORITY
         return route.policy.priority
 
@@ -179,11 +183,11 @@
         self.calls_in_progress += 1
         self._get_retry_budget(service).count_call(self.now())
 
-    def try_retry(self, service: ServiceName) -> bool:
-        """Take a retry to `service` out of the retry budget; return False if it is used up."""
+    def try_retry(self, service: ServiceName, part: float = 1.0) -> bool:
+        """Take a retry to `service` out of a `part` of the retry budget, unless that is used up."""
         now, window_s = self.now(), self._retry_budget_settings.window_s
         share = self._slack_share.compute(now, self._count_daemons(), window_s)
-        is_allowed = self._get_retry_budget(service).try_retry(now, share)
+        is_allowed = self._get_retry_budget(service).try_retry(now, share, part)
         self.counts["repeat" if is_allowed else "repeat-over-budget"] += 1
         return is_allowed
 
@@ -218,6 +222,8 @@
         self.latency_us.record_value(max(1, int(elapsed_s * 1_000_000)))
         self.counts[f"status-{fields['status']}"] += 1
         request_id = call.head.request_id
+        if call.is_nested:
+            self._record_nested_end(call, fields)
         if fields["status"] in SUCCESS_STATUSES:
             if not is_sampled(request_id):
                 return
@@ -234,6 +240,14 @@
             },
         )
 
+    def _record_nested_end(self, call: ForwardedCall, fields: dict[str, FieldValue]) -> None:
+        """Count whether a nested call was refused; what its server responded isn't a refusal."""
+        if not fields["status"] or fields["outcome"] == CRASH_SUSPECT:
+            return
+        outer_id = call.head.request_id.rpartition(".")[0]
+        was_refused = fields["status"] == 503 and fields["outcome"] != ANSWERED
+        self.runner.nested_calls.end_nested(outer_id, call.route.name, was_refused, self.now())
+
     def record_retry(self, call: ForwardedCall, upstream: Upstream, reason: str) -> None:
         """Log that a call is retried, with what was known of the upstream that it left."""
         self.counts["retry"] += 1
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
@@ -26,6 +26,7 @@
     DEADLINE_MARGIN_S,
     MAX_BUFFERED_RESPONSE_BYTES,
     MAX_FORWARDS,
+    MAX_NESTED_FORWARDS,
     RESPONSE_GRANT_BYTES,
 )
 from godwitpass_daemon.relay.links import Link
@@ -44,6 +45,10 @@
 """A call with less time left than this is not forwarded."""
 
 
+ANSWERED, CRASH_SUSPECT = "answered", "crash suspect"
+"""Outcomes that other modules distinguish."""
+
+
 class ForwardedCall:
     """Forwards one call to an upstream, retries it and passes the response on.
 
@@ -117,6 +122,11 @@
         self._has_ended = False
         self._deadline_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def is_nested(self) -> bool:
+        """Return whether the upstream beside this daemon makes the call while it runs another."""
+        return self._priority == NESTED_CALL_PRIORITY
+
     def start(self, body: bytes) -> None:
         """Forward the call, whose request body is complete."""
         core = self._core
@@ -139,7 +149,9 @@
         now = self._core.now()
         upstream = self._detach(now)
         if frame.reached_upstream:
-            self._upstream_attempts += 1
+            # A nested call that its upstream refused is tried while its deadline and the retry
+            # budget allow, because its loss wastes the work of the outer call.
+            self._upstream_attempts += not self.is_nested
             self._core.selector.record_failure(upstream.instance, now)
         if frame.reason is Refusal.CRASH_SUSPECT:
             self._refuse_crash_suspect()
@@ -153,7 +165,11 @@
                 if self._retry_after_s is None
                 else min(self._retry_after_s, retry_after_s)
             )
-        if self._can_forward(is_retry=frame.reached_upstream, now=now):
+        is_service_refusing = (
+            frame.reason is Refusal.NESTED_REFUSED
+            and self._core.nested_refusals.record(self.route.name, upstream.instance, now)
+        )
+        if not is_service_refusing and self._can_forward(frame.reached_upstream, now):
             self._core.record_retry(self, upstream, frame.reason.name.lower())
             self._forward()
         else:
@@ -167,7 +183,7 @@
         core.selector.record_failure(upstream.instance, now)
         self._excluded.add(upstream.instance)
         if frame.reason is Failure.RESET and self._is_crash_suspect():
-            self._respond_locally(502, "crash suspect", None)
+            self._respond_locally(502, CRASH_SUSPECT, None)
             return
         self._retry_or_fail(upstream, frame.reason.name.lower(), now, frame.reason)
 
@@ -262,14 +278,13 @@
             self._refuse_crash_suspect()
             return
         # A nested call holds a slot of its caller, so any delay matters.
-        is_nested = self._priority == NESTED_CALL_PRIORITY
         upstream = core.selector.select(
             self.service,
             self.route.name,
             now,
             len(self._body),
             self._excluded,
-            0.0 if is_nested else self._objective_at - now,
+            0.0 if self.is_nested else self._objective_at - now,
         )
         if upstream is None:
             self._refuse(self._refusal_reason or "no upstream")
@@ -297,13 +312,21 @@
 
     def _can_forward(self, is_retry: bool, now: float) -> bool:
         """Tell whether the call may go to another upstream; a retry uses the retry budget."""
-        if self._core.is_refusing or self._forward_count >= MAX_FORWARDS:
+        max_forwards = MAX_NESTED_FORWARDS if self.is_nested else MAX_FORWARDS
+        if self._core.is_refusing or self._forward_count >= max_forwards:
             return False
         if self._deadline - now < MIN_FORWARD_TIME_S:
             return False
         if self._upstream_attempts >= self.route.policy.attempts:
             return False
-        return not is_retry or self._core.try_retry(self.service)
+        return not is_retry or self._core.try_retry(self.service, self._find_budget_part())
+
+    def _find_budget_part(self) -> float:
+        """Return the part of the retry budget that is open to this call."""
+        if not self.is_nested:
+            return 1.0
+        outer_id = self.head.request_id.rpartition(".")[0]
+        return self._core.runner.nested_calls.find_budget_part(outer_id)
 
     def _retry_or_fail(self, upstream: Upstream, reason: str, now: float, failure: Failure) -> None:
         is_idempotent = self.route.is_idempotent
@@ -329,7 +352,7 @@
     def _refuse_crash_suspect(self) -> None:
         """Refuse a request that crashes upstreams, to return as late as its caller allows."""
         self._retry_after_s = math.inf
-        self._refuse("crash suspect")
+        self._refuse(CRASH_SUSPECT)
 
     def _refuse(self, reason: str) -> None:
         """Respond that the call has not run, or with 502 if an earlier attempt may have run it."""
@@ -386,7 +409,7 @@
             response.status >= 500,
             now,
         )
-        self._finish("answered", response.status, response)
+        self._finish(ANSWERED, response.status, response)
 
     def _abort_response(self, reason: str) -> None:
         self._finish(reason, 0)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
@@ -63,5 +63,8 @@
 MAX_FORWARDS = 3
 """Upper bound of the daemons to which one call is forwarded."""
 
+MAX_NESTED_FORWARDS = 10
+"""The same for nested calls, whose refusal wastes the work of the outer call."""
+
 HEARTBEAT_TIMEOUT_S = 6.0
 """Time without a heartbeat after which an upstream is logged as silent."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
@@ -9,6 +9,7 @@
 from godwitpass.internal.relay.flow_control import Grant, InboundFlowControl
 from godwitpass.internal.relay.frames import BODY_CHUNK_BYTES, Load, OpenStream, Refusal
 from godwitpass.internal.relay.moving_averages import RouteAverages
+from godwitpass.internal.relay.nested_calls import NestedCallTracker
 from godwitpass.internal.relay.outbound_flow_control import OutboundFlowControl
 from godwitpass.internal.relay.registration import (
     Heartbeat,
@@ -46,6 +47,7 @@
         self.now = now
         self.registration = Registration()
         self.scheduler = SlotScheduler()
+        self.nested_calls = NestedCallTracker()
         self.flow_control = InboundFlowControl(bytes_per_s, BODY_CHUNK_BYTES)
         self.response_sender = ResponseSender(
             OutboundFlowControl(bytes_per_s, BODY_CHUNK_BYTES), now
@@ -158,6 +160,8 @@
         if reason is not None:
             call.refuse(reason, 0.0)
             return
+        if self._refuse_by_nested_calls(call):
+            return
         if not self._reserve_link(call):
             call.refuse(Refusal.NO_ROOM, self.response_sender.flow_control.backlog_s)
             return
@@ -172,6 +176,7 @@
         if not self._active_request_ids[request_id]:
             del self._active_request_ids[request_id]
         now = self.now()
+        self.nested_calls.end_outer(request_id, is_completed)
         if is_completed:
             self._response_bytes.update(call.request.route, response_bytes)
         self.response_sender.release(call.call_id)
@@ -215,6 +220,16 @@
             return True
         return self.now() - registration.last_heartbeat_at > HEARTBEAT_TIMEOUT_S
 
+    def _refuse_by_nested_calls(self, call: UpstreamCall) -> bool:
+        """Refuse a call whose nested calls can't be served now; return whether it was."""
+        request = call.request
+        refusal = self.nested_calls.check(request.route, self.now())
+        if refusal is None:
+            return False
+        self.call_log.record_nested_refusal(call, refusal)
+        call.refuse(Refusal.NESTED_REFUSED, refusal.retry_after_s)
+        return True
+
     def _reserve_link(self, call: UpstreamCall) -> bool:
         """Reserve the link for a large response; return False if it couldn't arrive in time."""
         if not call.reply_channel.is_flow_controlled:
@@ -259,6 +274,10 @@
             if call is None:
                 self.scheduler.release(scheduled.call_id, self.now(), is_completed=False)
             else:
+                request = call.request
+                self.nested_calls.start_outer(
+                    request.request_id, request.route, request.is_idempotent
+                )
                 call.start()
         self._schedule_next_start()
 
--- a/packages/godwitpass/src/godwitpass/internal/relay/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/events.py
@@ -82,3 +82,8 @@
 RUN_CANCELLED = EventKind(
     439, "relay.run-cancelled", "A call was cancelled by its sender while the upstream ran it."
 )
+NESTED_CALLS_REFUSED = EventKind(
+    460,
+    "relay.nested-calls-refused",
+    "A call was not started, since most calls on its route fail by refused nested calls.",
+)
--- a/packages/godwitpass/src/godwitpass/internal/relay/retry_budget.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/retry_budget.py
@@ -76,10 +76,10 @@
         """Return log fields: the retries in the window, and how many are allowed."""
         return {"retries": self._retries, "allowed": int(self._compute_allowed(slack_share))}
 
-    def try_retry(self, now: float, slack_share: float) -> bool:
-        """Count a retry and return True if this daemon's share of the budget allows it."""
+    def try_retry(self, now: float, slack_share: float, part: float = 1.0) -> bool:
+        """Count a retry and return True if `part` of this daemon's budget allows it."""
         bucket = self._get_current_bucket(now)
-        if self._retries + 1 > self._compute_allowed(slack_share):
+        if self._retries + 1 > part * self._compute_allowed(slack_share):
             return False
         bucket.retries += 1
         self._retries += 1
