--- a/packages/godwitpass/src/godwitpass/internal/relay/upstream_selection.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/upstream_selection.py
@@ -49,8 +49,8 @@
 MEAN_LOAD_WEIGHT = 0.05
 """Weight of the newest report in the mean load of a service's upstreams.
 
-An upstream of which nothing was heard for some time is expected to be as loaded as the others. Taken
-for idle instead, it got calls that had to wait while others had free slots.
+An upstream of which nothing was heard for some time is expected to be as loaded as the others.
+Taken for idle instead, it got calls that had to wait while others had free slots.
 """
 
 DEFAULT_SERVICE_TIME_S = 0.1
--- a/testkit/src/godwitpass_testkit/load_model/experiment.py
+++ b/testkit/src/godwitpass_testkit/load_model/experiment.py
@@ -57,8 +57,8 @@
     """A class of calls; times in seconds, `rate_per_s` of all callers, 0 for nested calls only.
 
     `spread` is the standard deviation of the logarithm of the service time. A response after
-    `objective_s` is worth `late_worth`, one after `deadline_s` nothing. `timeout_s` is the timeout of
-    its route, 0 for the deadline.
+    `objective_s` is worth `late_worth`, one after `deadline_s` nothing. `timeout_s` is the timeout
+    of its route, 0 for the deadline.
     """
 
     name: str
