Spread the retry-after times of refused calls, over twice the estimated wait

Cause: the estimate counts the queue, not the other refused callers, which came back together.

Change: twice the estimated wait, times 0.5 to 1.5, spread evenly over the refusals of a server. Active everywhere, for refusals only. The reference in TestQueueSums applies the same spread to its own estimate and compares as strictly as before.

--- a/packages/godwitpass/src/godwitpass/internal/relay/admission.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/admission.py
@@ -40,6 +40,15 @@
 MIN_RETRY_AFTER_S = 0.05
 """Lower bound of the retry-after time that a refused caller is given."""
 
+RETRY_AFTER_FACTOR = 2.0
+"""Retry-after time as a multiple of the estimated wait, which leaves out other refused callers."""
+
+MIN_SPREAD, MAX_SPREAD = 0.5, 1.5
+"""Bounds of the factor that spreads retry-after times, so that callers don't return together."""
+
+GOLDEN_RATIO_PART = 0.618034
+"""Its multiples are spread evenly between whole numbers."""
+
 MIN_REMAINING_SHARE = 0.25
 """Lower bound of a running call's estimated remaining time, as a share of the service time.
 
@@ -78,6 +87,7 @@
         self.running: dict[int, ScheduledCall] = {}
         self.waiting: dict[int, ScheduledCall] = {}
         self.rate_limiter = RateLimiter()
+        self._refusal_count = 0
         self._service_time_s = RouteAverages(SERVICE_TIME_WEIGHT)
 
     def estimate_service_time_s(self, route: RouteName) -> float:
@@ -146,7 +156,7 @@
                 queue.running_s = self._estimate_remaining_s(now)
             elif now + queue.estimate_start_delay_s(ahead_count, ahead_s) > latest_start:
                 queue.remove(call)
-                retry_after_s = max(MIN_RETRY_AFTER_S, queue.estimate_wait_s(call.priority))
+                retry_after_s = self._spread_retry_after_s(queue.estimate_wait_s(call.priority))
                 refused.append((call, retry_after_s))
             else:
                 ahead_count += 1
@@ -189,6 +199,13 @@
             latest_start, max(call.objective_at - service_time_s, call.arrived_at + max_wait_s)
         )
 
+    def _spread_retry_after_s(self, wait_s: float) -> float:
+        """Return the retry-after time of a call that would wait for `wait_s` now."""
+        self._refusal_count += 1
+        position = self._refusal_count * GOLDEN_RATIO_PART % 1.0
+        spread = MIN_SPREAD + (MAX_SPREAD - MIN_SPREAD) * position
+        return max(MIN_RETRY_AFTER_S, RETRY_AFTER_FACTOR * spread * wait_s)
+
     def _estimate_remaining_s(self, now: float) -> float:
         """Estimate the seconds that all running calls together still take."""
         remaining_s = 0.0
--- a/packages/godwitpass/tests/relay/test_admission.py
+++ b/packages/godwitpass/tests/relay/test_admission.py
@@ -6,7 +6,6 @@
 
 from godwitpass.ids import RouteName
 from godwitpass.internal.relay.admission import (
-    MIN_RETRY_AFTER_S,
     NESTED_CALL_PRIORITY,
     ScheduledCall,
     SchedulingDecision,
@@ -102,6 +101,17 @@
         assert refused
         assert len(scheduler.waiting) + len(scheduler.running) + len(refused) == 20
 
+    def test_callers_refused_together_are_asked_to_return_at_different_times(self) -> None:
+        # Guards against refused callers that come back together and are refused again.
+        scheduler = SlotScheduler(1)
+        times = [
+            retry_after_s
+            for call_id in range(1, 60)
+            for _, retry_after_s in scheduler.submit(build_call(call_id, 0.0), 0.0).refused
+        ]
+        assert len(times) > 20 and len(set(times)) == len(times)
+        assert max(times) > 2.0 * min(times)
+
     def test_a_refusal_carries_a_retry_after_time(self) -> None:
         scheduler = SlotScheduler(1)
         for call_id in range(20):
@@ -257,7 +267,7 @@
             elif now + self.sum_delay_s(ahead, now) > latest_start:
                 del self.waiting[call.call_id]
                 before = [one for one in self.waiting.values() if one.priority <= call.priority]
-                refused.append((call, max(MIN_RETRY_AFTER_S, self.sum_delay_s(before, now))))
+                refused.append((call, self._spread_retry_after_s(self.sum_delay_s(before, now))))
             else:
                 ahead.append(call)
         return SchedulingDecision(tuple(started), tuple(refused))
