--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
@@ -29,6 +29,7 @@
 from godwitpass_daemon.relay.limits import (
     DEADLINE_MARGIN_S,
     MAX_FORWARDS,
+    MAX_NESTED_FORWARDS,
     RESPONSE_GRANT_BYTES,
 )
 
@@ -46,6 +47,10 @@
 """A call with less time left than this is not forwarded."""
 
 
+ANSWERED, CRASH_SUSPECT = "answered", "crash suspect"
+"""Outcomes that other modules distinguish."""
+
+
 class ForwardedCall:
     """Forwards one call to an upstream, retries it and passes the response on.
 
@@ -134,6 +139,11 @@
         self._has_ended = False
         self._deadline_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def is_nested(self) -> bool:
+        """Return whether the upstream beside this daemon makes the call while it runs another."""
+        return self._priority == NESTED_CALL_PRIORITY
+
     def start(self, body: bytes) -> None:
         """Forward the call, whose request body is complete."""
         core = self._core
@@ -158,11 +168,13 @@
         now = self._core.now()
         upstream = self._detach(attempt)
         if frame.reached_upstream:
-            self._upstream_attempts += 1
+            # A nested call that its upstream refused is tried while its deadline and the retry
+            # budget allow, because its loss wastes the work of the outer call.
+            self._upstream_attempts += not self.is_nested
             self._core.selector.record_failure(upstream.instance, now)
         if frame.reason is Refusal.CRASH_SUSPECT:
             self._is_crash_suspected = True
-            if not self._leave_to_other(upstream, "crash suspect"):
+            if not self._leave_to_other(upstream, CRASH_SUSPECT):
                 self._refuse_crash_suspect()
             return
         if frame.reason is not Refusal.NOT_PERMITTED:
@@ -177,7 +189,11 @@
             )
         if self._leave_to_other(upstream, frame.reason.name.lower()):
             return
-        if self._can_forward(is_retry=frame.reached_upstream, now=now):
+        is_service_refusing = (
+            frame.reason is Refusal.NESTED_REFUSED
+            and self._core.nested_refusals.record(self.route.name, upstream.instance, now)
+        )
+        if not is_service_refusing and self._can_forward(frame.reached_upstream, now):
             self._core.record_retry(self, upstream, frame.reason.name.lower())
             self._forward()
         else:
@@ -193,7 +209,7 @@
         if self._leave_to_other(upstream, frame.reason.name.lower(), may_have_run=True):
             return
         if self._is_crash_suspected or (frame.reason is Failure.RESET and self._is_crash_suspect()):
-            self._respond_locally(502, "crash suspect", None)
+            self._respond_locally(502, CRASH_SUSPECT, None)
             return
         self._retry_or_fail(upstream, frame.reason.name.lower(), now, frame.reason)
 
@@ -305,14 +321,13 @@
 
     def _select_upstream(self, excluded: set[InstanceId], now: float) -> Upstream | None:
         # A nested call holds a slot of its caller, so any delay matters.
-        is_nested = self._priority == NESTED_CALL_PRIORITY
         return self._core.selector.select(
             self.service,
             self.route.name,
             now,
             len(self._body),
             excluded,
-            0.0 if is_nested else self._objective_at - now,
+            0.0 if self.is_nested else self._objective_at - now,
             self._forward_count > 0,
         )
 
@@ -410,7 +425,7 @@
         attempt, frame = self._server_error
         self._upstream = attempt.upstream
         head = self._encode_head(frame)
-        self._finish("answered", frame.status, frame)
+        self._finish(ANSWERED, frame.status, frame)
         self._request.write_response(head + frame.body, is_last=True)
         return True
 
@@ -427,7 +442,8 @@
 
     def _can_forward(self, is_retry: bool, now: float) -> bool:
         """Tell whether the call may go to another upstream; a retry uses the retry budget."""
-        if self._core.is_refusing or self._forward_count >= MAX_FORWARDS:
+        max_forwards = MAX_NESTED_FORWARDS if self.is_nested else MAX_FORWARDS
+        if self._core.is_refusing or self._forward_count >= max_forwards:
             return False
         if self._is_crash_suspected:
             return False
@@ -435,7 +451,14 @@
             return False
         if self._upstream_attempts >= self.route.policy.attempts:
             return False
-        return not is_retry or self._core.try_retry(self.service)
+        return not is_retry or self._core.try_retry(self.service, part=self._find_budget_part())
+
+    def _find_budget_part(self) -> float:
+        """Return the part of the retry budget that is open to this call."""
+        if not self.is_nested:
+            return 1.0
+        outer_id = self.head.request_id.rpartition(".")[0]
+        return self._core.runner.nested_calls.find_budget_part(outer_id)
 
     def _retry_or_fail(self, upstream: Upstream, reason: str, now: float, failure: Failure) -> None:
         is_idempotent = self.route.is_idempotent
@@ -461,7 +484,7 @@
     def _refuse_crash_suspect(self) -> None:
         """Refuse a request that crashes upstreams, to return as late as its caller allows."""
         self._retry_after_s = math.inf
-        self._refuse("crash suspect")
+        self._refuse(CRASH_SUSPECT)
 
     def _refuse(self, reason: str) -> None:
         """Respond that the call has not run, or with 502 if an earlier attempt may have run it."""
@@ -523,7 +546,7 @@
         self._upstream = self._detach(attempt)
         self._record_response(attempt, response, self._response_bytes)
         self._cancel_losers(attempt)
-        self._finish("answered", response.status, response)
+        self._finish(ANSWERED, response.status, response)
 
     def _record_response(self, attempt: Attempt, response: Response, size_bytes: int) -> None:
         core, now, instance = self._core, self._core.now(), attempt.upstream.instance
@@ -582,7 +605,7 @@
         upstream, extra = self._upstream, self._extra_attempt
         extra_fields: dict[str, FieldValue] = {}
         if extra is not None:
-            has_won = outcome == "answered" and upstream is extra.upstream
+            has_won = outcome == ANSWERED and upstream is extra.upstream
             extra_fields["extra"] = "won" if has_won else "lost"
             self._core.counts["extra-won" if has_won else "extra-lost"] += 1
         self._core.record_end(
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
@@ -4,12 +4,13 @@
 from collections import Counter
 from collections.abc import Callable
 
-from godwitpass.ids import RouteName, ServiceName
+from godwitpass.ids import ServiceName
 from godwitpass.internal.relay.admission import ScheduledCall, SchedulingDecision, SlotScheduler
 from godwitpass.internal.relay.ended_calls import EndedCalls
 from godwitpass.internal.relay.flow_control import Grant, InboundFlowControl
 from godwitpass.internal.relay.frames import BODY_CHUNK_BYTES, Load, OpenStream, Refusal
 from godwitpass.internal.relay.moving_averages import RouteAverages
+from godwitpass.internal.relay.nested_calls import NestedCallTracker
 from godwitpass.internal.relay.outbound_flow_control import OutboundFlowControl
 from godwitpass.internal.relay.registration import (
     Heartbeat,
@@ -28,9 +29,6 @@
 RESPONSE_BYTES_WEIGHT = 0.05
 """Weight of the newest response in the moving average of its route's size."""
 
-NESTED_CALLS_WEIGHT = 0.05
-"""Weight of the newest run in the moving average of its route's nested calls."""
-
 MISDIRECTED_STATUS = 421
 """Status with which an upstream refuses a request that is meant for another one."""
 
@@ -51,6 +49,7 @@
         self.now = now
         self.registration = Registration()
         self.scheduler = SlotScheduler()
+        self.nested_calls = NestedCallTracker()
         self.flow_control = InboundFlowControl(bytes_per_s, BODY_CHUNK_BYTES)
         self.response_sender = ResponseSender(
             OutboundFlowControl(bytes_per_s, BODY_CHUNK_BYTES), now
@@ -68,8 +67,6 @@
         self._calls: dict[int, UpstreamCall] = {}
         self._active_request_ids: Counter[str] = Counter()
         self.ended_calls = EndedCalls(now())
-        self._nested_calls: Counter[str] = Counter()
-        self._mean_nested_calls = RouteAverages(NESTED_CALLS_WEIGHT)
         self._last_call_id = 0
         self._response_bytes = RouteAverages(RESPONSE_BYTES_WEIGHT)
 
@@ -82,14 +79,6 @@
         """Tell whether a call with this request id is in progress here."""
         return bool(request_id) and request_id in self._active_request_ids
 
-    def count_nested_call(self, request_id: str) -> None:
-        """Count a nested call of the run with this request id."""
-        self._nested_calls[request_id] += 1
-
-    def estimate_nested_calls(self, route: RouteName, default: float) -> float:
-        """Return the mean number of nested calls of a run, or `default` if none has run here."""
-        return self._mean_nested_calls.get(route, default)
-
     def get_load(self) -> Load:
         """Return the load that is reported to other daemons."""
         scheduler = self.scheduler
@@ -186,6 +175,8 @@
         if reason is not None:
             call.refuse(reason, 0.0)
             return
+        if self._refuse_by_nested_calls(call):
+            return
         if not self._reserve_link(call):
             call.refuse(Refusal.NO_ROOM, self.response_sender.flow_control.backlog_s)
             return
@@ -199,13 +190,12 @@
         self._active_request_ids[request_id] -= 1
         if not self._active_request_ids[request_id]:
             del self._active_request_ids[request_id]
-        nested_calls = self._nested_calls.pop(request_id, 0)
         now = self.now()
         if call.was_sent and not is_completed:
             self.ended_calls.record(request_id, now)
+        self.nested_calls.end_outer(request_id, is_completed)
         if is_completed:
             self._response_bytes.update(call.request.route, response_bytes)
-            self._mean_nested_calls.update(call.request.route, nested_calls)
         self.response_sender.release(call.call_id)
         if self.scheduler.remove_waiting(call.call_id):
             return self.get_load()
@@ -248,6 +238,16 @@
             return True
         return self.now() - registration.last_heartbeat_at > HEARTBEAT_TIMEOUT_S
 
+    def _refuse_by_nested_calls(self, call: UpstreamCall) -> bool:
+        """Refuse a call whose nested calls can't be served now; return whether it was."""
+        request = call.request
+        refusal = self.nested_calls.check(request.route, self.now())
+        if refusal is None:
+            return False
+        self.call_log.record_nested_refusal(call, refusal)
+        call.refuse(Refusal.NESTED_REFUSED, refusal.retry_after_s)
+        return True
+
     def _reserve_link(self, call: UpstreamCall) -> bool:
         """Reserve the link for a large response; return False if it couldn't arrive in time."""
         if not call.reply_channel.is_flow_controlled:
@@ -294,6 +294,10 @@
             if call is None:
                 self.scheduler.release(scheduled.call_id, self.now(), is_completed=False)
             else:
+                request = call.request
+                self.nested_calls.start_outer(
+                    request.request_id, request.route, request.is_idempotent
+                )
                 call.start()
         self._schedule_next_start()
 
--- a/packages/godwitpass/src/godwitpass/internal/relay/retry_budget.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/retry_budget.py
@@ -76,13 +76,15 @@
         """Return log fields: the retries in the window, and how many are allowed."""
         return {"retries": int(self._retries), "allowed": int(self._compute_allowed(slack_share))}
 
-    def try_retry(self, now: float, slack_share: float, cost: float = 1.0) -> bool:
-        """Count a retry and return True if this daemon's share of the budget allows it.
+    def try_retry(
+        self, now: float, slack_share: float, cost: float = 1.0, part: float = 1.0
+    ) -> bool:
+        """Count a retry and return True if `part` of this daemon's budget allows it.
 
         `cost` is the number of runs that it repeats, those of its nested calls included.
         """
         bucket = self._get_current_bucket(now)
-        if self._retries + cost > self._compute_allowed(slack_share):
+        if self._retries + cost > part * self._compute_allowed(slack_share):
             return False
         bucket.retries += cost
         self._retries += cost
