Replay an outage of an inner service against the outer calls it would cost

Cause: the refusal of outer calls was tested by itself, not through the relay.

Change: a replay of nested-outage at 18 daemons.

--- a/testkit/tests/test_load_model.py
+++ b/testkit/tests/test_load_model.py
@@ -114,6 +114,24 @@
         assert len(refused) < len(later) / 100
 
 
+class TestNestedOutage:
+    def test_fewer_outer_calls_are_lost_by_nested_calls_that_nobody_serves(self) -> None:
+        # All servers of the inner service turn away everything. Guards against outer calls that are
+        # started although they can only fail; nearly all of them failed after their work.
+        pattern = read_experiment(PATTERNS_FOLDER / "nested-outage.toml")
+        outage = FaultSpec(FaultKind.SHED, 2.0, 2.5, 1.0, service="payments")
+        experiment = msgspec.structs.replace(
+            scale_experiment(pattern, 18), duration_s=6.0, faults=(outage,)
+        )
+        calls = simulate(experiment).calls
+        during = [call for call in calls if 2.5 <= call.started_at < 4.0]
+        failed = [call for call in during if call.outcome is Outcome.FAILED]
+        assert len(failed) < 0.75 * len(during)
+        # A second after the outage the route is served again.
+        later = [call for call in calls if call.started_at >= 5.5]
+        assert later and not [call for call in later if call.outcome is Outcome.REFUSED]
+
+
 class TestReport:
     def test_it_shows_classes_zones_and_services(self) -> None:
         report = render_report(simulate(CALM))
