Check keys and their withdrawal in the soak

Cause: no run with real daemons covered callers with keys, or keys withdrawn during faults.

A call that runs although it was sent more than 5 s after the withdrawal of its key is a violation, as is a key, or another customer's name, at a server. A 401 for the lasting key is the violation "denied" as before.

--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -13,6 +13,7 @@
     SentCall,
     hash_body,
 )
+from godwitpass_platform_soak.keys import LASTING_KEY
 
 BODY = b"body"
 REQUEST_LINE = "POST /order/1 HTTP/1.1"
@@ -83,6 +84,29 @@
         record_run_of_call(checker, request_line=request_line, body=body, caller=caller)
         assert list_violated_invariants(checker) == [Invariant.UNCHANGED_CALL]
 
+    @pytest.mark.parametrize(
+        ("key", "sent_at", "customer", "expected"),
+        [
+            (LASTING_KEY, 99.0, "north", []),
+            ("passing-4", 25.0, "north", []),
+            ("passing-3", 25.0, "north", []),
+            ("passing-3", 25.1, "north", [Invariant.KEY_WITHDRAWN]),
+            ("passing-1", 25.1, "north", [Invariant.KEY_WITHDRAWN]),
+            ("", 25.1, "north", [Invariant.CUSTOMER_NAMED]),
+            (LASTING_KEY, 25.1, "", [Invariant.CUSTOMER_NAMED]),
+        ],
+    )
+    def test_a_call_with_a_withdrawn_key_or_another_customer_is_found(
+        self, key: str, sent_at: float, customer: str, expected: list[Invariant]
+    ) -> None:
+        checker = build_checker()
+        checker.record_version(5, 20.0)
+        checker.record_call(
+            SentCall("k", 0, REQUEST_LINE, hash_body(BODY), True, 1.5, sent_at, key)
+        )
+        checker.record_headers("k", 1, customer, False, sent_at + 0.1)
+        assert list_violated_invariants(checker) == expected
+
     def test_a_call_that_nobody_sent_is_found(self) -> None:
         checker = build_checker()
         record_run_of_call(checker, request_id="forged")
