Fail a store request on an unexpected error instead of ending the daemon

Cause: store requests run in the kernel's task group. An error that their client does not expect, such as a RecursionError while a deeply nested answer is decoded, cancelled all tasks and ended the process.

Change: such an error fails the request; a write counts as possibly done.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/store_requests.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/store_requests.py
@@ -29,6 +29,10 @@
     except (StoreOutcomeUnknown, msgspec.MsgspecError) as error:
         is_write = isinstance(request, Put | Delete)
         return RequestFailed(request.tag, is_outcome_unknown=is_write, reason=str(error))
+    except Exception as error:
+        # In a task of the kernel, an error that nobody expects would end the whole daemon.
+        is_write = isinstance(request, Put | Delete)
+        return RequestFailed(request.tag, is_outcome_unknown=is_write, reason=repr(error))
 
 
 async def _call_store(store: Store, request: Request) -> Answer:
