Send callers back when an owner of rate limits can grant again after a start

Cause: for two seconds after a start no owner grants.

Change: a daemon that has not settled tells them the time until it has, and up to 0.6 s more to spread them.

--- a/packages/godwitpass/src/godwitpass/internal/quotas/asker.py
+++ b/packages/godwitpass/src/godwitpass/internal/quotas/asker.py
@@ -34,7 +34,7 @@
 from godwitpass.internal.quotas.owner import LimitsChanged
 from godwitpass.internal.quotas.settings import QuotaSettings
 from godwitpass.internal.quotas.stock import Demand, Lot, Stock
-from godwitpass.internal.quotas.tuning import OVERLAP_S, REPORT_INTERVAL_S, TOKEN_LIFE_S
+from godwitpass.internal.quotas.tuning import OVERLAP_S, REPORT_INTERVAL_S, SETTLING_S, TOKEN_LIFE_S
 
 ANSWER_TIMEOUT_S = 0.05
 """Time until a request is repeated; after twice this without any answer the next owner is asked.
@@ -66,6 +66,9 @@
 """Callers that are refused come back over this much more than the time they are told."""
 
 NO_OWNER_RETRY_AFTER_S = (0.1, 0.3)
+FIRST_GRANT_SPREAD_S = 0.6
+"""Time over which callers come back that were refused before any owner could grant."""
+
 LOG_INTERVAL_S = 1.0
 MAX_MESSAGE_NAME_BYTES = 700
 """Names in one message, so that it fits a datagram beside their numbers."""
@@ -174,6 +177,7 @@
         self, session: int, settings: QuotaSettings, rng: random.Random, now: float
     ) -> None:
         self._session = session
+        self._settled_at = now + SETTLING_S
         self._rng = rng
         self._ballot = Ballot(settings.window_s + TOKEN_LIFE_S + OVERLAP_S, now)
         self._nonce = 0
@@ -347,12 +351,23 @@
         while customer.waiting and customer.waiting[0].expires_at <= now:
             call = customer.waiting.popleft()
             customer.counts.no_owner += 1
-            retry_after_s = self._rng.uniform(*NO_OWNER_RETRY_AFTER_S)
+            retry_after_s = self._choose_retry_after_s(now)
             refusal = QuotaRefused(503, "no owner of the rate limit answers", retry_after_s)
             yield Decide(call.call_id, refusal)
         silent = [a for a, state in self._coordinators.items() if state.is_silent]
         yield from self._log(events.NO_OWNER, name, customer, {"silent": ",".join(silent)}, now)
 
+    def _choose_retry_after_s(self, now: float) -> float:
+        """Return when a caller that got no answer of an owner has a chance.
+
+        After a loss of power everywhere no owner grants before it has settled. Callers that come
+        back sooner use up their few retries for nothing.
+        """
+        settling_s = self._settled_at - now
+        if settling_s > 0:
+            return settling_s + FIRST_GRANT_SPREAD_S * self._rng.random()
+        return self._rng.uniform(*NO_OWNER_RETRY_AFTER_S)
+
     def _log(
         self,
         kind: EventKind,
--- a/packages/godwitpass/tests/quotas/test_quotas.py
+++ b/packages/godwitpass/tests/quotas/test_quotas.py
@@ -232,6 +232,25 @@
         refusal = harness.decisions[1].decision
         assert isinstance(refusal, QuotaRefused) and refusal.status == 503
 
+    @pytest.mark.parametrize("arrived_at", [0.1, 1.5])
+    def test_callers_refused_before_any_owner_can_grant_come_back_when_one_can(
+        self, arrived_at: float
+    ) -> None:
+        """Guards against callers that spend their few retries in the seconds after a power loss."""
+        harness = AskerHarness()
+        refused_at = arrived_at + MAX_WAIT_S
+        for call_id in range(20):
+            harness.handle(CallArrived(call_id, CUSTOMER), arrived_at)
+        harness.handle(CallArrived(20, CUSTOMER), refused_at)
+        returns = [
+            refused_at + item.decision.retry_after_s
+            for item in harness.decisions
+            if isinstance(item.decision, QuotaRefused)
+        ]
+        assert len(returns) == 20
+        assert all(SETTLING_S <= at <= SETTLING_S + 0.6 for at in returns)
+        assert max(returns) - min(returns) > 0.3
+
     def test_tokens_of_a_higher_limit_are_dropped(self) -> None:
         """Guards against a lower limit that binds late."""
         harness = AskerHarness()
