Report keys held twice and bursts without a rate once

Cause: validation and the review of a document, built side by side, both reported them, so a document had two findings for one mistake and two tests of the review failed.

Change: validation reports both; the review keeps the refill time of a burst. The tests' customer has a key, which validation now requires, and expects validation's words.

--- a/packages/godwitpass/src/godwitpass/internal/validation/review.py
+++ b/packages/godwitpass/src/godwitpass/internal/validation/review.py
@@ -1,11 +1,10 @@
 """Review of a document beyond its validity: entries without effect, and limits that contradict."""
 
-from collections import defaultdict
 from collections.abc import Callable, Iterator
 
 import msgspec
 
-from godwitpass.document import CallerLimits, Customer, Document, Execution, Route
+from godwitpass.document import CallerLimits, Document, Execution, Route
 from godwitpass.errors import Finding, InvalidDocument
 from godwitpass.ids import PolicyName, RouteName, ServiceName
 from godwitpass.internal.validation.findings import Findings
@@ -146,28 +145,16 @@
 
 
 def _check_customers(document: Document, findings: Findings) -> None:
-    holders: dict[str, list[str]] = defaultdict(list)
     for index, customer in enumerate(document.customers):
-        for position, digest in enumerate(customer.key_digests):
-            if holders[digest]:
-                message = f"this key is held by {holders[digest][0]!r} already"
-                pointer = f"/customers/{index}/key_digests/{position}"
-                findings.add(pointer, message, "let one customer hold it, once")
-            holders[digest].append(customer.name)
-        _check_rate(f"/customers/{index}", customer, findings)
-
-
-def _check_rate(pointer: str, customer: Customer, findings: Findings) -> None:
-    rate_per_s, burst = customer.rate_per_s, customer.burst
-    if burst and not rate_per_s:
-        findings.add(f"{pointer}/burst", "burst has no effect without rate_per_s", "set the rate")
-    elif burst > MAX_REFILL_S * rate_per_s:
-        message = (
-            f"rate_per_s {rate_per_s:g} takes {burst / rate_per_s:.0f} s to refill a burst of"
-            f" {burst:g}"
-        )
-        remedy = f"raise the rate or lower the burst, to {MAX_REFILL_S:.0f} s or less"
-        findings.add(f"{pointer}/rate_per_s", message, remedy)
+        rate_per_s, burst = customer.rate_per_s, customer.burst
+        # Validation reports a burst without a rate.
+        if rate_per_s and burst > MAX_REFILL_S * rate_per_s:
+            message = (
+                f"rate_per_s {rate_per_s:g} takes {burst / rate_per_s:.0f} s to refill a burst of"
+                f" {burst:g}"
+            )
+            remedy = f"raise the rate or lower the burst, to {MAX_REFILL_S:.0f} s or less"
+            findings.add(f"/customers/{index}/rate_per_s", message, remedy)
 
 
 RULES: tuple[Rule, ...] = (
--- a/packages/godwitpass/tests/validation/test_review.py
+++ b/packages/godwitpass/tests/validation/test_review.py
@@ -23,7 +23,7 @@
 
 
 def review_customer(**fields: Any) -> list[str]:
-    return review(customers=[{"name": "c", **fields}])
+    return review(customers=[{"name": "c", "key_digests": [KEY], **fields}])
 
 
 class TestReview:
@@ -57,7 +57,7 @@
     @pytest.mark.parametrize(
         ("fields", "expected"),
         [
-            ({"burst": 10}, "without rate_per_s"),
+            ({"burst": 10}, "without a rate"),
             ({"rate_per_s": 1, "burst": 600}, "takes 600 s"),
         ],
     )
