Log what decides about requests that end upstreams

A log could not tell the four hypotheses apart. Now it can: - relay.upstream-checked: what the check of an upstream after a reset found. - crash-request-suspected and -refused: counts, daemons and bursts, service and route, so that many fingerprints of one route stand out. - crash-report-merged: which counts of which daemon arrived, and how old. - crash-request-admitted: why a request with enough crashes is admitted, once for each further crash.

No decision changes: is_refused asks the same three conditions in another order.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/call_log.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/call_log.py
@@ -122,6 +122,21 @@
         """Count a refusal by the upstream itself."""
         self.counts[f"upstream-refused-{status}"] += 1
 
+    def record_upstream_check(self, broken_calls: int, has_ended: bool, reason: str) -> None:
+        """Count and log whether the upstream has ended whose connections broke during calls."""
+        self.counts["checked-ended" if has_ended else "checked-alive"] += 1
+        current = self._runner.registration.current
+        self._emit(
+            kinds.UPSTREAM_CHECKED,
+            {
+                "upstream": current.upstream if current else "",
+                "started_ms": current.started_ms if current else 0,
+                "broken_calls": broken_calls,
+                "ended": has_ended,
+                "reason": reason,
+            },
+        )
+
     def record_unreachable(self, error: Exception) -> None:
         """Count and log that the upstream accepts no connection."""
         self.counts["upstream-unreachable"] += 1
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/crash_guard.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/crash_guard.py
@@ -1,7 +1,7 @@
 """Recognition of requests that crash upstreams, as the relay uses it."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from godwitpass.ids import RouteName, ServiceName
@@ -13,6 +13,10 @@
 """Time that an upstream that ends may need to close its listener after its connections."""
 
 
+RecordCheck = Callable[[int, bool, str], None]
+"""Records the result of a check: the number of broken calls, whether the upstream ended, why."""
+
+
 class CrashGuard(Protocol):
     """Tracks requests that crash upstreams; the kernel service "crashes".
 
@@ -65,9 +69,12 @@
     accepts no new connection has ended, with all requests whose connections broke.
     """
 
-    def __init__(self, guard: CrashGuard, pool: UpstreamConnectionPool) -> None:
+    def __init__(
+        self, guard: CrashGuard, pool: UpstreamConnectionPool, record_check: RecordCheck
+    ) -> None:
         self._guard = guard
         self._pool = pool
+        self._record_check = record_check
         self._broken_requests: list[RequestDescriptor] = []
         self._check_task: asyncio.Task[None] | None = None
 
@@ -83,8 +90,10 @@
         self._check_task = None
         try:
             connection = await self._pool.connect()
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
+            self._record_check(len(requests), True, repr(error))
             for request in requests:
                 self._guard.report_crash(request)
             return
+        self._record_check(len(requests), False, "accepts connections")
         self._pool.release(connection)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
@@ -56,9 +56,13 @@
         )
         self.pool = UpstreamConnectionPool(header_names, now)
         self.crash_guard = crash_guard
-        self.crash_detector = CrashDetector(crash_guard, self.pool) if crash_guard else None
-        self.is_stopping = False
         self.call_log = UpstreamCallLog(self, emit)
+        self.crash_detector = (
+            CrashDetector(crash_guard, self.pool, self.call_log.record_upstream_check)
+            if crash_guard
+            else None
+        )
+        self.is_stopping = False
         self.drain_s = drain_s
         self.on_upstream_leaving: Callable[[], None] | None = None
         self.version_gate: VersionGate | None = None
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/crashes.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/crashes.py
@@ -3,6 +3,7 @@
 import random
 import secrets
 import time
+from collections.abc import Mapping
 
 import anyio
 import msgspec
@@ -65,7 +66,8 @@
             return False
         if self._node.is_refused(fingerprint, time.monotonic()):
             return True
-        self._handle(AttemptStarted(fingerprint))
+        context = {"service": request.service, "route": request.route}
+        self._handle(AttemptStarted(fingerprint), context)
         return False
 
     def would_refuse(self, request: RequestDescriptor) -> bool:
@@ -75,7 +77,8 @@
 
     def report_crash(self, request: RequestDescriptor) -> None:
         """Record that an upstream's connection broke while it ran the request."""
-        self._handle(UpstreamCrashed(_compute_fingerprint(request)))
+        context = {"service": request.service, "route": request.route}
+        self._handle(UpstreamCrashed(_compute_fingerprint(request)), context)
 
     def is_suspected(self, request: RequestDescriptor) -> bool:
         """Return whether an upstream crashed while it ran the request."""
@@ -91,7 +94,13 @@
             return None
         return _compute_fingerprint(request)
 
-    def _handle(self, event: CrashesEvent, not_before: float = 0.0) -> None:
+    def _handle(
+        self,
+        event: CrashesEvent,
+        context: Mapping[str, str] | None = None,
+        not_before: float = 0.0,
+    ) -> None:
+        """Handle an event; `context` holds fields that are added to the log lines."""
         assert self._tasks is not None, "the service is started before it is used"
         for action in self._node.handle(event, max(time.monotonic(), not_before)):
             match action:
@@ -100,7 +109,7 @@
                 case SetTimer(at):
                     self._tasks.start_soon(self._tick_at, at)
                 case RecordEvent(kind, fields):
-                    self._events.emit(kind, **fields)
+                    self._events.emit(kind, **fields, **(context or {}))
 
     async def _tick_at(self, at: float) -> None:
         await anyio.sleep(max(0.0, at - time.monotonic()))
--- a/packages/godwitpass/src/godwitpass/internal/crashes/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/events.py
@@ -11,4 +11,12 @@
     "A request crashed too many upstreams; it is refused until its suspicion expires.",
     Level.WARNING,
 )
-ALL_KINDS = (REQUEST_SUSPECTED, REQUEST_REFUSED)
+REPORT_MERGED = EventKind(
+    552, "crash-report-merged", "Counts of a suspected request arrived that are new to this daemon."
+)
+REQUEST_ADMITTED = EventKind(
+    553,
+    "crash-request-admitted",
+    "A request crashed enough upstreams to be refused, but is admitted for the given reason.",
+)
+ALL_KINDS = (REQUEST_SUSPECTED, REQUEST_REFUSED, REPORT_MERGED, REQUEST_ADMITTED)
--- a/packages/godwitpass/src/godwitpass/internal/crashes/node.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/node.py
@@ -15,7 +15,7 @@
     SuspectReport,
     SuspectReports,
 )
-from godwitpass.internal.crashes.suspects import Suspect, Suspects
+from godwitpass.internal.crashes.suspects import Admission, Suspect, Suspects
 
 GOSSIP_INTERVAL_S = 0.2
 GOSSIP_FANOUT = 6
@@ -101,6 +101,7 @@
         match event:
             case AttemptStarted(fingerprint):
                 self._suspects.count_attempt(fingerprint, now)
+                return [*self._report_admission(fingerprint, now)]
             case UpstreamCrashed(fingerprint):
                 return [*self._count_crash(fingerprint, now)]
             case ReportsReceived(sender, message):
@@ -114,7 +115,7 @@
     def _count_crash(self, fingerprint: Fingerprint, now: float) -> Iterable[CrashesAction]:
         if not self._suspects.count_crash(fingerprint, now):
             return
-        yield RecordEvent(events.REQUEST_SUSPECTED, {"fingerprint": fingerprint.hex()})
+        yield RecordEvent(events.REQUEST_SUSPECTED, self._describe(fingerprint, now))
         yield from self._report_refusal(fingerprint, now)
         yield from self._queue_report(fingerprint, self._reporter, now)
 
@@ -125,6 +126,9 @@
         for report in message.reports:
             # Counts of this process are not learned from others.
             if report.reporter != self._reporter and self._suspects.merge(report, now):
+                fields = self._describe(report.fingerprint, now)
+                fields["reporter"], fields["age_ms"] = report.reporter, report.age_ms
+                yield RecordEvent(events.REPORT_MERGED, fields)
                 yield from self._queue_report(report.fingerprint, report.reporter, now)
                 yield from self._report_refusal(report.fingerprint, now)
                 replies += self._list_other_reports(report, sender, now)
@@ -151,9 +155,33 @@
             return
         if suspect.is_refused(now):
             suspect.is_refusal_reported = True
-            crashes = suspect.sum_counts().crashes
-            fields: dict[str, FieldValue] = {"fingerprint": fingerprint.hex(), "crashes": crashes}
-            yield RecordEvent(events.REQUEST_REFUSED, fields)
+            yield RecordEvent(events.REQUEST_REFUSED, self._describe(fingerprint, now))
+
+    def _report_admission(self, fingerprint: Fingerprint, now: float) -> Iterable[CrashesAction]:
+        """Report once per crash that a request is admitted in spite of enough crashes."""
+        suspect = self._suspects.find(fingerprint, now)
+        if suspect is None:
+            return
+        admission = suspect.find_admission(now)
+        if admission is None or admission is Admission.FEW_CRASHES:
+            return
+        crashes = suspect.sum_counts().crashes
+        if crashes > suspect.reported_admission_crashes:
+            suspect.reported_admission_crashes = crashes
+            fields = self._describe(fingerprint, now)
+            fields["reason"] = admission.value
+            yield RecordEvent(events.REQUEST_ADMITTED, fields)
+
+    def _describe(self, fingerprint: Fingerprint, now: float) -> dict[str, FieldValue]:
+        """Return the fields by which log lines tell why a request is refused or admitted."""
+        suspect = self._suspects.find(fingerprint, now)
+        fields: dict[str, FieldValue] = {"fingerprint": fingerprint.hex()}
+        if suspect is not None:
+            total = suspect.sum_counts()
+            fields["crashes"], fields["broken"] = total.crashes, total.broken_attempts
+            fields["attempts"], fields["reporters"] = total.attempts, len(suspect.counts)
+            fields["bursts"] = suspect.bursts
+        return fields
 
     def _queue_report(
         self, fingerprint: Fingerprint, reporter: Address, now: float
--- a/packages/godwitpass/src/godwitpass/internal/crashes/suspects.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/suspects.py
@@ -3,6 +3,8 @@
 The counts are bounded in number and lifetime.
 """
 
+from enum import Enum
+
 import msgspec
 
 from godwitpass.ids import Address
@@ -42,12 +44,25 @@
 """Daemons whose counts are kept for one suspect."""
 
 
+class Admission(Enum):
+    """Why a suspected request is admitted."""
+
+    FEW_CRASHES = "few crashes"
+    SINGLE_BURST_EXPIRED = "single burst expired"
+    ATTEMPTS_SUCCEED = "attempts succeed"
+
+
 class Suspect(msgspec.Struct):
-    """A suspected request: the counts by daemon, and the time of the latest crash."""
+    """A suspected request: the counts by daemon, and the time of the latest crash.
+
+    `reported_admission_crashes` is the number of crashes at the latest report that the request is
+    admitted in spite of them.
+    """
 
     crashed_at: float
     counts: dict[Address, CrashCounts] = {}
     is_refusal_reported: bool = False
+    reported_admission_crashes: int = 0
     bursts: int = 1
 
     def sum_counts(self) -> CrashCounts:
@@ -67,11 +82,18 @@
 
     def is_refused(self, now: float) -> bool:
         """Return whether it crashed often enough, and a large enough share of attempts broke."""
-        if self.bursts == 1 and now - self.crashed_at >= PROVISIONAL_REFUSAL_S:
-            return False
+        return self.find_admission(now) is None
+
+    def find_admission(self, now: float) -> Admission | None:
+        """Return why the request is admitted, or None if it is refused."""
         total = self.sum_counts()
-        has_enough_crashes = total.crashes >= MAX_CRASHES
-        return has_enough_crashes and total.broken_attempts >= MIN_BROKEN_SHARE * total.attempts
+        if total.crashes < MAX_CRASHES:
+            return Admission.FEW_CRASHES
+        if self.bursts == 1 and now - self.crashed_at >= PROVISIONAL_REFUSAL_S:
+            return Admission.SINGLE_BURST_EXPIRED
+        if total.broken_attempts < MIN_BROKEN_SHARE * total.attempts:
+            return Admission.ATTEMPTS_SUCCEED
+        return None
 
 
 class Suspects:
--- a/packages/godwitpass/src/godwitpass/internal/relay/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/events.py
@@ -90,6 +90,11 @@
 RUN_CANCELLED = EventKind(
     439, "relay.run-cancelled", "A call was cancelled by its sender while the upstream ran it."
 )
+UPSTREAM_CHECKED = EventKind(
+    444,
+    "relay.upstream-checked",
+    "Connections to the upstream broke during calls; whether it has ended was checked.",
+)
 NESTED_CALLS_REFUSED = EventKind(
     443,
     "relay.nested-calls-refused",
