Recognise a crashing request that returns with another query

What callers saw: a request under which servers end was sent to servers each time it came, if only its query had changed; 12 calls ended 23 servers. Cause: the fingerprint contains the query, so each attempt was a first one. Why this works: crashes also count under a fingerprint without the query, which is refused like the other. It counts none on a path on which this daemon's upstream completed a call within the last minute, so that a query that crashes a search takes no other searches with it (test_other_queries_of_a_path_...).

Left: a request that returns with other queries on a path that is otherwise served.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/call_guards.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/call_guards.py
@@ -60,10 +60,14 @@
         return verdict
 
     def settle(self, outcome: Outcome | None) -> None:
-        """Report how a claimed call ended; None means that an upstream responded."""
+        """Report how a call ended; None means that an upstream responded."""
         if self._is_claimed and self._claim_guard is not None:
             self._is_claimed = False
             self._claim_guard.settle(self._build_descriptor(), outcome)
+        if outcome is None and self._crash_guard is not None:
+            self._crash_guard.record_completed(
+                self._route.service.name, self._head.method.encode(), self._head.target.raw
+            )
 
     def _build_descriptor(self) -> RequestDescriptor:
         if self._descriptor is None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/guards.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/guards.py
@@ -64,3 +64,7 @@
     def report_crash(self, request: RequestDescriptor) -> None:
         """Record that an upstream's connection broke while it ran the request."""
         ...
+
+    def record_completed(self, service: ServiceName, method: bytes, target: bytes) -> None:
+        """Record that an upstream completed a call."""
+        ...
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/crash_guard.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/crash_guard.py
@@ -44,24 +44,34 @@
         """Record that the upstream's connection broke while it ran the request."""
         ...
 
+    def record_completed(self, service: ServiceName, method: bytes, target: bytes) -> None:
+        """Record that the upstream completed a call."""
+        ...
+
 
 def describe_request(
     service: ServiceName, route: RouteName, head: bytes, body_chunks: Iterable[bytes]
 ) -> RequestDescriptor:
     """Describe a request by its encoded head and the beginning of its body."""
-    method, _, rest = head.partition(b" ")
+    method, target = split_request_line(head)
     body = b"".join(body_chunks)[:BODY_BUFFER_BYTES]
     return RequestDescriptor(
         service=service,
         route=route,
         method=method.decode("latin-1"),
-        target=rest.partition(b" ")[0],
+        target=target,
         idempotency_key="",
         body=body,
         timeout_s=0.0,
     )
 
 
+def split_request_line(head: bytes) -> tuple[bytes, bytes]:
+    """Return the method and the target of an encoded head."""
+    method, _, rest = head.partition(b" ")
+    return method, rest.partition(b" ")[0]
+
+
 class CrashDetector:
     """Tells an upstream that has ended from one that reset a connection.
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
@@ -18,7 +18,7 @@
     may_be_same_incarnation,
 )
 from godwitpass_daemon.relay.call_log import Emit, UpstreamCallLog
-from godwitpass_daemon.relay.crash_guard import CrashDetector, CrashGuard
+from godwitpass_daemon.relay.crash_guard import CrashDetector, CrashGuard, split_request_line
 from godwitpass_daemon.relay.headers import HeaderNames, ResponseHead
 from godwitpass_daemon.relay.limits import CANCELLATION_GRACE_S, HEARTBEAT_TIMEOUT_S
 from godwitpass_daemon.relay.response_sender import ResponseSender
@@ -200,6 +200,9 @@
         self.nested_calls.end_outer(request_id, is_completed)
         if is_completed:
             self._response_bytes.update(call.request.route, response_bytes)
+            if self.crash_guard is not None:
+                method, target = split_request_line(call.request.head)
+                self.crash_guard.record_completed(call.request.service, method, target)
         self.response_sender.release(call.call_id)
         if self.scheduler.remove_waiting(call.call_id):
             return self.get_load()
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/crashes.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/crashes.py
@@ -9,11 +9,12 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from godwitpass.ids import Address
+from godwitpass.ids import Address, ServiceName
 from godwitpass.internal.actions import RecordEvent, Send, SetTimer
+from godwitpass.internal.crashes.completed_paths import CompletedPaths
 from godwitpass.internal.crashes.fingerprint import (
     Fingerprint,
-    compute_fingerprint,
+    compute_fingerprints,
     compute_head_fingerprint,
 )
 from godwitpass.internal.crashes.messages import decode_message, encode_message
@@ -42,6 +43,7 @@
         self._membership = membership
         self._events = events
         self._tasks: TaskGroup | None = None
+        self._completed_paths = CompletedPaths()
         self._node = CrashesNode(
             peers.address, random.Random(secrets.randbits(64)), secrets.token_hex(START_ID_BYTES)
         )
@@ -61,38 +63,55 @@
 
     def is_refused(self, request: RequestDescriptor) -> bool:
         """Return whether the request is refused; count its attempt otherwise."""
-        fingerprint = self._find_suspect(request)
-        if fingerprint is None:
+        fingerprints = self._find_suspects(request)
+        if not fingerprints:
             return False
-        if self._node.is_refused(fingerprint, time.monotonic()):
+        now = time.monotonic()
+        if any(self._node.is_refused(fingerprint, now) for fingerprint in fingerprints):
             return True
         context = {"service": request.service, "route": request.route}
-        self._handle(AttemptStarted(fingerprint), context)
+        for fingerprint in fingerprints:
+            self._handle(AttemptStarted(fingerprint), context)
         return False
 
     def would_refuse(self, request: RequestDescriptor) -> bool:
         """Return whether the request is refused, without counting an attempt."""
-        fingerprint = self._find_suspect(request)
-        return fingerprint is not None and self._node.is_refused(fingerprint, time.monotonic())
+        now = time.monotonic()
+        return any(
+            self._node.is_refused(fingerprint, now) for fingerprint in self._find_suspects(request)
+        )
+
+    def record_completed(self, service: ServiceName, method: bytes, target: bytes) -> None:
+        """Record that an upstream completed a call."""
+        self._completed_paths.record(service, method, target, time.monotonic())
 
     def report_crash(self, request: RequestDescriptor) -> None:
         """Record that an upstream's connection broke while it ran the request."""
+        fingerprints = _compute_fingerprints(request)
+        if self._completed_paths.contains(
+            request.service, request.method.encode("latin-1"), request.target, time.monotonic()
+        ):
+            fingerprints = fingerprints[:1]
         context = {"service": request.service, "route": request.route}
-        self._handle(UpstreamCrashed(_compute_fingerprint(request)), context)
+        for fingerprint in fingerprints:
+            self._handle(UpstreamCrashed(fingerprint), context)
 
     def is_suspected(self, request: RequestDescriptor) -> bool:
         """Return whether an upstream crashed while it ran the request."""
-        fingerprint = self._find_suspect(request)
-        return fingerprint is not None and self._node.is_suspected(fingerprint, time.monotonic())
+        now = time.monotonic()
+        return any(
+            self._node.is_suspected(fingerprint, now)
+            for fingerprint in self._find_suspects(request)
+        )
 
-    def _find_suspect(self, request: RequestDescriptor) -> Fingerprint | None:
-        """Return the fingerprint of a request that may be suspected, or None."""
+    def _find_suspects(self, request: RequestDescriptor) -> tuple[Fingerprint, ...]:
+        """Return the fingerprints of a request that may be suspected; none if it can't be."""
         if not self._node.has_suspects:
-            return None
+            return ()
         head_fingerprint = compute_head_fingerprint(request.service, request.method, request.target)
         if not self._node.may_be_suspect(head_fingerprint):
-            return None
-        return _compute_fingerprint(request)
+            return ()
+        return _compute_fingerprints(request)
 
     def _handle(
         self,
@@ -129,5 +148,5 @@
         self._handle(ReportsReceived(sender, message))
 
 
-def _compute_fingerprint(request: RequestDescriptor) -> Fingerprint:
-    return compute_fingerprint(request.service, request.method, request.target, request.body)
+def _compute_fingerprints(request: RequestDescriptor) -> tuple[Fingerprint, ...]:
+    return compute_fingerprints(request.service, request.method, request.target, request.body)
--- a/packages/godwitpass-daemon/tests/crashes/test_service.py
+++ b/packages/godwitpass-daemon/tests/crashes/test_service.py
@@ -9,6 +9,7 @@
 from godwitpass.ids import Address, InstanceId, RegionId, RouteName, ServiceName, ZoneId
 from godwitpass.internal.crashes.events import REQUEST_REFUSED
 from godwitpass.internal.crashes.node import GOSSIP_INTERVAL_S
+from godwitpass.internal.crashes.suspects import CRASH_DEDUPLICATION_S, MAX_CRASHES
 from godwitpass.mesh import Member, MemberState
 from godwitpass_daemon.edge.guards import CrashGuard, RequestDescriptor
 from godwitpass_daemon.peers.channels import Channel, Handler
@@ -82,6 +83,35 @@
 
         anyio.run(run)
 
+    def test_other_queries_of_a_path_that_is_served_are_not_refused_with_a_crashing_one(
+        self,
+    ) -> None:
+        async def run() -> None:
+            network: dict[Address, Handler] = {}
+            peers = MemoryPeers(ADDRESSES[0], network)
+            service = CrashesService(peers, FixedMembership(), peers)
+            search = RequestDescriptor(
+                ServiceName("maal"), RouteName("search"), "GET", b"/search?q=a", "", b"", 1.0
+            )
+            crashing = msgspec.structs.replace(search, target=b"/search?q=crash")
+            rare = msgspec.structs.replace(search, target=b"/rare?q=1")
+            async with anyio.create_task_group() as tasks:
+                for address in ADDRESSES[1:]:
+                    network[address] = lambda sender, payload: None
+                await service.start(tasks)
+                service.record_completed(search.service, b"GET", search.target)
+                for _ in range(MAX_CRASHES):
+                    for request in (crashing, rare):
+                        assert not service.is_refused(request)
+                        service.report_crash(request)
+                    await anyio.sleep(CRASH_DEDUPLICATION_S)
+                assert service.is_refused(crashing)
+                assert not service.is_refused(search)
+                assert service.is_refused(msgspec.structs.replace(rare, target=b"/rare?q=2"))
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
     def test_a_request_that_crashes_upstreams_of_several_daemons_is_refused_by_all(self) -> None:
         async def run() -> None:
             network: dict[Address, Handler] = {}
--- a/packages/godwitpass/src/godwitpass/internal/crashes/fingerprint.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/fingerprint.py
@@ -8,7 +8,7 @@
 """Hash of a request; its first bytes are the request's `HeadFingerprint`."""
 
 HeadFingerprint = NewType("HeadFingerprint", bytes)
-"""Hash of a request without its body."""
+"""Hash of a request without its query and its body."""
 
 HEAD_FINGERPRINT_BYTES = 4
 BODY_FINGERPRINT_BYTES = 12
@@ -16,10 +16,9 @@
 
 
 def compute_head_fingerprint(service: str, method: str, target: bytes) -> HeadFingerprint:
-    """Hash a request without its body, which is enough to rule out most requests."""
-    return HeadFingerprint(
-        _hash_parts((service.encode(), method.encode(), target), HEAD_FINGERPRINT_BYTES)
-    )
+    """Hash a request without query and body, which is enough to rule out most requests."""
+    parts = (service.encode(), method.encode(), remove_query(target))
+    return HeadFingerprint(_hash_parts(parts, HEAD_FINGERPRINT_BYTES))
 
 
 def compute_fingerprint(service: str, method: str, target: bytes, body: bytes) -> Fingerprint:
@@ -36,6 +35,32 @@
     return Fingerprint(head_fingerprint + _hash_parts(parts, BODY_FINGERPRINT_BYTES))
 
 
+def compute_fingerprints(
+    service: str, method: str, target: bytes, body: bytes
+) -> tuple[Fingerprint, ...]:
+    """Hash a request as it is, and, if its target has a query, also without the query.
+
+    A request that crashes upstreams may be sent again with another query.
+
+    >>> len(compute_fingerprints("maal", "GET", b"/patterns/7", b""))
+    1
+    >>> first = compute_fingerprints("maal", "GET", b"/patterns/7?page=1", b"")
+    >>> second = compute_fingerprints("maal", "GET", b"/patterns/7?page=2", b"")
+    >>> first[0] == second[0], first[1] == second[1]
+    (False, True)
+    """
+    fingerprint = compute_fingerprint(service, method, target, body)
+    path = remove_query(target)
+    if path == target:
+        return (fingerprint,)
+    return fingerprint, compute_fingerprint(service, method, path, body)
+
+
+def remove_query(target: bytes) -> bytes:
+    """Return the part of a target before its query."""
+    return target.partition(b"?")[0]
+
+
 def _hash_parts(parts: Iterable[bytes], size_bytes: int) -> bytes:
     hasher = hashlib.blake2b(digest_size=size_bytes)
     for part in parts:
