Recognise the end of an upstream that is back at once

What callers saw: a request under which servers end was sent on without bound where servers are started again at once; 12 calls ended 23 servers. Cause: whether an upstream has ended was decided by one connection, opened 50 ms after the reset. A server that is back by then accepts it, so the end counted as a reset by a full server. Why this works: a call remembers the incarnation that it was sent to. If the upstream still accepts connections, the call stays unresolved until a heartbeat names another start, which reports the crash at the time of the reset, or until a response arrives on a connection that is older than the reset, which shows that the upstream went on. So a reset by a full upstream is still no crash.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
@@ -205,7 +205,7 @@
         self._runner.call_log.record_failed(self, reason)
         self._record_outcome(True, is_reset=reason is Failure.RESET)
         if reason is Failure.RESET and self._runner.crash_detector is not None:
-            self._runner.crash_detector.record_reset(self.describe())
+            self._runner.crash_detector.record_reset(self.describe(), self._target)
         self._drop_connection()
         if self._is_streaming:
             self._finish()
@@ -239,6 +239,8 @@
         self._head = head
         if self._target is not None:
             self._runner.apply_response_head(head, self._target)
+        if self._connection is not None and self._runner.crash_detector is not None:
+            self._runner.crash_detector.record_response(self._connection.opened_at)
 
     def handle_body(self, data: bytes) -> None:
         """Buffer a part of the response, or stream it if the response is long."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_connections.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_connections.py
@@ -50,6 +50,7 @@
     """A connection to the upstream; responses to earlier requests are dropped."""
 
     def __init__(self, pool: "UpstreamConnectionPool") -> None:
+        self.opened_at = pool.now()
         self.idle_since = 0.0
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self.was_idle_for_long = False
@@ -241,7 +242,7 @@
     def __init__(self, header_names: HeaderNames, now: Callable[[], float]) -> None:
         self.header_names = header_names
         self.opened_count = 0
-        self._now = now
+        self.now = now
         self._address: Address | None = None
         self._idle: list[UpstreamConnection] = []
 
@@ -257,7 +258,7 @@
         With `must_be_recent`, a connection is returned only if it was used in the last
         `MAX_SAFE_IDLE_S` seconds.
         """
-        now = self._now()
+        now = self.now()
         while self._idle:
             connection = self._idle[-1]
             idle_time_s = now - connection.idle_since
@@ -290,7 +291,7 @@
 
     def release(self, connection: UpstreamConnection) -> None:
         """Return an idle connection to the pool."""
-        connection.idle_since = self._now()
+        connection.idle_since = self.now()
         self._idle.append(connection)
 
     def discard(self, connection: UpstreamConnection) -> None:
@@ -300,7 +301,7 @@
 
     def close_expired(self) -> None:
         """Close the connections whose keep-alive time is nearly over."""
-        now = self._now()
+        now = self.now()
         idle, self._idle = self._idle, []
         for connection in idle:
             if now - connection.idle_since > connection.keep_alive_s - KEEP_ALIVE_MARGIN_S:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
@@ -18,7 +18,8 @@
     may_be_same_incarnation,
 )
 from godwitpass_daemon.relay.call_log import Emit, UpstreamCallLog
-from godwitpass_daemon.relay.crash_guard import CrashDetector, CrashGuard, split_request_line
+from godwitpass_daemon.relay.crash_detector import CrashDetector
+from godwitpass_daemon.relay.crash_guard import CrashGuard, split_request_line
 from godwitpass_daemon.relay.headers import HeaderNames, ResponseHead
 from godwitpass_daemon.relay.limits import CANCELLATION_GRACE_S, HEARTBEAT_TIMEOUT_S
 from godwitpass_daemon.relay.response_sender import ResponseSender
@@ -58,7 +59,13 @@
         self.crash_guard = crash_guard
         self.call_log = UpstreamCallLog(self, emit)
         self.crash_detector = (
-            CrashDetector(crash_guard, self.pool, self.call_log.record_upstream_check)
+            CrashDetector(
+                crash_guard,
+                self.pool,
+                self.registration,
+                now,
+                self.call_log.record_upstream_check,
+            )
             if crash_guard
             else None
         )
@@ -230,6 +237,8 @@
         current = self.registration.current
         if current is None:
             return
+        if self.crash_detector is not None:
+            self.crash_detector.handle_registration()
         self.pool.set_address(current.address)
         previous, self._limited_upstream = self._limited_upstream, current
         if previous is None or not may_be_same_incarnation(previous, current):
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/crashes.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/crashes.py
@@ -85,8 +85,8 @@
         """Record that an upstream completed a call."""
         self._completed_paths.record(service, method, target, time.monotonic())
 
-    def report_crash(self, request: RequestDescriptor) -> None:
-        """Record that an upstream's connection broke while it ran the request."""
+    def report_crash(self, request: RequestDescriptor, age_s: float = 0.0) -> None:
+        """Record that an upstream's connection broke `age_s` ago while it ran the request."""
         fingerprints = _compute_fingerprints(request)
         if self._completed_paths.contains(
             request.service, request.method.encode("latin-1"), request.target, time.monotonic()
@@ -94,7 +94,7 @@
             fingerprints = fingerprints[:1]
         context = {"service": request.service, "route": request.route}
         for fingerprint in fingerprints:
-            self._handle(UpstreamCrashed(fingerprint), context)
+            self._handle(UpstreamCrashed(fingerprint, age_s), context)
 
     def is_suspected(self, request: RequestDescriptor) -> bool:
         """Return whether an upstream crashed while it ran the request."""
--- a/packages/godwitpass/src/godwitpass/internal/crashes/node.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/node.py
@@ -36,9 +36,10 @@
 
 
 class UpstreamCrashed(msgspec.Struct, frozen=True):
-    """The connection to an upstream broke while it ran the request."""
+    """The connection to an upstream broke `age_s` ago while it ran the request."""
 
     fingerprint: Fingerprint
+    age_s: float = 0.0
 
 
 class ReportsReceived(msgspec.Struct, frozen=True):
@@ -102,8 +103,8 @@
             case AttemptStarted(fingerprint):
                 self._suspects.count_attempt(fingerprint, now)
                 return [*self._report_admission(fingerprint, now)]
-            case UpstreamCrashed(fingerprint):
-                return [*self._count_crash(fingerprint, now)]
+            case UpstreamCrashed(fingerprint, age_s):
+                return [*self._count_crash(fingerprint, now, now - age_s)]
             case ReportsReceived(sender, message):
                 return [*self._merge_reports(sender, message, now)]
             case Tick():
@@ -112,8 +113,10 @@
                 self._members = tuple(member for member in members if member != self._own_address)
         return []
 
-    def _count_crash(self, fingerprint: Fingerprint, now: float) -> Iterable[CrashesAction]:
-        if not self._suspects.count_crash(fingerprint, now):
+    def _count_crash(
+        self, fingerprint: Fingerprint, now: float, crashed_at: float
+    ) -> Iterable[CrashesAction]:
+        if not self._suspects.count_crash(fingerprint, now, crashed_at):
             return
         yield RecordEvent(events.REQUEST_SUSPECTED, self._describe(fingerprint, now))
         yield from self._report_refusal(fingerprint, now)
--- a/packages/godwitpass/src/godwitpass/internal/crashes/suspects.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/suspects.py
@@ -131,11 +131,13 @@
                 own_counts.crashes, own_counts.broken_attempts, own_counts.attempts + 1
             )
 
-    def count_crash(self, fingerprint: Fingerprint, now: float) -> bool:
+    def count_crash(self, fingerprint: Fingerprint, now: float, crashed_at: float) -> bool:
         """Count a broken attempt; return False when it belongs to the crash counted last."""
-        suspect = self.find(fingerprint, now) or self._add_suspect(fingerprint, now)
+        suspect = self.find(fingerprint, now) or self._add_suspect(fingerprint, crashed_at)
         own_counts = suspect.counts.get(self._own_address, CrashCounts())
-        is_same_crash = own_counts.crashes > 0 and now - suspect.crashed_at < CRASH_DEDUPLICATION_S
+        is_same_crash = (
+            own_counts.crashes > 0 and crashed_at - suspect.crashed_at < CRASH_DEDUPLICATION_S
+        )
         crashes, broken_attempts = (
             own_counts.crashes + (not is_same_crash),
             own_counts.broken_attempts + 1,
@@ -145,7 +147,7 @@
             crashes, broken_attempts, max(own_counts.attempts, broken_attempts)
         )
         if not is_same_crash:
-            suspect.record_crash_time(now)
+            suspect.record_crash_time(crashed_at)
         return not is_same_crash
 
     def merge(self, report: SuspectReport, now: float) -> bool:
