Keep refused requests when many other calls break

What callers saw: a request that was refused after three crashes was admitted again once 256 other calls had broken. Cause: each call that breaks beside a crashing one becomes a suspect, and the suspect with the oldest crash is evicted first, refused or not. Why this works: suspects with too few crashes to be refused are evicted first.

Found on the way; a small deployment does not break that many calls.

--- a/packages/godwitpass/src/godwitpass/internal/crashes/node.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/node.py
@@ -168,7 +168,7 @@
         admission = suspect.find_admission(now)
         if admission is None or admission is Admission.FEW_CRASHES:
             return
-        crashes = suspect.sum_counts().crashes
+        crashes = suspect.total.crashes
         if crashes > suspect.reported_admission_crashes:
             suspect.reported_admission_crashes = crashes
             fields = self._describe(fingerprint, now)
@@ -180,7 +180,7 @@
         suspect = self._suspects.find(fingerprint, now)
         fields: dict[str, FieldValue] = {"fingerprint": fingerprint.hex()}
         if suspect is not None:
-            total = suspect.sum_counts()
+            total = suspect.total
             fields["crashes"], fields["broken"] = total.crashes, total.broken_attempts
             fields["attempts"], fields["reporters"] = total.attempts, len(suspect.counts)
             fields["bursts"] = suspect.bursts
--- a/packages/godwitpass/src/godwitpass/internal/crashes/suspects.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/suspects.py
@@ -63,17 +63,19 @@
     crashed_at: float
     own_crashed_at: float | None = None
     counts: dict[Address, CrashCounts] = {}
+    total: CrashCounts = CrashCounts()
     is_refusal_reported: bool = False
     reported_admission_crashes: int = 0
     bursts: int = 1
 
-    def sum_counts(self) -> CrashCounts:
-        """Return the sum of all daemons' counts."""
-        counts_by_reporter = tuple(self.counts.values())
-        return CrashCounts(
-            sum(counts.crashes for counts in counts_by_reporter),
-            sum(counts.broken_attempts for counts in counts_by_reporter),
-            sum(counts.attempts for counts in counts_by_reporter),
+    def set_counts(self, reporter: Address, counts: CrashCounts) -> None:
+        """Replace the counts of one daemon, and update the sum over all daemons."""
+        previous = self.counts.get(reporter, CrashCounts())
+        self.counts[reporter] = counts
+        self.total = CrashCounts(
+            self.total.crashes + counts.crashes - previous.crashes,
+            self.total.broken_attempts + counts.broken_attempts - previous.broken_attempts,
+            self.total.attempts + counts.attempts - previous.attempts,
         )
 
     def record_crash_time(self, crashed_at: float) -> None:
@@ -88,7 +90,7 @@
 
     def find_admission(self, now: float) -> Admission | None:
         """Return why the request is admitted, or None if it is refused."""
-        total = self.sum_counts()
+        total = self.total
         if total.crashes < MAX_CRASHES:
             return Admission.FEW_CRASHES
         if self.bursts == 1 and now - self.crashed_at >= PROVISIONAL_REFUSAL_S:
@@ -99,7 +101,10 @@
 
 
 class Suspects:
-    """At most `MAX_SUSPECTS` requests; the one with the oldest crash is evicted first."""
+    """At most `MAX_SUSPECTS` requests.
+
+    Those with too few crashes to be refused are evicted first, then the one with the oldest crash.
+    """
 
     def __init__(self, own_address: Address) -> None:
         self._own_address = own_address
@@ -129,8 +134,11 @@
         suspect = self.find(fingerprint, now)
         if suspect is not None:
             own_counts = suspect.counts.get(self._own_address, CrashCounts())
-            suspect.counts[self._own_address] = CrashCounts(
-                own_counts.crashes, own_counts.broken_attempts, own_counts.attempts + 1
+            suspect.set_counts(
+                self._own_address,
+                CrashCounts(
+                    own_counts.crashes, own_counts.broken_attempts, own_counts.attempts + 1
+                ),
             )
 
     def count_crash(self, fingerprint: Fingerprint, now: float, crashed_at: float) -> bool:
@@ -146,8 +154,9 @@
             own_counts.broken_attempts + 1,
         )
         # Attempts made before the request became a suspect were not counted.
-        suspect.counts[self._own_address] = CrashCounts(
-            crashes, broken_attempts, max(own_counts.attempts, broken_attempts)
+        suspect.set_counts(
+            self._own_address,
+            CrashCounts(crashes, broken_attempts, max(own_counts.attempts, broken_attempts)),
         )
         if not is_same_crash:
             suspect.own_crashed_at = crashed_at
@@ -172,13 +181,17 @@
             max(known.attempts, reported.attempts),
         )
         suspect.record_crash_time(crashed_at)
-        suspect.counts[report.reporter] = merged
+        suspect.set_counts(report.reporter, merged)
         return merged != known
 
+    def _rank(self, fingerprint: Fingerprint) -> tuple[bool, float]:
+        """Return the order in which suspects are evicted."""
+        suspect = self._suspects[fingerprint]
+        return suspect.total.crashes >= MAX_CRASHES, suspect.crashed_at
+
     def _add_suspect(self, fingerprint: Fingerprint, crashed_at: float) -> Suspect:
         if len(self._suspects) >= MAX_SUSPECTS:
-            oldest = min(self._suspects, key=lambda each: self._suspects[each].crashed_at)
-            del self._suspects[oldest]
+            del self._suspects[min(self._suspects, key=self._rank)]
         suspect = self._suspects[fingerprint] = Suspect(crashed_at)
         # An expired suspect stays in this set until the next addition. Until then, a request with
         # such a head costs the computation of its full fingerprint.
