Send reports of crashing requests again that may have been lost

What callers saw: a request that some daemons refused was still sent to servers by daemons behind a cut, by those that had lost the reports, and by each daemon that had just started, until it had crashed there too. Cause: a report travelled once, by datagrams that may be lost; nothing repeated it before the next crash. A daemon that started learned the counts of others only with its own first report, and took them for a single burst, whose refusal ends after 10 s. Why this works: reports of requests with two crashes, and for 10 s those of one's own crashes, go to two daemons each second; a daemon that starts asks until it is answered; reports carry the number of bursts. Repeats neither renew the time of a crash nor go on to the end of the lifetime, so refusals still expire.

Older daemons ignore the new message and the added field.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/crashes.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/crashes.py
@@ -24,6 +24,7 @@
     CrashesNode,
     MembersChanged,
     ReportsReceived,
+    Started,
     Tick,
     UpstreamCrashed,
 )
@@ -33,6 +34,7 @@
 from godwitpass_daemon.services.ports import Events, Membership, Peers
 
 START_ID_BYTES = 4
+MEMBERS_REFRESH_S = 3.0
 
 
 class CrashesService:
@@ -44,14 +46,16 @@
         self._events = events
         self._tasks: TaskGroup | None = None
         self._completed_paths = CompletedPaths()
+        self._refresh_members_at = 0.0
         self._node = CrashesNode(
             peers.address, random.Random(secrets.randbits(64)), secrets.token_hex(START_ID_BYTES)
         )
 
     async def start(self, tasks: TaskGroup) -> None:
-        """Subscribe to the messages of other daemons."""
+        """Subscribe to the messages of other daemons, and ask them for their counts."""
         self._tasks = tasks
         self._peers.subscribe(Channel.CRASHES, self._receive)
+        self._handle(Started())
 
     async def stop(self) -> None:
         """Do nothing, because other daemons hold the same counts."""
@@ -132,13 +136,21 @@
 
     async def _tick_at(self, at: float) -> None:
         await anyio.sleep(max(0.0, at - time.monotonic()))
-        # The members are listed only here, because only a tick sends reports to them.
+        self._refresh_members(time.monotonic())
+        # The event loop's clock is coarser, so its timers may fire before this clock shows it.
+        self._handle(Tick(), not_before=at)
+
+    def _refresh_members(self, now: float) -> None:
+        """List the members at most once in `MEMBERS_REFRESH_S`, as there may be thousands."""
+        if now < self._refresh_members_at:
+            return
         alive = (
             member for member in self._membership.members() if member.state is MemberState.ALIVE
         )
-        self._handle(MembersChanged(tuple(member.address for member in alive)))
-        # The event loop's clock is coarser, so its timers may fire before this clock shows it.
-        self._handle(Tick(), not_before=at)
+        members = tuple(member.address for member in alive)
+        # A daemon that knows only itself is still joining.
+        self._refresh_members_at = now + (MEMBERS_REFRESH_S if len(members) > 1 else 0.0)
+        self._handle(MembersChanged(members))
 
     def _receive(self, sender: Address, payload: bytes) -> None:
         try:
--- a/packages/godwitpass/src/godwitpass/internal/crashes/messages.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/messages.py
@@ -24,7 +24,10 @@
 
 
 class SuspectReport(msgspec.Struct, frozen=True, array_like=True):
-    """The counts of one daemon; `age_ms` is the time since the request's latest crash."""
+    """The counts of one daemon.
+
+    `age_ms` is the time since the request's latest crash, `bursts` the number of its bursts.
+    """
 
     fingerprint: Annotated[
         Fingerprint, msgspec.Meta(min_length=FINGERPRINT_BYTES, max_length=FINGERPRINT_BYTES)
@@ -32,22 +35,29 @@
     reporter: Address
     counts: CrashCounts
     age_ms: int
+    bursts: int = 1
 
 
 class SuspectReports(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Message with new or changed reports."""
+    """Message with reports, new ones or ones that may have been lost."""
 
     reports: Annotated[tuple[SuspectReport, ...], msgspec.Meta(max_length=MAX_REPORTS)]
 
 
-_DECODER = msgspec.msgpack.Decoder(SuspectReports)
+class SuspectsRequest(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Asks for reports after a start; the answer may be empty."""
+
+
+CrashesMessage = SuspectReports | SuspectsRequest
+
+_DECODER = msgspec.msgpack.Decoder(CrashesMessage)
 
 
-def encode_message(message: SuspectReports) -> bytes:
+def encode_message(message: CrashesMessage) -> bytes:
     """Encode a message for `Channel.CRASHES`."""
     return msgspec.msgpack.encode(message)
 
 
-def decode_message(payload: bytes) -> SuspectReports:
+def decode_message(payload: bytes) -> CrashesMessage:
     """Decode a message; raises `msgspec.DecodeError`."""
     return _DECODER.decode(payload)
--- a/packages/godwitpass/src/godwitpass/internal/crashes/node.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/node.py
@@ -1,5 +1,6 @@
 """One daemon's view of crash suspects, shared with the other daemons by gossip."""
 
+import math
 import random
 from collections.abc import Iterable, Sequence
 
@@ -12,8 +13,10 @@
 from godwitpass.internal.crashes.fingerprint import Fingerprint, HeadFingerprint
 from godwitpass.internal.crashes.messages import (
     MAX_REPORTS,
+    CrashesMessage,
     SuspectReport,
     SuspectReports,
+    SuspectsRequest,
 )
 from godwitpass.internal.crashes.suspects import Admission, Suspect, Suspects
 
@@ -21,6 +24,24 @@
 GOSSIP_FANOUT = 6
 """Daemons to which one daemon sends a report."""
 
+REPEAT_INTERVAL_S = 1.0
+REPEAT_FANOUT = 2
+"""Daemons to which reports are sent again in each interval, as they may have been lost."""
+
+REPEATED_CRASHES = 2
+"""Reports of requests with this many crashes are sent again in each interval."""
+
+RECENT_CRASH_S = 10.0
+"""Time for which a daemon sends the reports of a crash that it saw in each interval."""
+
+RARE_REPEAT_SHARE = 0.02
+"""Share of the intervals in which other reports are sent again."""
+
+REQUEST_INTERVAL_S = 0.4
+REQUEST_FANOUT = 3
+MAX_REQUESTS = 10
+"""Intervals in which a daemon that has just started asks others for their reports."""
+
 MAX_PENDING_REPORTS = 256
 """Reports that wait to be sent; further ones are dropped."""
 
@@ -46,7 +67,11 @@
     """A message from another daemon arrived."""
 
     sender: Address
-    message: SuspectReports
+    message: CrashesMessage
+
+
+class Started(msgspec.Struct, frozen=True):
+    """The daemon has started."""
 
 
 class Tick(msgspec.Struct, frozen=True):
@@ -59,8 +84,8 @@
     members: tuple[Address, ...]
 
 
-CrashesEvent = AttemptStarted | UpstreamCrashed | ReportsReceived | Tick | MembersChanged
-CrashesAction = Send[SuspectReports] | SetTimer | RecordEvent
+CrashesEvent = AttemptStarted | UpstreamCrashed | ReportsReceived | Started | Tick | MembersChanged
+CrashesAction = Send[CrashesMessage] | SetTimer | RecordEvent
 ReportKey = tuple[Fingerprint, Address]
 
 
@@ -78,6 +103,9 @@
         self._suspects = Suspects(self._reporter)
         self._pending_reports: dict[ReportKey, None] = {}
         self._next_gossip_at: float | None = None
+        self._next_repeat_at: float | None = None
+        self._next_request_at: float | None = None
+        self._remaining_requests = MAX_REQUESTS
 
     @property
     def has_suspects(self) -> bool:
@@ -105,10 +133,15 @@
                 return [*self._report_admission(fingerprint, now)]
             case UpstreamCrashed(fingerprint, age_s):
                 return [*self._count_crash(fingerprint, now, now - age_s)]
-            case ReportsReceived(sender, message):
+            case ReportsReceived(sender, SuspectReports() as message):
                 return [*self._merge_reports(sender, message, now)]
+            case ReportsReceived(sender, SuspectsRequest()):
+                return [*self._answer(sender, now)]
+            case Started():
+                self._next_request_at = now + REQUEST_INTERVAL_S
+                return [SetTimer(self._next_request_at)]
             case Tick():
-                return [*self._gossip(now)]
+                return [*self._gossip(now), *self._repeat(now), *self._request(now)]
             case MembersChanged(members):
                 self._members = tuple(member for member in members if member != self._own_address)
         return []
@@ -125,6 +158,7 @@
     def _merge_reports(
         self, sender: Address, message: SuspectReports, now: float
     ) -> Iterable[CrashesAction]:
+        self._remaining_requests = 0
         replies: list[SuspectReport] = []
         for report in message.reports:
             # Counts of this process are not learned from others.
@@ -194,9 +228,12 @@
         if self._next_gossip_at is None:
             self._next_gossip_at = now + GOSSIP_INTERVAL_S
             yield SetTimer(self._next_gossip_at)
+        if self._next_repeat_at is None:
+            self._next_repeat_at = now + REPEAT_INTERVAL_S
+            yield SetTimer(self._next_repeat_at)
 
     def _gossip(self, now: float) -> Iterable[CrashesAction]:
-        """Send each pending report once to a few daemons, which forward what is new to them."""
+        """Send each new report to a few daemons, which forward what is new to them."""
         if self._next_gossip_at is None or now < self._next_gossip_at:
             return
         self._next_gossip_at = None
@@ -207,18 +244,81 @@
             if suspect is not None and reporter in suspect.counts:
                 reports.append(self._build_report(fingerprint, suspect, reporter, now))
         if reports:
-            fanout = min(GOSSIP_FANOUT, len(self._members))
-            for member in self._rng.sample(self._members, fanout):
-                yield Send(member, SuspectReports(tuple(reports)))
+            yield from self._send_to_some(SuspectReports(tuple(reports)), GOSSIP_FANOUT)
         if self._pending_reports:
             self._next_gossip_at = now + GOSSIP_INTERVAL_S
             yield SetTimer(self._next_gossip_at)
 
+    def _repeat(self, now: float) -> Iterable[CrashesAction]:
+        """Send reports again that others may have missed, while there are any suspects."""
+        if self._next_repeat_at is None or now < self._next_repeat_at:
+            return
+        self._next_repeat_at = None
+        suspects = self._suspects.list_shared(now)
+        if not self.has_suspects:
+            return
+        self._next_repeat_at = now + REPEAT_INTERVAL_S
+        yield SetTimer(self._next_repeat_at)
+        earliest = now - RECENT_CRASH_S
+        repeated = [
+            (fingerprint, suspect)
+            for fingerprint, suspect in suspects
+            if suspect.total.crashes >= REPEATED_CRASHES
+            or (suspect.own_crashed_at is not None and suspect.own_crashed_at > earliest)
+            or self._rng.random() < RARE_REPEAT_SHARE
+        ]
+        reports = self._draw_reports(repeated, now)
+        if reports:
+            yield from self._send_to_some(SuspectReports(reports), REPEAT_FANOUT)
+
+    def _request(self, now: float) -> Iterable[CrashesAction]:
+        """Ask for the reports of others after a start, until an answer arrives."""
+        if self._next_request_at is None or now < self._next_request_at:
+            return
+        self._next_request_at = None
+        if self._remaining_requests > 0:
+            self._remaining_requests -= 1
+            self._next_request_at = now + REQUEST_INTERVAL_S
+            yield SetTimer(self._next_request_at)
+            yield from self._send_to_some(SuspectsRequest(), REQUEST_FANOUT)
+
+    def _answer(self, sender: Address, now: float) -> Iterable[CrashesAction]:
+        """Send reports to a daemon that asks, unless this one still asks itself."""
+        if self._next_request_at is None:
+            reports = self._draw_reports(self._suspects.list_shared(now), now)
+            yield Send(sender, SuspectReports(reports))
+
+    def _draw_reports(
+        self, suspects: Sequence[tuple[Fingerprint, Suspect]], now: float
+    ) -> tuple[SuspectReport, ...]:
+        """Return reports for one message; those of the requests with most crashes go first.
+
+        Where they don't fit, half of the message is drawn from the others.
+        """
+        drawn = [
+            (fingerprint, suspect, reporter)
+            for fingerprint, suspect in suspects
+            for reporter in suspect.counts
+        ]
+        if len(drawn) > MAX_REPORTS:
+            first, rest = drawn[: MAX_REPORTS // 2], drawn[MAX_REPORTS // 2 :]
+            drawn = first + self._rng.sample(rest, MAX_REPORTS - len(first))
+        return tuple(
+            self._build_report(fingerprint, suspect, reporter, now)
+            for fingerprint, suspect, reporter in drawn
+        )
+
+    def _send_to_some(self, message: CrashesMessage, fanout: int) -> Iterable[CrashesAction]:
+        for member in self._rng.sample(self._members, min(fanout, len(self._members))):
+            yield Send(member, message)
+
     def _build_report(
         self, fingerprint: Fingerprint, suspect: Suspect, reporter: Address, now: float
     ) -> SuspectReport:
-        age_ms = int((now - suspect.crashed_at) * 1000)
-        return SuspectReport(fingerprint, reporter, suspect.counts[reporter], age_ms)
+        age_ms = math.ceil((now - suspect.crashed_at) * 1000)
+        return SuspectReport(
+            fingerprint, reporter, suspect.counts[reporter], age_ms, suspect.bursts
+        )
 
 
 def _build_reporter(address: Address, start_id: str) -> Address:
--- a/packages/godwitpass/src/godwitpass/internal/crashes/suspects.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/suspects.py
@@ -24,6 +24,12 @@
 SUSPECT_TTL_S = 600.0
 """Time since its latest crash after which a request is no longer suspected."""
 
+SHARED_S = 0.9 * SUSPECT_TTL_S
+"""Time since its latest crash for which other daemons are told of a suspect.
+
+It is shorter than the lifetime, so that no daemon learns again of a suspect that has expired there.
+"""
+
 CRASH_DEDUPLICATION_S = 0.1
 """Attempts that break within this time at one daemon count as one crash.
 
@@ -110,6 +116,7 @@
         self._own_address = own_address
         self._suspects: dict[Fingerprint, Suspect] = {}
         self._head_fingerprints: frozenset[bytes] = frozenset()
+        self._lowest: tuple[Fingerprint, tuple[bool, float]] | None = None
 
     def __len__(self) -> int:
         return len(self._suspects)
@@ -126,6 +133,14 @@
             return None
         return suspect
 
+    def list_shared(self, now: float) -> list[tuple[Fingerprint, Suspect]]:
+        """Remove the expired suspects, and return those to tell others of, most crashes first."""
+        for fingerprint in tuple(self._suspects):
+            self.find(fingerprint, now)
+        earliest = now - SHARED_S
+        shared = [item for item in self._suspects.items() if item[1].crashed_at > earliest]
+        return sorted(shared, key=lambda item: -item[1].total.crashes)
+
     def count_attempt(self, fingerprint: Fingerprint, now: float) -> None:
         """Count an attempt if the request is suspected.
 
@@ -168,9 +183,11 @@
         crashed_at = now - report.age_ms / 1000
         if now - crashed_at >= SUSPECT_TTL_S:
             return False
-        suspect = self.find(report.fingerprint, now) or self._add_suspect(
-            report.fingerprint, crashed_at
-        )
+        suspect = self.find(report.fingerprint, now)
+        if suspect is None:
+            if not self._has_room((report.counts.crashes >= MAX_CRASHES, crashed_at)):
+                return False
+            suspect = self._add_suspect(report.fingerprint, crashed_at)
         known = suspect.counts.get(report.reporter)
         if known is None and len(suspect.counts) >= MAX_REPORTERS:
             return False
@@ -180,22 +197,47 @@
             max(known.broken_attempts, reported.broken_attempts),
             max(known.attempts, reported.attempts),
         )
-        suspect.record_crash_time(crashed_at)
+        if merged.crashes > known.crashes:
+            # Repeated reports are older than they say, by the time that they took to arrive.
+            suspect.record_crash_time(crashed_at)
+        suspect.bursts = max(suspect.bursts, report.bursts)
         suspect.set_counts(report.reporter, merged)
         return merged != known
 
-    def _rank(self, fingerprint: Fingerprint) -> tuple[bool, float]:
-        """Return the order in which suspects are evicted."""
-        suspect = self._suspects[fingerprint]
-        return suspect.total.crashes >= MAX_CRASHES, suspect.crashed_at
+    def _has_room(self, rank: tuple[bool, float]) -> bool:
+        """Tell whether a suspect of this rank would not be the first one to be evicted."""
+        return len(self._suspects) < MAX_SUSPECTS or rank > _rank(
+            self._suspects[self._find_lowest()]
+        )
+
+    def _find_lowest(self) -> Fingerprint:
+        """Return the suspect that is evicted first.
+
+        Ranks never fall, so the one found before is still the lowest if its own has not changed.
+        """
+        if self._lowest is not None:
+            fingerprint, rank = self._lowest
+            suspect = self._suspects.get(fingerprint)
+            if suspect is not None and _rank(suspect) == rank:
+                return fingerprint
+        fingerprint = min(self._suspects, key=lambda each: _rank(self._suspects[each]))
+        self._lowest = fingerprint, _rank(self._suspects[fingerprint])
+        return fingerprint
 
     def _add_suspect(self, fingerprint: Fingerprint, crashed_at: float) -> Suspect:
         if len(self._suspects) >= MAX_SUSPECTS:
-            del self._suspects[min(self._suspects, key=self._rank)]
+            del self._suspects[self._find_lowest()]
         suspect = self._suspects[fingerprint] = Suspect(crashed_at)
+        if self._lowest is not None and _rank(suspect) < self._lowest[1]:
+            self._lowest = fingerprint, _rank(suspect)
         # An expired suspect stays in this set until the next addition. Until then, a request with
         # such a head costs the computation of its full fingerprint.
         self._head_fingerprints = frozenset(
             known[:HEAD_FINGERPRINT_BYTES] for known in self._suspects
         )
         return suspect
+
+
+def _rank(suspect: Suspect) -> tuple[bool, float]:
+    """Return the order in which suspects are evicted, first the lowest."""
+    return suspect.total.crashes >= MAX_CRASHES, suspect.crashed_at
--- a/packages/godwitpass/tests/crashes/test_crashes.py
+++ b/packages/godwitpass/tests/crashes/test_crashes.py
@@ -4,14 +4,20 @@
 import pytest
 
 from godwitpass.ids import Address
+from godwitpass.internal.actions import Send
 from godwitpass.internal.crashes import events
 from godwitpass.internal.crashes.fingerprint import compute_fingerprint
 from godwitpass.internal.crashes.messages import MAX_REPORTS, decode_message
 from godwitpass.internal.crashes.node import (
     GOSSIP_FANOUT,
+    MAX_REQUESTS,
+    REQUEST_FANOUT,
+    REQUEST_INTERVAL_S,
     AttemptStarted,
     CrashesNode,
     MembersChanged,
+    ReportsReceived,
+    Tick,
     UpstreamCrashed,
 )
 from godwitpass.internal.crashes.suspects import (
@@ -104,11 +110,33 @@
         mesh = GossipMesh(6)
         crash_everywhere(mesh, mesh.addresses[:MAX_CRASHES], 1)
         restarted = mesh.addresses[5]
-        mesh.nodes[restarted] = CrashesNode(restarted, random.Random(1), "second")
-        mesh.nodes[restarted].handle(MembersChanged(tuple(mesh.addresses)), mesh.now)
+        mesh.restart(restarted, "second")
         mesh.run(CONTACT_S)
         assert mesh.count_refusing(CRASHING_REQUEST) == len(mesh.addresses)
 
+    def test_a_daemon_that_has_just_started_asks_until_it_is_answered(self) -> None:
+        mesh = GossipMesh(6)
+        crash_everywhere(mesh, mesh.addresses[:MAX_CRASHES], 1)
+        restarted = mesh.addresses[5]
+        mesh.restart(restarted, "second")
+        mesh.cut_off = frozenset([restarted])
+        mesh.run(2 * REQUEST_INTERVAL_S)
+        assert not mesh.nodes[restarted].has_suspects
+        mesh.cut_off = frozenset()
+        mesh.run(2 * REQUEST_INTERVAL_S)
+        assert mesh.nodes[restarted].is_refused(CRASHING_REQUEST, mesh.now)
+
+    def test_daemons_that_start_together_answer_none_of_their_own_requests(self) -> None:
+        mesh = GossipMesh(3)
+        for address in mesh.addresses:
+            mesh.restart(address, "second")
+        mesh.run(REQUEST_INTERVAL_S)
+        sent = mesh.messages_sent
+        mesh.run(REQUEST_INTERVAL_S)
+        assert mesh.messages_sent == sent + 3 * min(REQUEST_FANOUT, 2)
+        mesh.run(MAX_REQUESTS * REQUEST_INTERVAL_S)
+        assert mesh.messages_sent == MAX_REQUESTS * 3 * min(REQUEST_FANOUT, 2)
+
     def test_reports_that_were_lost_in_a_cut_arrive_after_it(self) -> None:
         mesh = GossipMesh(6)
         mesh.cut_off = frozenset(mesh.addresses[:MAX_CRASHES])
@@ -126,6 +154,37 @@
             mesh.run(CONTACT_S)
             assert mesh.count_refusing(CRASHING_REQUEST) == size
 
+    def test_a_refusal_expires_although_reports_of_it_are_sent_again(self) -> None:
+        mesh = GossipMesh(6)
+        crash_everywhere(mesh, mesh.addresses[:MAX_CRASHES], 1)
+        mesh.run(SUSPECT_TTL_S - 10)
+        assert mesh.count_refusing(CRASHING_REQUEST) == len(mesh.addresses)
+        mesh.run(20)
+        assert mesh.count_refusing(CRASHING_REQUEST) == 0
+        assert not any(node.has_suspects for node in mesh.nodes.values())
+
+    def test_a_daemon_does_not_learn_again_of_a_request_that_has_expired_there(self) -> None:
+        addresses = tuple(Address(f"10.0.0.{host}:7") for host in range(3))
+        first, second, reporting = (CrashesNode(each, random.Random(1)) for each in addresses)
+        for node in (first, second, reporting):
+            node.handle(MembersChanged(addresses[:2]), 0.0)
+        for crashed_at in range(MAX_CRASHES):
+            reporting.handle(UpstreamCrashed(CRASHING_REQUEST), crashed_at)
+        sent = [action for action in reporting.handle(Tick(), 2.2) if isinstance(action, Send)]
+        # The time that a message takes adds to the age that it names.
+        for node, received_at in ((first, 2.2), (second, 3.7)):
+            node.handle(ReportsReceived(addresses[2], sent[0].message), received_at)
+        learned_again = False
+        for step in range(10 * int(SUSPECT_TTL_S + 5)):
+            now = 4.0 + step / 10
+            for sender, receiver in ((first, second), (second, first)):
+                for action in sender.handle(Tick(), now):
+                    if isinstance(action, Send):
+                        receiver.handle(ReportsReceived(addresses[2], action.message), now)
+            if now > MAX_CRASHES + SUSPECT_TTL_S - 0.5:
+                learned_again |= first.is_suspected(CRASHING_REQUEST, now)
+        assert not learned_again
+
     def test_a_refused_request_is_not_forgotten_for_calls_that_broke_later(self) -> None:
         mesh = GossipMesh(6)
         crash_everywhere(mesh, mesh.addresses[:MAX_CRASHES], 1)
@@ -139,8 +198,7 @@
         mesh = GossipMesh(6)
         crash_everywhere(mesh, mesh.addresses[:MAX_CRASHES], 1)
         restarted = mesh.addresses[5]
-        mesh.nodes[restarted] = CrashesNode(restarted, random.Random(1), "second")
-        mesh.nodes[restarted].handle(MembersChanged(tuple(mesh.addresses)), mesh.now)
+        mesh.restart(restarted, "second")
         mesh.run(CONTACT_S + PROVISIONAL_REFUSAL_S)
         assert mesh.nodes[restarted].is_refused(CRASHING_REQUEST, mesh.now)
 
--- a/testkit/src/godwitpass_testkit/experiments/claims_crashes.py
+++ b/testkit/src/godwitpass_testkit/experiments/claims_crashes.py
@@ -25,6 +25,7 @@
     CrashesNode,
     MembersChanged,
     ReportsReceived,
+    Started,
     Tick,
     UpstreamCrashed,
 )
@@ -75,6 +76,12 @@
             self._perform_actions(address, node.handle(UpstreamCrashed(fingerprint), self.now))
         return True
 
+    def restart(self, address: Address, start_id: str) -> None:
+        """Replace a daemon with one that has just started and knows nothing of the crashes."""
+        node = self.nodes[address] = CrashesNode(address, random.Random(address), start_id)
+        node.handle(MembersChanged(tuple(self.addresses)), self.now)
+        node.handle(Started(), self.now)
+
     def run(self, duration_s: float) -> None:
         """Run gossip rounds for `duration_s`."""
         for _ in range(round(duration_s / GOSSIP_INTERVAL_S)):
