Let few daemons admit a request again after a single burst of crashes

What callers saw: a request under which several servers had ended together was refused for 10 s and then ended the servers of all daemons at once; with more than three servers that is more than may follow. Cause: the refusal of a request whose crashes are one burst ended at all daemons at the same moment, so each admitted it before any could report a crash. Why this works: each daemon draws the end of its refusal, between 2 and 10 s, so that the number of daemons that have admitted the request doubles each second. The first ones that see it crash report it before the others admit it.

Innocent requests are refused for 8.6 s on the mean of the distribution in place of 10 s.

--- a/packages/godwitpass/src/godwitpass/internal/crashes/suspects.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/suspects.py
@@ -3,6 +3,8 @@
 The counts are bounded in number and lifetime.
 """
 
+import hashlib
+import math
 from enum import Enum
 
 import msgspec
@@ -40,11 +42,16 @@
 """Time between two crashes from which they belong to different bursts."""
 
 PROVISIONAL_REFUSAL_S = 10.0
-"""Time for which a request is refused whose crashes are one burst.
+"""Time for which a request is refused at most whose crashes are one burst.
 
 One call that is retried beside a crashing request can break at several upstreams at once.
 """
 
+MIN_PROVISIONAL_REFUSAL_S = 2.0
+RELEASE_DOUBLING_S = 1.0
+"""Time in which the share of daemons doubles that admit such a request again."""
+
+DIGEST_BYTES = 4
 MAX_SUSPECTS = 256
 MAX_REPORTERS = 16
 """Daemons whose counts are kept for one suspect."""
@@ -73,6 +80,7 @@
     is_refusal_reported: bool = False
     reported_admission_crashes: int = 0
     bursts: int = 1
+    provisional_refusal_s: float = PROVISIONAL_REFUSAL_S
 
     def set_counts(self, reporter: Address, counts: CrashCounts) -> None:
         """Replace the counts of one daemon, and update the sum over all daemons."""
@@ -99,7 +107,7 @@
         total = self.total
         if total.crashes < MAX_CRASHES:
             return Admission.FEW_CRASHES
-        if self.bursts == 1 and now - self.crashed_at >= PROVISIONAL_REFUSAL_S:
+        if self.bursts == 1 and now - self.crashed_at >= self.provisional_refusal_s:
             return Admission.SINGLE_BURST_EXPIRED
         if total.broken_attempts < MIN_BROKEN_SHARE * total.attempts:
             return Admission.ATTEMPTS_SUCCEED
@@ -227,7 +235,10 @@
     def _add_suspect(self, fingerprint: Fingerprint, crashed_at: float) -> Suspect:
         if len(self._suspects) >= MAX_SUSPECTS:
             del self._suspects[self._find_lowest()]
-        suspect = self._suspects[fingerprint] = Suspect(crashed_at)
+        suspect = self._suspects[fingerprint] = Suspect(
+            crashed_at,
+            provisional_refusal_s=_draw_provisional_refusal(self._own_address, fingerprint),
+        )
         if self._lowest is not None and _rank(suspect) < self._lowest[1]:
             self._lowest = fingerprint, _rank(suspect)
         # An expired suspect stays in this set until the next addition. Until then, a request with
@@ -241,3 +252,16 @@
 def _rank(suspect: Suspect) -> tuple[bool, float]:
     """Return the order in which suspects are evicted, first the lowest."""
     return suspect.total.crashes >= MAX_CRASHES, suspect.crashed_at
+
+
+def _draw_provisional_refusal(own_address: Address, fingerprint: Fingerprint) -> float:
+    """Return for how long this daemon refuses a request whose crashes are one burst.
+
+    The times of all daemons are distributed so that the number of those that admit the request
+    grows exponentially: whatever their number, few have admitted it when the first one reports that
+    it has crashed again.
+    """
+    digest = hashlib.blake2b(own_address.encode() + fingerprint, digest_size=DIGEST_BYTES).digest()
+    share = (int.from_bytes(digest, "big") + 1) / 256**DIGEST_BYTES
+    delay_s = PROVISIONAL_REFUSAL_S + RELEASE_DOUBLING_S * math.log2(share)
+    return max(MIN_PROVISIONAL_REFUSAL_S, delay_s)
