Report a call that was sent once as one that may have run

What callers saw: a repeatable call that had been sent on an idle connection, which then broke, could be answered "not run" (503). Cause: such a call is sent again on a new connection. If its deadline was over by then, the upstream leaving or its request refused as a crash suspect, it was refused like a call that had never been sent. Evidence: test_a_call_that_may_have_run_on_a_lost_connection_is_not_reported_as_ not_run fails for all three without the change and passes with it. Why this works: whatever ends a call before it is sent asks first whether it was sent before.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
@@ -380,10 +380,7 @@
             if self.has_ended:
                 return
             self._runner.call_log.record_unreachable(error)
-            if self.was_sent:
-                self.fail(Failure.RESET)
-            else:
-                self.refuse(Refusal.UNREACHABLE, 0.0)
+            self._end_unsent(Refusal.UNREACHABLE)
             return
         self._connect_task = None
         if self.has_ended:
@@ -398,21 +395,17 @@
         target = runner.registration.current
         if remaining_ms <= 0 or target is None or not runner.accepts_service(self.request.service):
             runner.pool.release(connection)
-            self.refuse(Refusal.TOO_LATE if remaining_ms <= 0 else Refusal.DRAINING, 0.0)
+            self._end_unsent(Refusal.TOO_LATE if remaining_ms <= 0 else Refusal.DRAINING)
             return
         refusal = self._find_late_refusal()
         if refusal is not None:
             runner.pool.release(connection)
-            if self.was_sent:
-                # The first connection was lost after the request had been sent on it.
-                self.fail(Failure.RESET)
-            else:
-                self.refuse(refusal, 0.0)
+            self._end_unsent(refusal)
             return
         guard = runner.crash_guard
         if guard is not None and guard.has_suspects and guard.is_refused(self.describe()):
             runner.pool.release(connection)
-            self.refuse(Refusal.CRASH_SUSPECT, 0.0)
+            self._end_unsent(Refusal.CRASH_SUSPECT)
             return
         self._target = target
         self._connection = connection
@@ -430,6 +423,13 @@
         request_id = request.request_id.encode("latin-1")
         connection.send(self, method, request_id, b"".join([head, *self._body_chunks]))
 
+    def _end_unsent(self, reason: Refusal) -> None:
+        """End a call that is not sent, or not sent again after its first connection was lost."""
+        if self.was_sent:
+            self.fail(Failure.RESET)
+        else:
+            self.refuse(reason, 0.0)
+
     def _find_late_refusal(self) -> Refusal | None:
         """Return why the call must not be handed to the upstream after its wait, if so."""
         if self._runner.is_version_closed():
--- a/packages/godwitpass-daemon/tests/relay/test_upstream.py
+++ b/packages/godwitpass-daemon/tests/relay/test_upstream.py
@@ -23,6 +23,7 @@
     encode_frame,
 )
 from godwitpass.internal.relay.registration import Heartbeat
+from godwitpass_daemon.edge.guards import RequestDescriptor
 from godwitpass_daemon.relay.headers import ResponseHead
 from godwitpass_daemon.relay.limits import MAX_BUFFERED_RESPONSE_BYTES, RESPONSE_WINDOW_BYTES
 from godwitpass_daemon.relay.probe import probe_health
@@ -220,17 +221,38 @@
         return sum(len(frame.data) for frame in self.frames if isinstance(frame, BodyChunk))
 
 
+class RefusingGuard:
+    """Refuses all requests."""
+
+    has_suspects = True
+
+    def would_refuse(self, request: RequestDescriptor) -> bool:
+        return True
+
+    is_suspected = is_refused = would_refuse
+
+    def report_crash(self, request: RequestDescriptor, age_s: float = 0.0) -> None:
+        pass
+
+    def record_completed(self, service: ServiceName, method: bytes, target: bytes) -> None:
+        pass
+
+
 class RunningCall:
     """A call that was sent to the upstream on `connection`."""
 
     def __init__(
-        self, is_flow_controlled: bool = False, bytes_per_s: float = 1e9, idle_s: float = 0.0
+        self,
+        is_flow_controlled: bool = False,
+        bytes_per_s: float = 1e9,
+        idle_s: float = 0.0,
+        now_s: float = 0.0,
     ) -> None:
         service = ServiceName("vault")
         self.events: list[dict[str, FieldValue]] = []
         runner = UpstreamRunner(
             HEADER_NAMES,
-            lambda: 0.0,
+            lambda: now_s,
             lambda kind, fields: self.events.append(fields),
             1.0,
             bytes_per_s,
@@ -243,7 +265,7 @@
         self.transport = RecordingTransport()
         self.connection.connection_made(self.transport)
         runner.pool.release(self.connection)
-        self.connection.idle_since = -idle_s
+        self.connection.idle_since = now_s - idle_s
         self.channel = RecordingReplyChannel(is_flow_controlled)
         self.runner = runner
         self.call: UpstreamCall = runner.open_call(self.channel, self.build_request(1))
@@ -335,6 +357,25 @@
 
         asyncio.run(check())
 
+    @pytest.mark.parametrize("change", ["deadline", "draining", "crash suspect"])
+    def test_a_call_that_may_have_run_on_a_lost_connection_is_not_reported_as_not_run(
+        self, change: str
+    ) -> None:
+        async def check() -> None:
+            running = RunningCall(now_s=10.0, idle_s=2.0)
+            runner, call = running.runner, running.call
+            running.connection.connection_lost(None)
+            if change == "deadline":
+                call.deadline = 10.0
+            elif change == "draining":
+                runner.registration.draining_since = 0.0
+            else:
+                runner.crash_guard = RefusingGuard()
+            call._send_request(open_connection(runner.pool)[0])
+            assert isinstance(running.channel.frames[-1], Failed)
+
+        asyncio.run(check())
+
 
 class TestDelivery:
     """Large responses to another daemon, which confirms what it has received."""
