Don't take the replacement of a leaving upstream for a crash

A call whose connection breaks at an upstream that has announced its leaving stays unresolved until the next heartbeat, which names the upstream that takes its place, and would count as a crash of that call. Such calls are left out. Refused connections still count, as before.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/crash_detector.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/crash_detector.py
@@ -26,11 +26,15 @@
 
 
 class BrokenCall(msgspec.Struct, frozen=True):
-    """A call whose connection broke at `broke_at`; `target` is the incarnation it was sent to."""
+    """A call whose connection broke at `broke_at`; `target` is the incarnation it was sent to.
+
+    `was_leaving` is set if the upstream had announced that it would leave.
+    """
 
     request: RequestDescriptor
     target: Heartbeat | None
     broke_at: float
+    was_leaving: bool
 
 
 class CrashDetector:
@@ -61,7 +65,8 @@
 
     def record_reset(self, request: RequestDescriptor, target: Heartbeat | None) -> None:
         """Check soon whether the upstream has ended while it ran `request`."""
-        self._broken_calls.append(BrokenCall(request, target, self._now()))
+        was_leaving = self._registration.draining_since is not None
+        self._broken_calls.append(BrokenCall(request, target, self._now(), was_leaving))
         if self._check_task is None:
             self._check_task = asyncio.get_running_loop().create_task(self._check_upstream())
 
@@ -94,7 +99,9 @@
             return
         self._pool.release(connection)
         self._record_check(len(calls), False, "accepts connections")
-        self._unresolved_calls = [*self._unresolved_calls, *calls][-MAX_UNRESOLVED_CALLS:]
+        # An upstream that leaves is replaced, whatever call it ran last.
+        unresolved = [call for call in calls if not call.was_leaving]
+        self._unresolved_calls = [*self._unresolved_calls, *unresolved][-MAX_UNRESOLVED_CALLS:]
         self.handle_registration()
 
     def _has_restarted(self, call: BrokenCall) -> bool:
--- a/packages/godwitpass-daemon/tests/relay/test_crash_detector.py
+++ b/packages/godwitpass-daemon/tests/relay/test_crash_detector.py
@@ -139,6 +139,15 @@
 
         run(check)
 
+    def test_a_reset_by_an_upstream_that_leaves_is_no_crash(self) -> None:
+        async def check(upstream: Upstream) -> None:
+            upstream.registration.draining_since = upstream.now
+            await upstream.reset()
+            upstream.start("i-2")
+            assert not upstream.guard.crash_ages
+
+        run(check)
+
     def test_a_reset_long_before_a_restart_is_no_crash(self) -> None:
         async def check(upstream: Upstream) -> None:
             await upstream.reset()
