Send crashing requests in bursts in the soak, with silent links and lost reports

The soak sent a crashing request each 0.6 s, at one machine after the other, and started servers again after one second. It could not show that ends are missed at servers that are back at once, that queries hide a request, or that reports are lost.

--crashing draws only crashing requests and what loses reports of them: bursts at several machines at once, with another query each time, servers that are back after 20 ms or 3 s, open connections that go silent, lost datagrams, kills and cuts.

--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -1,9 +1,13 @@
 """The soak: its plans, its checker and short runs with real daemons."""
 
+import asyncio
+import contextlib
 from pathlib import Path
 
+import anyio
 import pytest
 
+from godwitpass.ids import Address
 from godwitpass_platform_soak import draw_plan, run_soak
 from godwitpass_platform_soak.checker import (
     MAX_CUSTOMER_CALLS,
@@ -15,6 +19,8 @@
     hash_body,
 )
 from godwitpass_platform_soak.keys import LASTING_KEY
+from godwitpass_platform_soak.plan import CRASHING_FAULTS, Fault
+from godwitpass_platform_soak.proxy import Link, StreamProxy
 
 BODY = b"body"
 REQUEST_LINE = "POST /order/1 HTTP/1.1"
@@ -22,6 +28,7 @@
 SEEDS = [3, 5]
 NEWER_SEEDS = [1, 2]
 EXTRA_REQUESTS_SEED = 41
+CRASHING_SEED = 37
 
 
 def build_checker(disturbances: Disturbances | None = None) -> Checker:
@@ -45,6 +52,41 @@
     return [violation.invariant for violation in checker.violations]
 
 
+class TestStreamProxy:
+    def test_a_silent_connection_stays_open_and_new_ones_work(self) -> None:
+        async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(ConnectionError):
+                while data := await reader.read(100):
+                    writer.write(data)
+            writer.close()
+
+        async def check() -> None:
+            target, address = Address("127.0.0.1:21901"), Address("127.0.0.1:21902")
+            server = await asyncio.start_server(echo, "127.0.0.1", 21901)
+            proxy = StreamProxy(address, target, Link())
+            await proxy.start()
+            silent_reader, silent_writer = await asyncio.open_connection("127.0.0.1", 21902)
+            silent_writer.write(b"before")
+            assert await silent_reader.readexactly(6) == b"before"
+            proxy.silence()
+            silent_writer.write(b"after")
+            reader, writer = await asyncio.open_connection("127.0.0.1", 21902)
+            writer.write(b"other")
+            assert await reader.readexactly(5) == b"other"
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.2):
+                    await silent_reader.read(1)
+            assert not silent_writer.is_closing()
+            for each in (silent_writer, writer):
+                each.transport.abort()
+            proxy.stop()
+            server.close()
+            # Let the event loop close its side of the aborted connections.
+            await anyio.sleep(0.05)
+
+        anyio.run(check, backend_options={"use_uvloop": True})
+
+
 class TestPlan:
     def test_a_seed_always_gives_the_same_faults(self) -> None:
         assert draw_plan(5, 6, 20) == draw_plan(5, 6, 20)
@@ -55,6 +97,13 @@
             plan = draw_plan(seed, 6, 20)
             assert all(step.at + step.for_s <= plan.length_s + 0.01 for step in plan.steps)
 
+    def test_crashing_faults_are_drawn_alone(self) -> None:
+        for seed in range(20):
+            plan = draw_plan(seed, 6, 20, only_crashing_faults=True)
+            assert {step.fault for step in plan.steps} <= set(CRASHING_FAULTS)
+            others = draw_plan(seed, 6, 20, with_newer_faults=True)
+            assert Fault.CRASHING_BURST not in {step.fault for step in others.steps}
+
     def test_a_plan_with_a_single_machine_is_rejected(self) -> None:
         with pytest.raises(ValueError, match="two machines or more"):
             draw_plan(1, 1, 20)
@@ -301,6 +350,15 @@
         assert outcome.counts["status 200"] > 100
         assert outcome.counts["nested 200"] > 10
 
+    def test_crashing_requests_are_bounded_while_reports_of_them_are_lost(
+        self, tmp_path: Path
+    ) -> None:
+        plan = draw_plan(CRASHING_SEED, 4, 16, only_crashing_faults=True)
+        outcome = run_soak(plan, tmp_path)
+        assert not outcome.violations, outcome
+        logs = b"".join(path.read_bytes() for path in tmp_path.glob("side-*.log"))
+        assert b"crash-request-refused" in logs, "the plan sends crashing requests"
+
     def test_extra_requests_violate_no_invariant_under_faults(self, tmp_path: Path) -> None:
         plan = draw_plan(EXTRA_REQUESTS_SEED, 4, 14, True, extra_request_share=0.2)
         outcome = run_soak(plan, tmp_path)
