Don't retry a request that the edge refuses since its first attempt

What callers saw: with godwitd, a request that other daemons had found to crash upstreams in the meantime was still retried at another upstream. Cause: the edge asks the crash guard before the first attempt alone; the relay asks before each one. Evidence: test_a_request_that_is_refused_after_its_first_attempt_is_not_retried fails without the change (two runs) and passes with it. Why this works: a retry is made only if the guard still admits the request.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
@@ -198,7 +198,10 @@
             is_replayable=self.body.is_replayable,
             is_retry=self.head.context.is_retry,
         )
-        if may_retry(failed, self.route.policy, self.dispatcher.retry_budget):
+        if (
+            may_retry(failed, self.route.policy, self.dispatcher.retry_budget)
+            and not self._guards.is_refused()
+        ):
             self._start_attempt(avoid=attempt)
             return
         self._refuse(self._last_failure)
--- a/packages/godwitpass-daemon/tests/edge/test_faults.py
+++ b/packages/godwitpass-daemon/tests/edge/test_faults.py
@@ -3,9 +3,11 @@
 
 import anyio
 import pytest
+from anyio.abc import TaskGroup
 
 from godwitpass.document import Document, Execution, Policy, Route, Service
-from godwitpass.ids import Address, RouteName
+from godwitpass.ids import Address, RouteName, ServiceName
+from godwitpass_daemon.edge.guards import RequestDescriptor
 from godwitpass_testkit.caller import connect, encode_request, request
 from godwitpass_testkit.edge import (
     READ_POLICY,
@@ -213,3 +215,34 @@
                 await mesh.get("/books")
             ).status == 404, "an older version must not replace a newer one"
             assert (await pending).body == b"r /books 0"
+
+
+class RefusingCrashGuard:
+    """Refuses a request once an upstream has crashed under it."""
+
+    def __init__(self) -> None:
+        self.has_crashed = False
+
+    async def start(self, tasks: TaskGroup) -> None:
+        pass
+
+    async def stop(self) -> None:
+        pass
+
+    def is_refused(self, request: RequestDescriptor) -> bool:
+        return self.has_crashed
+
+    def report_crash(self, request: RequestDescriptor) -> None:
+        self.has_crashed = True
+
+    def record_completed(self, service: ServiceName, method: bytes, target: bytes) -> None:
+        pass
+
+
+class TestCrashingRequests:
+    @run_async
+    async def test_a_request_that_is_refused_after_its_first_attempt_is_not_retried(self) -> None:
+        async with run_mesh(2, extra_services={"crashes": RefusingCrashGuard()}) as mesh:
+            response = await mesh.get("/books", x_fault="break", x_request="r")
+            assert response.outcome == "unknown"
+            assert mesh.count_runs("r") == 1
