Share upstream connections with daemons that are out of sight

What callers saw: with godwitd, in a partition, calls that upstreams reset because they had more connections than their limit. Cause: the edge divides the connections of an upstream by the daemons that it knows at the moment. On the small side of a cut it took the connections that those on the other side still had. Evidence: test_connections_are_shared_with_daemons_that_are_out_of_sight fails without the change and passes with it. Why this works: the number of daemons is the highest one of the last 60 to 120 s.

Open: a daemon that has just started knows few others for a moment, and plans too many connections until it has joined.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/core.py
@@ -12,6 +12,7 @@
 from godwitpass.ids import ServiceName
 from godwitpass.internal.actions import RecordEvent, SetTimer
 from godwitpass.internal.admission.concurrency_limit import ConcurrencyLimit
+from godwitpass.internal.balancing.highest_count import HighestCount
 from godwitpass.internal.balancing.subset import compute_idle_timeout_s
 from godwitpass.internal.calls import events
 from godwitpass.internal.calls.dispatcher import DaemonLocation, Dispatcher
@@ -54,6 +55,12 @@
 CountDaemons = Callable[[], int]
 EmitEvent = Callable[[EventKind, dict[str, FieldValue]], None]
 
+DAEMON_HOLD_S = 60.0
+"""Time for which daemons that are out of sight still count.
+
+Those beyond a partition keep their connections to the upstreams.
+"""
+
 
 class EdgeCore:
     """Holds the state of the edge and performs the actions of the dispatchers.
@@ -82,6 +89,7 @@
         self._rng = rng
         self._list_upstreams = list_upstreams
         self._count_daemons = count_daemons
+        self._daemon_count = HighestCount(DAEMON_HOLD_S)
         self._table: RoutingTable | None = None
         self._dispatchers: dict[ServiceName, Dispatcher] = {}
         self._stale_services: set[ServiceName] = set()
@@ -263,7 +271,7 @@
         assert self._table is not None
         self._stale_services.discard(name)
         upstreams = self._list_upstreams(name)
-        daemons = self._count_daemons()
+        daemons = self._daemon_count.update(self._count_daemons(), self.now())
         connections = self._table.services[name].connections
         idle_s = compute_idle_timeout_s(len(upstreams), daemons, connections, MAX_UPSTREAM_IDLE_S)
         for upstream in upstreams:
--- a/packages/godwitpass-daemon/tests/edge/test_faults.py
+++ b/packages/godwitpass-daemon/tests/edge/test_faults.py
@@ -246,3 +246,23 @@
             response = await mesh.get("/books", x_fault="break", x_request="r")
             assert response.outcome == "unknown"
             assert mesh.count_runs("r") == 1
+
+
+class TestPartitions:
+    @run_async
+    async def test_connections_are_shared_with_daemons_that_are_out_of_sight(self) -> None:
+        async with run_mesh() as mesh:
+            upstreams = [
+                build_upstream(number, Address(f"127.0.0.1:{number + 1}")) for number in range(40)
+            ]
+            services = mesh.services
+            services.member_count = 1_000
+            services.set_upstreams(SHOP, upstreams)
+            await mesh.get("/books")
+            used = services.used_upstreams
+            assert 0 < used < len(upstreams)
+            services.member_count = 2
+            services.set_upstreams(SHOP, upstreams[1:])
+            services.used_upstreams = 0
+            await mesh.get("/books")
+            assert 0 < services.used_upstreams <= used
--- a/testkit/src/godwitpass_testkit/edge.py
+++ b/testkit/src/godwitpass_testkit/edge.py
@@ -23,7 +23,8 @@
     ZoneId,
 )
 from godwitpass.internal.calls.dispatcher import DaemonLocation
-from godwitpass.mesh import Member, Upstream, UpstreamState
+from godwitpass.internal.calls.events import UPSTREAMS_CHANGED
+from godwitpass.mesh import Member, MemberState, Upstream, UpstreamState
 from godwitpass.snapshot import Snapshot
 from godwitpass_daemon.edge.service import EdgeService
 from godwitpass_daemon.kernel import Kernel
@@ -68,6 +69,8 @@
         self.current = snapshot
         self.upstreams_by_service: dict[ServiceName, list[Upstream]] = {}
         self.emitted_names: list[str] = []
+        self.member_count = 0
+        self.used_upstreams = 0
         self._callbacks: list[Callable[..., None]] = []
 
     async def start(self, tasks: TaskGroup) -> None:
@@ -81,8 +84,11 @@
         return self.current
 
     def members(self) -> Sequence[Member]:
-        """Return no members."""
-        return ()
+        """Return as many members as the test has set."""
+        return [
+            Member(InstanceId(f"d{number}"), ZONE, REGION, Address(""), 0, 0, MemberState.ALIVE)
+            for number in range(self.member_count)
+        ]
 
     def upstreams(self, service: ServiceName) -> Sequence[Upstream]:
         """Return the upstreams that the test has set."""
@@ -103,8 +109,10 @@
         self._callbacks[1]()
 
     def emit(self, kind: EventKind, **fields: FieldValue) -> None:
-        """Record the name of the event."""
+        """Record the name of the event, and how many upstreams the edge uses."""
         self.emitted_names.append(kind.name)
+        if kind is UPSTREAMS_CHANGED and fields["service"] == SHOP:
+            self.used_upstreams = int(str(fields["upstreams"]))
 
 
 class Mesh:
