Pass on reports of crashing requests only with a new crash

Cause: since reports are sent again, they carry the number of attempts at each daemon, which grows with each call of a request that is suspected but served. Each larger number counted as news, which a daemon passed on to six others. Why this works: a report is news only with a new crash. Numbers of attempts are merged all the same, and arrive with the reports that are sent again.

Found in review, before this code was landed.

--- a/packages/godwitpass/src/godwitpass/internal/crashes/suspects.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/suspects.py
@@ -187,7 +187,7 @@
         return not is_same_crash
 
     def merge(self, report: SuspectReport, now: float) -> bool:
-        """Merge another daemon's counts; return False when they bring nothing new."""
+        """Merge another daemon's counts; return whether they contain a new crash."""
         crashed_at = now - report.age_ms / 1000
         if now - crashed_at >= SUSPECT_TTL_S:
             return False
@@ -205,12 +205,13 @@
             max(known.broken_attempts, reported.broken_attempts),
             max(known.attempts, reported.attempts),
         )
-        if merged.crashes > known.crashes:
+        has_new_crash = merged.crashes > known.crashes
+        if has_new_crash:
             # Repeated reports are older than they say, by the time that they took to arrive.
             suspect.record_crash_time(crashed_at)
         suspect.bursts = max(suspect.bursts, report.bursts)
         suspect.set_counts(report.reporter, merged)
-        return merged != known
+        return has_new_crash
 
     def _has_room(self, rank: tuple[bool, float]) -> bool:
         """Tell whether a suspect of this rank would not be the first one to be evicted."""
--- a/packages/godwitpass/tests/crashes/test_crashes.py
+++ b/packages/godwitpass/tests/crashes/test_crashes.py
@@ -10,7 +10,10 @@
 from godwitpass.internal.crashes.messages import MAX_REPORTS, decode_message
 from godwitpass.internal.crashes.node import (
     GOSSIP_FANOUT,
+    GOSSIP_INTERVAL_S,
     MAX_REQUESTS,
+    REPEAT_FANOUT,
+    REPEAT_INTERVAL_S,
     REQUEST_FANOUT,
     REQUEST_INTERVAL_S,
     AttemptStarted,
@@ -307,6 +310,17 @@
         assert mesh.messages_sent <= (GOSSIP_FANOUT + 1) * 200
         assert mesh.bytes_sent / 200 < 500
 
+    def test_attempts_that_succeed_after_crashes_cause_no_further_gossip(self) -> None:
+        mesh = GossipMesh(50)
+        crash_everywhere(mesh, mesh.addresses[:2], 1)
+        mesh.run(5)
+        sent_before, duration_s = mesh.messages_sent, 20
+        for _ in range(round(duration_s / GOSSIP_INTERVAL_S)):
+            assert mesh.send(mesh.addresses[0], CRASHING_REQUEST, crashes=False)
+            mesh.run(GOSSIP_INTERVAL_S)
+        sent = mesh.messages_sent - sent_before
+        assert sent <= REPEAT_FANOUT * len(mesh.addresses) * (duration_s / REPEAT_INTERVAL_S + 1)
+
     def test_a_message_with_too_many_or_malformed_reports_is_rejected(self) -> None:
         report = [CRASHING_REQUEST, "10.0.0.1:7", [1, 1, 1], 5]
         for reports in ([report] * (MAX_REPORTS + 1), [[b"short", *report[1:]]], [report[:2]]):
