Tell answers to a started daemon from other reports, and tidy crash suspects

A daemon that has just started took any report for the answer to its request and stopped asking, although a repeated report holds a few requests only. Answers are marked now; test_only_an_answer_ends_the_requests_of_a_daemon_that_ has_just_started covers it. Found in review, before this code was landed.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/crash_detector.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/crash_detector.py
@@ -84,7 +84,7 @@
         earliest = self._now() - HEARTBEAT_TIMEOUT_S
         calls = [call for call in self._unresolved_calls if call.broke_at >= earliest]
         ended_calls = [call for call in calls if self._has_restarted(call)]
-        self._unresolved_calls = [call for call in calls if call not in ended_calls]
+        self._unresolved_calls = [call for call in calls if not self._has_restarted(call)]
         if ended_calls:
             self._report_end(ended_calls, "restarted")
 
--- a/packages/godwitpass/src/godwitpass/internal/crashes/messages.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/messages.py
@@ -39,9 +39,10 @@
 
 
 class SuspectReports(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Message with reports, new ones or ones that may have been lost."""
+    """Message with reports: new ones, ones that may have been lost, or the answer to a request."""
 
     reports: Annotated[tuple[SuspectReport, ...], msgspec.Meta(max_length=MAX_REPORTS)]
+    is_answer: bool = False
 
 
 class SuspectsRequest(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/packages/godwitpass/src/godwitpass/internal/crashes/node.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/node.py
@@ -158,7 +158,8 @@
     def _merge_reports(
         self, sender: Address, message: SuspectReports, now: float
     ) -> Iterable[CrashesAction]:
-        self._remaining_requests = 0
+        if message.is_answer:
+            self._remaining_requests = 0
         replies: list[SuspectReport] = []
         for report in message.reports:
             # Counts of this process are not learned from others.
@@ -286,7 +287,7 @@
         """Send reports to a daemon that asks, unless this one still asks itself."""
         if self._next_request_at is None:
             reports = self._draw_reports(self._suspects.list_shared(now), now)
-            yield Send(sender, SuspectReports(reports))
+            yield Send(sender, SuspectReports(reports, is_answer=True))
 
     def _draw_reports(
         self, suspects: Sequence[tuple[Fingerprint, Suspect]], now: float
--- a/packages/godwitpass/src/godwitpass/internal/crashes/suspects.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/suspects.py
@@ -3,8 +3,6 @@
 The counts are bounded in number and lifetime.
 """
 
-import hashlib
-import math
 from enum import Enum
 
 import msgspec
@@ -16,6 +14,10 @@
     HeadFingerprint,
 )
 from godwitpass.internal.crashes.messages import CrashCounts, SuspectReport
+from godwitpass.internal.crashes.release import (
+    MAX_PROVISIONAL_REFUSAL_S,
+    compute_provisional_refusal_s,
+)
 
 MAX_CRASHES = 3
 """Crashes, over all daemons, after which a request is refused."""
@@ -39,19 +41,12 @@
 """
 
 BURST_S = 0.5
-"""Time between two crashes from which they belong to different bursts."""
-
-PROVISIONAL_REFUSAL_S = 10.0
-"""Time for which a request is refused at most whose crashes are one burst.
+"""Time between two crashes from which they belong to different bursts.
 
-One call that is retried beside a crashing request can break at several upstreams at once.
+One call that is retried beside a crashing request can break at several upstreams at once, so a
+request with a single burst is refused for a short time only.
 """
 
-MIN_PROVISIONAL_REFUSAL_S = 2.0
-RELEASE_DOUBLING_S = 1.0
-"""Time in which the share of daemons doubles that admit such a request again."""
-
-DIGEST_BYTES = 4
 MAX_SUSPECTS = 256
 MAX_REPORTERS = 16
 """Daemons whose counts are kept for one suspect."""
@@ -80,7 +75,7 @@
     is_refusal_reported: bool = False
     reported_admission_crashes: int = 0
     bursts: int = 1
-    provisional_refusal_s: float = PROVISIONAL_REFUSAL_S
+    provisional_refusal_s: float = MAX_PROVISIONAL_REFUSAL_S
 
     def set_counts(self, reporter: Address, counts: CrashCounts) -> None:
         """Replace the counts of one daemon, and update the sum over all daemons."""
@@ -238,7 +233,7 @@
             del self._suspects[self._find_lowest()]
         suspect = self._suspects[fingerprint] = Suspect(
             crashed_at,
-            provisional_refusal_s=_draw_provisional_refusal(self._own_address, fingerprint),
+            provisional_refusal_s=compute_provisional_refusal_s(self._own_address, fingerprint),
         )
         if self._lowest is not None and _rank(suspect) < self._lowest[1]:
             self._lowest = fingerprint, _rank(suspect)
@@ -253,16 +248,3 @@
 def _rank(suspect: Suspect) -> tuple[bool, float]:
     """Return the order in which suspects are evicted, first the lowest."""
     return suspect.total.crashes >= MAX_CRASHES, suspect.crashed_at
-
-
-def _draw_provisional_refusal(own_address: Address, fingerprint: Fingerprint) -> float:
-    """Return for how long this daemon refuses a request whose crashes are one burst.
-
-    The times of all daemons are distributed so that the number of those that admit the request
-    grows exponentially: whatever their number, few have admitted it when the first one reports that
-    it has crashed again.
-    """
-    digest = hashlib.blake2b(own_address.encode() + fingerprint, digest_size=DIGEST_BYTES).digest()
-    share = (int.from_bytes(digest, "big") + 1) / 256**DIGEST_BYTES
-    delay_s = PROVISIONAL_REFUSAL_S + RELEASE_DOUBLING_S * math.log2(share)
-    return max(MIN_PROVISIONAL_REFUSAL_S, delay_s)
--- a/packages/godwitpass/tests/crashes/test_crashes.py
+++ b/packages/godwitpass/tests/crashes/test_crashes.py
@@ -7,7 +7,12 @@
 from godwitpass.internal.actions import Send
 from godwitpass.internal.crashes import events
 from godwitpass.internal.crashes.fingerprint import compute_fingerprint
-from godwitpass.internal.crashes.messages import MAX_REPORTS, decode_message
+from godwitpass.internal.crashes.messages import (
+    MAX_REPORTS,
+    SuspectReports,
+    SuspectsRequest,
+    decode_message,
+)
 from godwitpass.internal.crashes.node import (
     GOSSIP_FANOUT,
     GOSSIP_INTERVAL_S,
@@ -20,14 +25,15 @@
     CrashesNode,
     MembersChanged,
     ReportsReceived,
+    Started,
     Tick,
     UpstreamCrashed,
 )
+from godwitpass.internal.crashes.release import MAX_PROVISIONAL_REFUSAL_S
 from godwitpass.internal.crashes.suspects import (
     MAX_CRASHES,
     MAX_REPORTERS,
     MAX_SUSPECTS,
-    PROVISIONAL_REFUSAL_S,
     SUSPECT_TTL_S,
 )
 from godwitpass_testkit.experiments.claims_crashes import GossipMesh
@@ -129,6 +135,16 @@
         mesh.run(2 * REQUEST_INTERVAL_S)
         assert mesh.nodes[restarted].is_refused(CRASHING_REQUEST, mesh.now)
 
+    def test_only_an_answer_ends_the_requests_of_a_daemon_that_has_just_started(self) -> None:
+        own, other = Address("10.0.0.1:7"), Address("10.0.0.2:7")
+        node = CrashesNode(own, random.Random(1))
+        node.handle(MembersChanged((own, other)), 0.0)
+        node.handle(Started(), 0.0)
+        node.handle(ReportsReceived(other, SuspectReports(())), 0.1)
+        assert Send(other, SuspectsRequest()) in node.handle(Tick(), REQUEST_INTERVAL_S)
+        node.handle(ReportsReceived(other, SuspectReports((), is_answer=True)), 0.5)
+        assert not node.handle(Tick(), 2 * REQUEST_INTERVAL_S)
+
     def test_daemons_that_start_together_answer_none_of_their_own_requests(self) -> None:
         mesh = GossipMesh(3)
         for address in mesh.addresses:
@@ -202,7 +218,7 @@
         crash_everywhere(mesh, mesh.addresses[:MAX_CRASHES], 1)
         restarted = mesh.addresses[5]
         mesh.restart(restarted, "second")
-        mesh.run(CONTACT_S + PROVISIONAL_REFUSAL_S)
+        mesh.run(CONTACT_S + MAX_PROVISIONAL_REFUSAL_S)
         assert mesh.nodes[restarted].is_refused(CRASHING_REQUEST, mesh.now)
 
     def test_a_crash_counts_although_one_elsewhere_was_reported_a_moment_before(self) -> None:
@@ -259,7 +275,7 @@
             mesh.now += 0.04
         mesh.run(1)
         assert mesh.count_refusing(HARMLESS_REQUEST) == len(mesh.addresses)
-        mesh.run(PROVISIONAL_REFUSAL_S)
+        mesh.run(MAX_PROVISIONAL_REFUSAL_S)
         assert mesh.count_refusing(HARMLESS_REQUEST) == 0
 
     def test_a_request_that_crashes_again_after_a_burst_is_refused_for_long(self) -> None:
@@ -267,9 +283,9 @@
         for address in mesh.addresses[:MAX_CRASHES]:
             mesh.send(address, CRASHING_REQUEST, crashes=True)
             mesh.now += 0.04
-        mesh.run(PROVISIONAL_REFUSAL_S + 1)
+        mesh.run(MAX_PROVISIONAL_REFUSAL_S + 1)
         assert mesh.send(mesh.addresses[4], CRASHING_REQUEST, crashes=True)
-        mesh.run(2 * PROVISIONAL_REFUSAL_S)
+        mesh.run(2 * MAX_PROVISIONAL_REFUSAL_S)
         assert mesh.count_refusing(CRASHING_REQUEST) == len(mesh.addresses)
 
     def test_requests_that_broke_beside_a_crashing_one_are_not_refused(self) -> None:
