--- a/testkit/src/godwitpass_testkit/experiments/claims_crashes.py
+++ b/testkit/src/godwitpass_testkit/experiments/claims_crashes.py
@@ -20,6 +20,7 @@
 from godwitpass.internal.crashes.messages import decode_message, encode_message
 from godwitpass.internal.crashes.node import (
     GOSSIP_INTERVAL_S,
+    RECENT_CRASH_S,
     AttemptStarted,
     CrashesAction,
     CrashesNode,
@@ -29,6 +30,10 @@
     Tick,
     UpstreamCrashed,
 )
+from godwitpass.internal.crashes.release import (
+    MAX_PROVISIONAL_REFUSAL_S,
+    MIN_PROVISIONAL_REFUSAL_S,
+)
 from godwitpass_testkit.measurements import Param, Row, write_rows
 
 MAX_DATAGRAM_BYTES = 1200
@@ -39,6 +44,10 @@
 LOSS_RATE = 0.01
 SPREAD_TIME_S = 3.0
 SPREAD_CRASHES = 3
+REFUSING_DAEMONS = 1_400
+REFUSAL_TIME_S = 20.0
+RELEASING_DAEMONS = (3, 5, 22, 67, 200)
+RELEASED_REQUESTS = 20
 REPETITIONS = 2_000
 BODY_SIZES_BYTES = (0, 65_536)
 
@@ -143,6 +152,42 @@
     return [Row("crashes", {"resend_s": resend_s, "sendings": REQUESTS}, crashes, "1")]
 
 
+def measure_refusal_cost(daemons: int) -> list[Row]:
+    """Measure what a refused request costs each daemon in the time after its last crash."""
+    mesh = GossipMesh(daemons, LOSS_RATE)
+    fingerprint = compute_fingerprint("maal", "POST", b"/scans", b"poison")
+    for address in mesh.addresses[:SPREAD_CRASHES]:
+        mesh.send(address, fingerprint, crashes=True)
+        mesh.run(SPREAD_TIME_S)
+    mesh.run(RECENT_CRASH_S)
+    bytes_before = mesh.bytes_sent
+    mesh.run(REFUSAL_TIME_S)
+    bytes_per_s = (mesh.bytes_sent - bytes_before) / daemons / REFUSAL_TIME_S
+    return [Row("refusal_cost", {"daemons": daemons}, bytes_per_s, "B/s")]
+
+
+def measure_release(daemons: int) -> list[Row]:
+    """Count crashes after a single burst, with an attempt at each daemon in each round."""
+    crashes: list[int] = []
+    for number in range(RELEASED_REQUESTS):
+        fingerprint = compute_fingerprint("maal", "GET", b"/%d" % number, b"")
+        mesh = GossipMesh(daemons, LOSS_RATE)
+        for address in mesh.addresses[:SPREAD_CRASHES]:
+            mesh.send(address, fingerprint, crashes=True)
+        mesh.run(MIN_PROVISIONAL_REFUSAL_S / 2)
+        later_crashes = 0
+        for _ in range(round(MAX_PROVISIONAL_REFUSAL_S / GOSSIP_INTERVAL_S)):
+            for address in mesh.addresses:
+                later_crashes += mesh.send(address, fingerprint, crashes=True)
+            mesh.run(GOSSIP_INTERVAL_S)
+        crashes.append(later_crashes)
+    params: dict[str, Param] = {"daemons": daemons, "requests": RELEASED_REQUESTS}
+    return [
+        Row("crashes_after_burst", params, sum(crashes) / len(crashes), "1"),
+        Row("most_crashes_after_burst", params, max(crashes), "1"),
+    ]
+
+
 def measure_fingerprints(body_bytes: int) -> list[Row]:
     """Measure the CPU time of the fingerprints by which suspected requests are recognised."""
     body = b"x" * body_bytes
@@ -170,6 +215,8 @@
     rows += [
         row for resend_s in RESEND_INTERVALS_S for row in measure_crashes(resend_s, arguments.seed)
     ]
+    rows += measure_refusal_cost(REFUSING_DAEMONS)
+    rows += [row for count in RELEASING_DAEMONS for row in measure_release(count)]
     rows += [row for body_bytes in BODY_SIZES_BYTES for row in measure_fingerprints(body_bytes)]
     write_rows(arguments.output, rows)
     for row in rows:
