Count runs after three crashes at undisturbed machines only in the soak

The soak counted each run later than 3 s after a request's third crash, at any machine.

A run counts now if the daemon beside its server was undisturbed for 3 s, as for the other bounds.

--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -268,6 +268,16 @@
         checker.record_crash("/read/crash-1", 1, 9.0)
         assert list_violated_invariants(checker) == [Invariant.CRASHES_BOUNDED]
 
+    def test_runs_after_crashes_count_at_undisturbed_machines_only(self) -> None:
+        disturbances = Disturbances()
+        disturbances.add(1, 6.0, 7.0)
+        checker = build_checker(disturbances)
+        for at in (1.0, 2.0, 3.0, 7.0, 7.5, 8.0, 9.0, 9.5, 10.5, 11.0, 11.5):
+            checker.record_crash("/read/crash-1", 1, at)
+        assert not checker.violations
+        checker.record_crash("/read/crash-1", 1, 12.0)
+        assert list_violated_invariants(checker) == [Invariant.CRASHES_BOUNDED]
+
     def test_the_former_service_of_a_machine_may_be_named_for_some_seconds(self) -> None:
         checker = build_checker()
         checker.record_service(0, "vault", 9.0)
--- a/tests/nightly/test_soak_regressions.py
+++ b/tests/nightly/test_soak_regressions.py
@@ -38,6 +38,12 @@
     (2011, 6, 20),
 ]
 
+PAST_FAILURES_WITH_CRASHING_FAULTS = [
+    # The soak counted runs at daemons that had just started, when no other one knew of the crashes.
+    (340305, 8, 20),
+    (340308, 8, 20),
+]
+
 
 class TestRegressions:
     @pytest.mark.parametrize(("seed", "machines", "seconds"), PAST_FAILURES)
@@ -54,3 +60,11 @@
         plan = draw_plan(seed, machines, seconds, with_newer_faults=True)
         outcome = run_soak(plan, tmp_path)
         assert not outcome.violations, outcome
+
+    @pytest.mark.parametrize(("seed", "machines", "seconds"), PAST_FAILURES_WITH_CRASHING_FAULTS)
+    def test_a_seed_with_crashing_faults_that_failed_before_violates_no_invariant(
+        self, seed: int, machines: int, seconds: int, tmp_path: Path
+    ) -> None:
+        plan = draw_plan(seed, machines, seconds, only_crashing_faults=True)
+        outcome = run_soak(plan, tmp_path)
+        assert not outcome.violations, outcome
