Don't take an order for deleted that a controller has not read

What operators saw: a roll-out that had just begun was rolled back, reason 'order deleted', although its order was in the store. Cause: each reader of the store may control a roll-out while agents report to it. One whose watch had not brought the order yet, or that had just started and not listed the orders, read the record 'running' without an order and ended it. In the same way it could have written a record for an earlier target. Evidence: test_a_controller_that_has_not_read_the_order_does_not_take_it_for_deleted (two rankings, controllers that start again, orders read 1 s late) fails without the change with reason 'order deleted' and passes with it; the test of the single roll-out fails without it for an order that was never read and one read too early. Why this works: the record names the revision of its order. A controller that has read the orders only up to an earlier revision decides nothing, permits nothing and sends its agents to the next candidate. If the store goes back to an earlier copy, the records are read again too, so none of a later revision is waited for.

--- a/packages/godwitpass/src/godwitpass/internal/rollouts/controller.py
+++ b/packages/godwitpass/src/godwitpass/internal/rollouts/controller.py
@@ -106,7 +106,7 @@
         self._is_listing = False
         self._is_retrying = False
         self._order_deadline = math.inf
-        self._revision: Revision = NO_REVISION
+        self._orders_revision: Revision | None = None
         self._store_heard_at = -math.inf
         self._has_lost_store = False
         self._services_by_tag: dict[int, ServiceName] = {}
@@ -167,8 +167,9 @@
         self._order_tag = self._take_tag()
         self._is_listing, self._is_retrying = False, False
         self._order_deadline = now + WATCH_TIMEOUT_S + ANSWER_GRACE_S
-        prefix = self._source.order_prefix
-        return [Watch(self._order_tag, prefix, self._revision, WATCH_TIMEOUT_S)]
+        assert self._orders_revision is not None, "a watch follows a listing"
+        prefix, after = self._source.order_prefix, self._orders_revision
+        return [Watch(self._order_tag, prefix, after, WATCH_TIMEOUT_S)]
 
     def _lose_store(self, reason: str, now: float) -> list[ControllerAction]:
         self._order_tag = 0
@@ -197,16 +198,21 @@
             self._has_lost_store = False
             actions.append(RecordEvent(events.ORDERS_REGAINED))
         result = answer.result
-        if not self._is_listing and result.revision < self._revision:
-            # The store went back to an earlier copy, which may hold other orders.
-            return [*actions, *self._list_orders(now)]
+        known_revision = self._orders_revision
+        if known_revision is not None and result.revision < known_revision:
+            # The store went back to an earlier copy, which may hold other orders and records.
+            for control in self._controls.values():
+                if not control.rollout.is_waiting:
+                    control.rollout.is_record_known = False
+            if not self._is_listing:
+                return [*actions, *self._list_orders(now)]
         newest = {entry.key: entry for entry in result.entries}
         if self._is_listing:
             prefix = self._source.order_prefix
             for service, control in self._controls.items():
                 if control.rollout.order is not None and prefix + service not in newest:
                     actions += self._set_order(service, None, now)
-        self._revision = result.revision
+        self._orders_revision = result.revision
         for entry in newest.values():
             actions += self._read_order(entry, now)
         return [*actions, *self._watch_orders(now)]
@@ -329,6 +335,7 @@
             return actions
         servers = self._list_servers(service)
         upstreams = [member.upstream for member in servers if member.upstream is not None]
+        rollout.orders_revision = self._orders_revision
         tag = self._take_tag()
         for action in rollout.decide(upstreams, self.has_store(now), tag, now):
             if isinstance(action, Get | Put):
@@ -341,7 +348,9 @@
     ) -> list[ControllerAction]:
         """Ask silent agents to report, all of them after a change; tell the other candidates."""
         rollout, record = control.rollout, control.rollout.record
-        if record is None or not rollout.is_record_known or not self.has_store(now):
+        if record is None or not (rollout.is_record_known and rollout.knows_order):
+            return []
+        if not self.has_store(now):
             return []
         candidates = self._list_candidates(rollout.service)
         own_rank = candidates.index(self._own) if self._own in candidates else len(candidates)
--- a/packages/godwitpass/src/godwitpass/internal/rollouts/rollout.py
+++ b/packages/godwitpass/src/godwitpass/internal/rollouts/rollout.py
@@ -87,7 +87,8 @@
 class Rollout:
     """Reads and writes the record, judges the target and answers reports.
 
-    `upstreams` of the methods are all upstreams of the service on live daemons.
+    `upstreams` of the methods are all upstreams of the service on live daemons. `orders_revision`
+    is the revision of the store as of which `order` is known, None before the orders were read.
     """
 
     def __init__(
@@ -95,6 +96,7 @@
     ) -> None:
         self.service = service
         self.order: Order | None = None
+        self.orders_revision: Revision | None = None
         self.record: Record | None = None
         self.is_record_known = False
         self.judgement = Judgement()
@@ -142,6 +144,16 @@
         if order is not None and (previous is None or previous.target != order.target):
             self.heard_at = now
 
+    @property
+    def knows_order(self) -> bool:
+        """Return whether the orders were read after the one that the record was written for.
+
+        Until then, a missing or other order means only that another controller has read more.
+        """
+        if self.orders_revision is None:
+            return False
+        return self.record is None or self.record.order <= self.orders_revision
+
     def get_elapsed_s(self, now: float) -> float:
         """Return the longest time that anybody has known the roll-out."""
         elapsed_s = now - self.heard_at
@@ -215,7 +227,8 @@
             if self.order is not None:
                 return None
             return Answer(report.nonce, report.service, False, has_store)
-        if record.phase is Phase.RUNNING and record.step is Step.CANARY and not has_store:
+        may_lag = record.step is Step.CANARY and not has_store
+        if record.phase is Phase.RUNNING and (may_lag or not self.knows_order):
             # Another controller may know of a rollback or a changed order.
             return Answer(report.nonce, report.service, False, False)
         answer = Answer(
@@ -296,7 +309,7 @@
         if not self.is_record_known:
             self._is_waiting, self._tag, self._request_at = True, tag, now
             return [Get(tag, self._key)]
-        if not has_store:
+        if not has_store or not self.knows_order:
             return []
         next_record, actions = self._find_next_record(upstreams, now)
         if next_record is None:
--- a/packages/godwitpass/tests/rollouts/test_rollouts.py
+++ b/packages/godwitpass/tests/rollouts/test_rollouts.py
@@ -228,6 +228,29 @@
             assert_history(world)
             assert world.late_old_runs == 0
 
+    def test_a_controller_that_has_not_read_the_order_does_not_take_it_for_deleted(self) -> None:
+        """Guards against the rollback of a running order by another controller."""
+        for seed in range(4):
+            world = start(seed=seed)
+            ranked = world.candidates(world.machines[0])
+            for number, machine in enumerate(world.machines):
+                machine.candidates = ranked if number % 2 else ranked[::-1]
+            world.order(duration_s=16.0)
+            world.run(1.0)
+            for machine in world.machines:
+                if machine.address in ranked[1:]:
+                    machine.orders_delay_s = 1.0
+                    machine.kill()
+                    machine.start()
+            world.run(3.0)
+            phase = world.phase
+            assert phase is Phase.RUNNING, world.record
+            for machine in world.machines:
+                machine.candidates = ()
+            world.run(16.0)
+            assert world.phase is Phase.COMPLETED, world.record
+            assert_history(world)
+
     @pytest.mark.parametrize("is_pause", [True, False])
     def test_a_cut_or_paused_canary_runs_nothing_on_an_old_permission(self, is_pause: bool) -> None:
         world = start()
@@ -415,10 +438,29 @@
 
 
 class TestRollout:
+    @pytest.mark.parametrize("revision", [None, Revision(2)])
+    def test_a_running_record_is_ended_only_once_its_order_is_known_to_be_deleted(
+        self, revision: Revision | None
+    ) -> None:
+        rollout = Rollout(SERVICE, SOURCE, EXPOSURE_SHARE, 0.0)
+        rollout.orders_revision = revision
+        rollout.decide([], True, 1, 0.0)
+        record = Record(Phase.RUNNING, NEW, Step.CANARY, Revision(3))
+        entry = Entry("status/desk", SOURCE.encode_record(record), Revision(4))
+        rollout.handle_answer(EntryRead(1, entry), 0.0)
+        answer = rollout.receive_report(self.report(NEW, "new"), [], True, 0.1)
+        assert answer is not None and not answer.is_acting
+        assert rollout.decide([], True, 2, 0.1) == []
+        rollout.orders_revision = Revision(5)
+        (put,) = rollout.decide([], True, 3, 0.2)
+        assert isinstance(put, Put)
+        assert SOURCE.decode_record(put.value).phase is Phase.ROLLED_BACK
+
     def test_a_completion_that_may_have_been_written_keeps_old_servers_closed(self) -> None:
         """Guards against calls at old servers that stop when the late write takes effect."""
         rollout = Rollout(SERVICE, SOURCE, EXPOSURE_SHARE, 0.0)
         rollout.set_order(Order(SERVICE, NEW, 12.0, Revision(3)), 0.0)
+        rollout.orders_revision = Revision(3)
         (get,) = rollout.decide([], True, 1, 0.0)
         assert isinstance(get, Get)
         record = Record(Phase.RUNNING, NEW, Step.SWITCHING, Revision(3))
--- a/testkit/src/godwitpass_testkit/rollouts.py
+++ b/testkit/src/godwitpass_testkit/rollouts.py
@@ -87,7 +87,8 @@
     """A daemon, its server and the callers that use it.
 
     `is_cut`: no message, call or store request passes. `skew_s` is the daemon's clock minus the
-    world's, as machines boot at different times. `candidates` replaces the common ranking.
+    world's, as machines boot at different times. `candidates` replaces the common ranking, and
+    `orders_delay_s` delays what the daemon reads of the orders.
     """
 
     def __init__(self, world: "World", number: int, version: SoftwareVersion) -> None:
@@ -100,6 +101,7 @@
         self.is_up = self.is_cut = self.is_store_cut = False
         self.paused_until = 0.0
         self.candidates: tuple[Address, ...] = ()
+        self.orders_delay_s = 0.0
         self.announced = Upstream(
             self.name,
             SERVICE,
@@ -403,7 +405,8 @@
             self._watch(machine, request, self.now + request.timeout_s)  # type: ignore[union-attr]
             return
         answer = self._execute(request)
-        self.at(0.02, feed(lambda: machine.feed_controller(answer)))
+        delay_s = machine.orders_delay_s if isinstance(request, List) else 0.0
+        self.at(0.02 + delay_s, feed(lambda: machine.feed_controller(answer)))
 
     def _execute(self, request: Request) -> Any:
         match request:
@@ -427,7 +430,9 @@
         answer: Any = EntriesRead(request.tag, result)
         if machine.is_store_cut or machine.is_cut or self.is_store_down:
             answer = RequestFailed(request.tag, False, "no answer")
-        machine.after_start(lambda: machine.feed_controller(answer))()
+        self.at(
+            machine.orders_delay_s, machine.after_start(lambda: machine.feed_controller(answer))
+        )
 
     # Calls.
 
