Ask the other daemon which calls on a silent link have not run

What callers saw: after open connections between daemons went silent, 502 or 504 for calls that had reached no upstream; those that may not run twice were lost. Cause: nobody can tell on the calling side whether a call on a lost link has run, and a link was taken for lost after 1.5 s only, the time limit of many routes. Change: links and their calls are numbered. After 0.7 s of silence the daemon at the other end is asked on a new connection; it ends the link, refuses whatever of it still arrives, and tells which calls have not run. Those are forwarded elsewhere.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from functools import partial
 
 from hdrh.histogram import HdrHistogram
@@ -14,7 +14,7 @@
 from godwitpass.internal.customers.directory import NestedCall
 from godwitpass.internal.relay import events as kinds
 from godwitpass.internal.relay.admission import NESTED_CALL_PRIORITY
-from godwitpass.internal.relay.frames import Load
+from godwitpass.internal.relay.frames import Load, StreamsSettled
 from godwitpass.internal.relay.nested_calls import NestedRefusals
 from godwitpass.internal.relay.retry_budget import DaemonShare, RetryBudget, RetryBudgetSettings
 from godwitpass.internal.relay.routes import RelayRoute, RelayTable, compile_routes
@@ -33,11 +33,12 @@
 from godwitpass_daemon.relay.call_log import Emit
 from godwitpass_daemon.relay.forwarded_calls import ANSWERED, CRASH_SUSPECT, ForwardedCall
 from godwitpass_daemon.relay.headers import HeaderNames
-from godwitpass_daemon.relay.inbound_peers import InboundPeerConnection
+from godwitpass_daemon.relay.inbound_peers import InboundLinks
 from godwitpass_daemon.relay.ingress import CallerConnection
 from godwitpass_daemon.relay.limits import TIMEOUT_CHECK_INTERVAL_S
-from godwitpass_daemon.relay.links import Link, LocalLink, PeerLink
+from godwitpass_daemon.relay.links import Link, LocalLink, PeerLink, StreamHandler
 from godwitpass_daemon.relay.pipelining import PipelinedRequest
+from godwitpass_daemon.relay.settlement import LinkIdentity, settle
 from godwitpass_daemon.relay.upstream_runner import UpstreamRunner
 
 LARGE_BODY_BYTES = 16 * 1024
@@ -91,7 +92,7 @@
         self.selector = UpstreamSelector(own_instance, zone, rng)
         self.caller_connections: set[CallerConnection] = set()
         self.requests_awaiting_configuration: dict[PipelinedRequest, CallerConnection] = {}
-        self.inbound_peers: set[InboundPeerConnection] = set()
+        self.inbound_links = InboundLinks(own_instance, loop.time)
         self.buffered_body_bytes = 0
         self.calls_in_progress = 0
         self.is_stopping = False
@@ -109,6 +110,7 @@
         self._emit = emit
         self._local_link = LocalLink(runner, partial(self.record_load, own_instance), loop)
         self._links: dict[LinkKey, PeerLink] = {}
+        self._settlements: set[asyncio.Task[None]] = set()
         self._last_check_at = loop.time()
 
     @property
@@ -375,6 +377,43 @@
         self.selector.record_unreachable(instance, self.now())
         self._emit(kinds.PEER_LOST, {"peer": address, "instance": instance, "reason": reason})
 
+    def settle_silent_link(self, link: PeerLink) -> None:
+        """Ask the daemon which calls of a silent link have not run, and end the link."""
+
+        async def run() -> None:
+            answer = await settle(link.identity, self.now, link.is_silent)
+            self._record_settlement(link.identity, answer)
+            link.end_settled(answer)
+
+        self._start_settlement(run())
+
+    def settle_lost_calls(self, link: LinkIdentity, handlers: dict[int, StreamHandler]) -> None:
+        """End the calls of a lost link, and try those again that have not run."""
+
+        async def run() -> None:
+            answer = await settle(link, self.now, lambda: True)
+            self._record_settlement(link, answer)
+            for stream_id, handler in handlers.items():
+                has_not_run = answer is not None and answer.has_not_run(stream_id)
+                handler.handle_link_lost(was_sent=not has_not_run)
+
+        self._start_settlement(run())
+
+    def _start_settlement(self, settlement: Coroutine[None, None, None]) -> None:
+        task = self.loop.create_task(settlement)
+        self._settlements.add(task)
+        task.add_done_callback(self._settlements.discard)
+
+    def _record_settlement(self, link: LinkIdentity, answer: StreamsSettled | None) -> None:
+        """Count and log whether the daemon at the other end of a link has answered."""
+        self.counts["link-settled" if answer is not None else "link-not-settled"] += 1
+        fields: dict[str, FieldValue] = {"peer": link.address, "instance": link.instance}
+        if answer is not None:
+            fields["uptime_ms"] = answer.uptime_ms
+            fields["last_stream"] = answer.last_stream_id
+            fields["refused"] = len(answer.refused)
+        self._emit(kinds.LINK_SETTLED if answer else kinds.LINK_NOT_SETTLED, fields)
+
     def _get_retry_budget(self, service: ServiceName) -> RetryBudget:
         retry_budget = self._retry_budgets.get(service)
         if retry_budget is None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_attempts.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_attempts.py
@@ -68,6 +68,10 @@
 
     # Called by the link.
 
+    def awaits_settlement(self) -> bool:
+        """Tell whether the call may not run twice, so that it matters whether it has run."""
+        return not self.has_ended and self.response is None and self._call.may_be_settled(self)
+
     def handle_refused(self, frame: Refused) -> None:
         """End the attempt, which has not run unless it has begun to respond."""
         if not self._end():
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
@@ -19,6 +19,7 @@
     Response,
 )
 from godwitpass.internal.relay.routes import RelayRoute
+from godwitpass.internal.relay.stream_records import MAX_SETTLED_AGE_S
 from godwitpass.internal.retrying.extra_requests import CallFacts, Verdict
 from godwitpass.mesh import Upstream
 from godwitpass_daemon.edge.guards import RequestDescriptor
@@ -163,6 +164,11 @@
 
     # Called by the attempts.
 
+    def may_be_settled(self, attempt: Attempt) -> bool:
+        """Tell whether the other daemon is asked if a call on a lost link has run."""
+        age_s = self._core.now() - attempt.started_at
+        return not self.route.is_idempotent and age_s < MAX_SETTLED_AGE_S
+
     def handle_refused(self, attempt: Attempt, frame: Refused) -> None:
         """Retry the call on another upstream, or refuse it."""
         now = self._core.now()
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
@@ -35,6 +35,15 @@
 PEER_TIMEOUT_S = 1.5
 """Silence after which a connection is considered dead; even a busy daemon responds to a ping."""
 
+SETTLE_AFTER_S = 0.7
+"""Silence after which the daemon is asked on another connection; a ping went out before."""
+
+SETTLEMENT_TIMEOUT_S = 0.7
+"""Time in which another daemon has to tell which calls of a silent link have not run."""
+
+LINK_ANSWER_GRACE_S = 0.1
+"""Time for an answer on the link itself once the daemon has answered on another connection."""
+
 PEER_IDLE_TIMEOUT_S = 30.0
 """A connection without calls is closed after this time."""
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/links.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/links.py
@@ -1,6 +1,7 @@
 """Links to the daemons beside upstreams: connections, and a direct link to the local upstream."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from typing import Protocol, cast
 
@@ -24,6 +25,7 @@
     Refused,
     Response,
     ResponseAborted,
+    StreamsSettled,
     WindowUpdate,
     WithdrawStream,
     encode_frame,
@@ -34,15 +36,23 @@
     PEER_IDLE_TIMEOUT_S,
     PEER_TIMEOUT_S,
     PING_AFTER_S,
+    SETTLE_AFTER_S,
     WRITE_BUFFER_BYTES,
 )
+from godwitpass_daemon.relay.settlement import LinkIdentity
 from godwitpass_daemon.relay.upstream_calls import UpstreamCall
 from godwitpass_daemon.relay.upstream_runner import UpstreamRunner
 
+LINK_ID_BITS = 62
+
 
 class StreamHandler(Protocol):
     """Receives the frames of one forwarded call."""
 
+    def awaits_settlement(self) -> bool:
+        """Tell whether the end of a lost link's call depends on whether the call has run."""
+        ...
+
     def handle_refused(self, frame: Refused) -> None:
         """Handle that the call has not run."""
         ...
@@ -83,6 +93,14 @@
         """Handle that the daemon can't be reached."""
         ...
 
+    def settle_silent_link(self, link: "PeerLink") -> None:
+        """Ask the daemon which calls of a silent link have not run, and end the link."""
+        ...
+
+    def settle_lost_calls(self, link: LinkIdentity, handlers: dict[int, StreamHandler]) -> None:
+        """End the calls of a lost link, and try those again that have not run."""
+        ...
+
 
 def dispatch_frame(
     handlers: dict[int, StreamHandler],
@@ -129,6 +147,8 @@
         self._pending_writes: list[bytes] = []
         self._handlers: dict[int, StreamHandler] = {}
         self._unsent_bodies: dict[int, bytes] = {}
+        self.identity = LinkIdentity(random.getrandbits(LINK_ID_BITS) + 1, instance, address, now())
+        self._is_being_settled = False
         self._last_stream_id = 0
         self._last_received_at = now()
         self._last_used_at = now()
@@ -147,7 +167,11 @@
         self._handlers[stream_id] = handler
         is_flow_controlled = len(body) > BODY_CHUNK_BYTES
         first_chunk = b"" if is_flow_controlled else body
-        self._write(msgspec.structs.replace(request, stream_id=stream_id, body=first_chunk))
+        self._write(
+            msgspec.structs.replace(
+                request, stream_id=stream_id, body=first_chunk, link_id=self.identity.link_id
+            )
+        )
         if is_flow_controlled:
             self._unsent_bodies[stream_id] = body
         return stream_id
@@ -182,10 +206,33 @@
         silence_s = now - self._last_received_at
         if silence_s > PEER_TIMEOUT_S:
             self._disconnect("silent", was_reached=False)
+        elif (
+            silence_s > SETTLE_AFTER_S
+            and not self._is_being_settled
+            # A ping behind data that is still to be sent says nothing about the link.
+            and not self._transport.get_write_buffer_size()
+        ):
+            self._is_being_settled = True
+            self._observer.settle_silent_link(self)
         elif silence_s > PING_AFTER_S and now - self._last_ping_at > PING_AFTER_S:
             self._last_ping_at = now
             self._write(Ping())
 
+    def is_silent(self) -> bool:
+        """Tell whether nothing has arrived lately although calls are in progress."""
+        silence_s = self._now() - self._last_received_at
+        return not self._is_closed and bool(self._handlers) and silence_s > SETTLE_AFTER_S
+
+    def end_settled(self, answer: StreamsSettled | None) -> None:
+        """Close a silent link that the other daemon has ended; without an answer, go on."""
+        self._is_being_settled = False
+        if answer is None or self._is_closed:
+            return
+        handlers, self._handlers = self._handlers, {}
+        self._disconnect("silent", was_reached=False)
+        for stream_id, handler in handlers.items():
+            handler.handle_link_lost(was_sent=not answer.has_not_run(stream_id))
+
     def close(self) -> None:
         """Close the connection; the calls on it are lost."""
         self._disconnect("closed", was_reached=True)
@@ -283,8 +330,14 @@
         if not was_reached:
             self._observer.record_peer_lost(self.instance, self.address, reason)
         handlers, self._handlers = self._handlers, {}
-        for handler in handlers.values():
-            handler.handle_link_lost(was_sent)
+        unsettled: dict[int, StreamHandler] = {}
+        for stream_id, handler in handlers.items():
+            if was_sent and not was_reached and handler.awaits_settlement():
+                unsettled[stream_id] = handler
+            else:
+                handler.handle_link_lost(was_sent)
+        if unsettled:
+            self._observer.settle_lost_calls(self.identity, unsettled)
 
 
 class LocalLink:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -249,7 +249,7 @@
         for caller_connection in list(core.caller_connections):
             caller_connection.close_if_idle()
         core.close_links()
-        for inbound_peer in list(core.inbound_peers):
+        for inbound_peer in list(core.inbound_links.connections):
             inbound_peer.close()
         core.runner.pool.close_all()
         self._events.emit(kinds.RELAY_STOPPED, cut=aborted)
@@ -258,7 +258,7 @@
         """Tell other daemons to forward no further calls to this one."""
         core.runner.is_stopping = True
         self._membership.announce_draining()
-        for inbound_peer in list(core.inbound_peers):
+        for inbound_peer in list(core.inbound_links.connections):
             inbound_peer.send_go_away()
 
     def apply_settings(self, settings: RelaySettings) -> None:
@@ -405,7 +405,7 @@
         settings = self._settings
         for address, build in (
             (settings.callers, lambda: CallerConnection(core)),
-            (settings.peers, lambda: InboundPeerConnection(core.runner, core.inbound_peers)),
+            (settings.peers, lambda: InboundPeerConnection(core.runner, core.inbound_links)),
         ):
             ip, port = split_address(address)
             server = await loop.create_server(build, ip, port, backlog=LISTEN_BACKLOG)
--- a/packages/godwitpass/src/godwitpass/internal/relay/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/events.py
@@ -95,6 +95,16 @@
     "relay.upstream-checked",
     "Connections to the upstream broke during calls; whether it has ended was checked.",
 )
+LINK_SETTLED = EventKind(
+    445,
+    "relay.link-settled",
+    "Another daemon has ended a silent or lost link and told which of its calls have not run.",
+)
+LINK_NOT_SETTLED = EventKind(
+    446,
+    "relay.link-not-settled",
+    "Another daemon has not told about a silent or lost link, or the link carries answers again.",
+)
 NESTED_CALLS_REFUSED = EventKind(
     443,
     "relay.nested-calls-refused",
--- a/packages/godwitpass/src/godwitpass/internal/relay/frames.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/frames.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from godwitpass.errors import GodwitpassError
-from godwitpass.ids import CustomerName, RouteName, ServiceName
+from godwitpass.ids import CustomerName, InstanceId, RouteName, ServiceName
 
 LENGTH_PREFIX = struct.Struct("!I")
 MAX_FRAME_BYTES = 512 * 1024
@@ -70,7 +70,8 @@
     `head` is the request line with the forwarded headers. `remaining_ms` is the time until the
     caller's deadline, and `objective_ms` the time until its latency objective; it may be negative.
     `customer` is empty for a call without one. The call may start until `permitted_ms` have passed
-    on a clock that runs through a pause of the process; -1 sets no bound.
+    on a clock that runs through a pause of the process; -1 sets no bound. `link_id` is the random
+    id of the link, 0 if its streams can't be settled after a loss.
     """
 
     stream_id: int
@@ -87,6 +88,7 @@
     customer: CustomerName = CustomerName("")
     customer_priority: int = 0
     permitted_ms: int = -1
+    link_id: int = 0
 
 
 class BodyChunk(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -175,6 +177,30 @@
     """Announces that the daemon is stopping and accepts no further calls on this connection."""
 
 
+class SettleStreams(msgspec.Struct, frozen=True, array_like=True, tag=14):
+    """Asks, on a connection of its own, which calls of a lost link have not run and won't."""
+
+    link_id: int
+
+
+class StreamsSettled(msgspec.Struct, frozen=True, array_like=True, tag=15):
+    """Tells which calls of a link, which accepts no more, have not reached the upstream.
+
+    They are those of the streams after `last_stream_id` and the `refused` ones. Nothing is said of
+    the others. `uptime_ms` is for how long the daemon has been running.
+    """
+
+    link_id: int
+    instance: InstanceId
+    uptime_ms: int
+    last_stream_id: int
+    refused: tuple[int, ...]
+
+    def has_not_run(self, stream_id: int) -> bool:
+        """Tell whether the call of a stream has not reached the upstream and won't."""
+        return stream_id > self.last_stream_id or stream_id in self.refused
+
+
 class WindowUpdate(msgspec.Struct, frozen=True, array_like=True, tag=11):
     """Allows the forwarding daemon to send `size_bytes` more of a request body."""
 
@@ -196,6 +222,8 @@
     | WindowUpdate
     | BodyReceived
     | WithdrawStream
+    | SettleStreams
+    | StreamsSettled
 )
 
 _encoder = msgspec.msgpack.Encoder()
