Bound what is remembered of the calls on lost links

A link that had no call for 21 s is forgotten at its end, since its other end asks for calls of at most 20 s only; otherwise connections that are closed when idle would fill the memory of 1,024 lost links on a daemon that thousands use. For the same reason the age of a call is checked for all calls of a silent link, not only for those that may not run twice: an old one could have been forgotten.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_attempts.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_attempts.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from godwitpass.internal.relay.frames import BodyChunk, Failed, OpenStream, Refused, Response
+from godwitpass.internal.relay.stream_records import MAX_SETTLED_AGE_S
 from godwitpass.mesh import Upstream
 from godwitpass_daemon.relay.limits import MAX_BUFFERED_RESPONSE_BYTES
 from godwitpass_daemon.relay.links import Link
@@ -68,9 +69,14 @@
 
     # Called by the link.
 
-    def awaits_settlement(self) -> bool:
-        """Tell whether the call may not run twice, so that it matters whether it has run."""
-        return not self.has_ended and self.response is None and self._call.may_be_settled(self)
+    @property
+    def may_run_twice(self) -> bool:
+        """Return whether the call may be sent again although it may have run."""
+        return self._call.route.is_idempotent
+
+    def can_be_settled(self) -> bool:
+        """Tell whether the other daemon still knows if the call has run, which has no response."""
+        return self.response is None and self._call.get_age_s(self) < MAX_SETTLED_AGE_S
 
     def handle_refused(self, frame: Refused) -> None:
         """End the attempt, which has not run unless it has begun to respond."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
@@ -19,7 +19,6 @@
     Response,
 )
 from godwitpass.internal.relay.routes import RelayRoute
-from godwitpass.internal.relay.stream_records import MAX_SETTLED_AGE_S
 from godwitpass.internal.retrying.extra_requests import CallFacts, Verdict
 from godwitpass.mesh import Upstream
 from godwitpass_daemon.edge.guards import RequestDescriptor
@@ -164,10 +163,9 @@
 
     # Called by the attempts.
 
-    def may_be_settled(self, attempt: Attempt) -> bool:
-        """Tell whether the other daemon is asked if a call on a lost link has run."""
-        age_s = self._core.now() - attempt.started_at
-        return not self.route.is_idempotent and age_s < MAX_SETTLED_AGE_S
+    def get_age_s(self, attempt: Attempt) -> float:
+        """Return how long ago `attempt` was sent."""
+        return self._core.now() - attempt.started_at
 
     def handle_refused(self, attempt: Attempt, frame: Refused) -> None:
         """Retry the call on another upstream, or refuse it."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/inbound_peers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/inbound_peers.py
@@ -184,7 +184,7 @@
                 self.abort()
                 return
         if self._record is not None:
-            self._record.record_opened(frame.stream_id)
+            self._record.record_opened(frame.stream_id, self._runner.now())
         call = self._runner.open_call(self, frame)
         if not call.has_ended:
             self._calls[frame.stream_id] = call
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/links.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/links.py
@@ -49,8 +49,13 @@
 class StreamHandler(Protocol):
     """Receives the frames of one forwarded call."""
 
-    def awaits_settlement(self) -> bool:
-        """Tell whether the end of a lost link's call depends on whether the call has run."""
+    @property
+    def may_run_twice(self) -> bool:
+        """Return whether the call may be sent again although it may have run."""
+        ...
+
+    def can_be_settled(self) -> bool:
+        """Tell whether the other daemon still knows if the call has run, which has no response."""
         ...
 
     def handle_refused(self, frame: Refused) -> None:
@@ -231,7 +236,8 @@
         handlers, self._handlers = self._handlers, {}
         self._disconnect("silent", was_reached=False)
         for stream_id, handler in handlers.items():
-            handler.handle_link_lost(was_sent=not answer.has_not_run(stream_id))
+            has_not_run = handler.can_be_settled() and answer.has_not_run(stream_id)
+            handler.handle_link_lost(was_sent=not has_not_run)
 
     def close(self) -> None:
         """Close the connection; the calls on it are lost."""
@@ -332,7 +338,8 @@
         handlers, self._handlers = self._handlers, {}
         unsettled: dict[int, StreamHandler] = {}
         for stream_id, handler in handlers.items():
-            if was_sent and not was_reached and handler.awaits_settlement():
+            is_lost = was_sent and not was_reached
+            if is_lost and not handler.may_run_twice and handler.can_be_settled():
                 unsettled[stream_id] = handler
             else:
                 handler.handle_link_lost(was_sent)
--- a/packages/godwitpass-daemon/tests/relay/test_settlement.py
+++ b/packages/godwitpass-daemon/tests/relay/test_settlement.py
@@ -19,6 +19,7 @@
     encode_frame,
 )
 from godwitpass.internal.relay.stream_records import (
+    IDLE_AFTER_S,
     MAX_LOST_LINKS,
     MAX_REFUSED_STREAMS,
     RETENTION_S,
@@ -79,6 +80,7 @@
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
         self.is_stopping = False
+        self.now = lambda: 0.0
         self.response_sender = SimpleNamespace(drop_channel=lambda channel: None)
         self.calls: list[Call] = []
         self.ran: list[int] = []
@@ -176,18 +178,27 @@
         for link_id in range(1, MAX_LOST_LINKS + 2):
             record = records.open(link_id)
             assert record is not None
-            record.record_opened(1)
+            record.record_opened(1, 1.0)
             records.close(link_id, 1.0)
         assert records.settle(1, 2.0).last_stream_id > 1
         assert records.settle(MAX_LOST_LINKS + 5, 2.0).last_stream_id > 1
         assert records.settle(MAX_LOST_LINKS, 2.0).last_stream_id == 1
         assert records.settle(MAX_LOST_LINKS + 6, 2.0 + RETENTION_S).last_stream_id == 0
 
+    def test_a_link_that_was_idle_is_forgotten_at_its_end(self) -> None:
+        records = StreamRecords(0.0)
+        for link_id in range(1, MAX_LOST_LINKS + 3):
+            record = records.open(link_id)
+            assert record is not None
+            record.record_opened(1, 1.0)
+            records.close(link_id, 1.0 + IDLE_AFTER_S)
+        assert records.settle(MAX_LOST_LINKS + 5, 30.0).last_stream_id == 0
+
     def test_only_the_newest_refused_streams_are_remembered(self) -> None:
         record = StreamRecords(0.0).open(LINK_ID)
         assert record is not None
         for stream_id in range(1, MAX_REFUSED_STREAMS + 2):
-            record.record_opened(stream_id)
+            record.record_opened(stream_id, 0.0)
             record.record_refused(stream_id)
         assert record.list_refused() == tuple(range(2, MAX_REFUSED_STREAMS + 2))
 
--- a/packages/godwitpass/src/godwitpass/internal/relay/stream_records.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/stream_records.py
@@ -3,15 +3,18 @@
 RETENTION_S = 60.0
 """Time for which a link that was lost is remembered, which is longer than any call lasts."""
 
-MAX_LOST_LINKS = 4_096
-"""Bound on the links that are remembered; 13,000 daemons restarted in a minute exceed it."""
+MAX_LOST_LINKS = 1_024
+"""Bound on the links that are remembered."""
 
-MAX_REFUSED_STREAMS = 1_024
+MAX_REFUSED_STREAMS = 256
 """Bound on the newest refused streams that are remembered for a link."""
 
 MAX_SETTLED_AGE_S = 20.0
 """Age of a call up to which its caller's daemon asks; all records of it are kept for that long."""
 
+IDLE_AFTER_S = MAX_SETTLED_AGE_S + 1.0
+"""A link that had no new call for this long is forgotten at its end, as nobody will ask."""
+
 MAX_STREAM_ID = 2**62
 CLOCK_TOLERANCE_S = 0.05
 """Difference by which the clocks of two machines may run apart during a call."""
@@ -20,14 +23,16 @@
 class StreamRecord:
     """The streams of one link, whose ids increase in the order in which they arrive."""
 
-    __slots__ = ("_refused", "last_stream_id")
+    __slots__ = ("_refused", "last_opened_at", "last_stream_id")
 
     def __init__(self, last_stream_id: int = 0) -> None:
         self.last_stream_id = last_stream_id
+        self.last_opened_at = 0.0
         self._refused: dict[int, None] = {}
 
-    def record_opened(self, stream_id: int) -> None:
+    def record_opened(self, stream_id: int, now: float) -> None:
         """Note that a stream has arrived."""
+        self.last_opened_at = now
         self.last_stream_id = max(self.last_stream_id, stream_id)
 
     def record_refused(self, stream_id: int) -> None:
@@ -68,7 +73,7 @@
     def close(self, link_id: int, now: float) -> None:
         """Note that a link is lost and that none of its streams waits any more."""
         record = self._open.pop(link_id, None)
-        if record is not None:
+        if record is not None and now - record.last_opened_at < IDLE_AFTER_S:
             self._remember(link_id, record, now)
 
     def settle(self, link_id: int, now: float) -> StreamRecord:
