--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -412,7 +412,7 @@
             fields["uptime_ms"] = answer.uptime_ms
             fields["last_stream"] = answer.last_stream_id
             fields["refused"] = len(answer.refused)
-        self._emit(kinds.LINK_SETTLED if answer else kinds.LINK_NOT_SETTLED, fields)
+        self._emit(kinds.LINK_SETTLED if answer is not None else kinds.LINK_NOT_SETTLED, fields)
 
     def _get_retry_budget(self, service: ServiceName) -> RetryBudget:
         retry_budget = self._retry_budgets.get(service)
