Word the notes on lost links plainly

A constant's description claimed that calls last no longer than it; what counts is that it exceeds the age up to which calls are asked for. No code changes.

--- a/packages/godwitpass/src/godwitpass/internal/relay/stream_records.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/stream_records.py
@@ -1,7 +1,7 @@
 """Which calls of other daemons' links have not run, also after such a link was lost."""
 
 RETENTION_S = 60.0
-"""Time for which a link that was lost is remembered, which is longer than any call lasts."""
+"""Time for which a link that was lost is remembered, well over `MAX_SETTLED_AGE_S`."""
 
 MAX_LOST_LINKS = 1_024
 """Bound on the links that are remembered."""
@@ -104,6 +104,6 @@
 def is_same_process(opened_at: float, answered_at: float, uptime_s: float) -> bool:
     """Tell whether the daemon that answers was already there when a link to it was opened.
 
-    Both times are on the asker's clock, and the answer is not older than `answered_at`.
+    Both times are on the asker's clock; the answer was given at `answered_at` or before.
     """
     return answered_at - uptime_s + CLOCK_TOLERANCE_S <= opened_at
