--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -50,6 +50,7 @@
         services: Sequence[str],
         bounds: dict[str, object] | None = None,
         slots: int = DEFAULT_SLOTS,
+        has_seeds: bool = True,
     ) -> None:
         self.record = record
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -58,7 +59,16 @@
         self.store = Store()
         self.store_address = f"{self.network}.9:{self.base_port + STORE}"
         self.machines = [
-            Machine(record, folder, self.network, self.base_port, number, service, bounds)
+            Machine(
+                record,
+                folder,
+                self.network,
+                self.base_port,
+                number,
+                service,
+                bounds,
+                has_seeds=has_seeds,
+            )
             for number, service in enumerate(services, 1)
         ]
         self.servers = [
@@ -158,43 +168,37 @@
     play: Case,
     bounds: dict[str, object] | None = None,
     slots: int = DEFAULT_SLOTS,
+    has_seeds: bool = True,
     **configuration: Any,
 ) -> None:
     """Run a case, write its record, and exit with 1 if the rule was broken, else with 0 or 2.
 
     `routes` and `configuration` are the first configuration.
     """
-    with Record(folder / "record.txt") as record:
-        sys.exit(asyncio.run(_run(record, play, services, bounds, slots, routes, configuration)))
-
-
-async def _run(
-    record: Record,
-    play: Case,
-    services: Sequence[str],
-    bounds: dict[str, object] | None,
-    slots: int,
-    routes: dict[str, Any],
-    configuration: dict[str, Any],
-) -> int:
-    with tempfile.TemporaryDirectory() as temporary:
-        deployment = Deployment(record, Path(temporary), services, bounds, slots)
-        try:
-            async with asyncio.timeout(MAX_RUN_S):
-                deployment.write_configuration(routes, **configuration)
-                await deployment.start()
-                broken = await play(deployment)
-        except (CaseError, OSError, TimeoutError, RuntimeError) as error:
-            record.write(f"the case could not run: {error!r}")
-            return COULD_NOT_RUN
-        finally:
-            for machine in deployment.machines:
-                if machine.exit_code is not None:
-                    record.write(f"daemon {machine.name} had ended with {machine.exit_code}")
-            deployment.stop()
-            _copy_logs(Path(temporary))
-        record.write(f"RULE BROKEN: {broken}" if broken else "the rule held")
-        return BROKEN if broken else HELD
+    with Record(folder / "record.txt") as record, tempfile.TemporaryDirectory() as temporary:
+        deployment = Deployment(record, Path(temporary), services, bounds, slots, has_seeds)
+        deployment.write_configuration(routes, **configuration)
+        exit_code = asyncio.run(_run(deployment, play))
+        _copy_logs(Path(temporary))
+    sys.exit(exit_code)
+
+
+async def _run(deployment: Deployment, play: Case) -> int:
+    record = deployment.record
+    try:
+        async with asyncio.timeout(MAX_RUN_S):
+            await deployment.start()
+            broken = await play(deployment)
+    except (CaseError, OSError, TimeoutError, RuntimeError) as error:
+        record.write(f"the case could not run: {error!r}")
+        return COULD_NOT_RUN
+    finally:
+        for machine in deployment.machines:
+            if machine.exit_code is not None:
+                record.write(f"daemon {machine.name} had ended with {machine.exit_code}")
+        deployment.stop()
+    record.write(f"RULE BROKEN: {broken}" if broken else "the rule held")
+    return BROKEN if broken else HELD
 
 
 def _copy_logs(folder: Path) -> None:
--- a/review/stand_ins/machine.py
+++ b/review/stand_ins/machine.py
@@ -66,6 +66,7 @@
         service: str,
         bounds: dict[str, object] | None = None,
         zone: str = "a",
+        has_seeds: bool = True,
     ) -> None:
         self.name = f"side-{zone}-{number}"
         self.ip = f"{network}.{10 + number}"
@@ -78,11 +79,11 @@
         self._base_port = base_port
         self._bounds = bounds or {}
         self._zone = zone
+        self._has_seeds = has_seeds
         self._record = record
         self._folder = folder
         self._process: subprocess.Popen[bytes] | None = None
         self._settings = folder / f"{self.name}.toml"
-        self.advertised_inbound = ""
 
     @property
     def pid(self) -> int:
@@ -168,7 +169,7 @@
         }
         lines = [f"{name} = {_render_value(value)}" for name, value in bounds.items()]
         first_port = self._base_port + INTERNAL
-        seed = f"{self._network}.11:{self._base_port + CONTROL}"
+        seed = f'"{self._network}.11:{self._base_port + CONTROL}"' if self._has_seeds else ""
         return f"""[self]
 nodeName = "{self.name}"
 role = "daemon"
@@ -190,7 +191,7 @@
 diskMb = 0
 [network]
 internalPorts = [{first_port}, {first_port + INTERNAL_PORTS - 1}]
-seeds = ["{seed}"]
+seeds = [{seed}]
 [network.listen]
 inbound = "{self.inbound}"
 outbound = "{self.outbound}"
--- a/review/stand_ins/server.py
+++ b/review/stand_ins/server.py
@@ -32,6 +32,7 @@
         self.service = service
         self.born = int(time.time() * 1000)
         self.work_s = 0.05
+        self.body_bytes = 0
         self.is_leaving = False
         self.slots = slots
         self.sequence = 0
@@ -110,6 +111,8 @@
             while (request := await read_message(reader)) is not None:
                 await self._handle(request, writer)
                 await writer.drain()
+                if self.body_bytes:
+                    self._record.write(f"server {self.name} has written a response")
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
@@ -134,7 +137,7 @@
             await self._run(request, request_id)
         headers["X-Godwitpass-Attempt-Id"] = request_id
         headers["X-Godwitpass-Response-Seal"] = f"seal.{self.name}.{request_id}"
-        body = f"{self.name} {request_id}".encode()
+        body = f"{self.name} {request_id} ".encode().ljust(self.body_bytes, b"x")
         writer.write(encode("HTTP/1.1 200 OK", headers, body))
 
     async def _run(self, request: Message, request_id: str) -> None:
