--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -19,6 +19,8 @@
 HOST = "jepu9.example"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 MAX_RUN_S = 115.0
+CONTACT_S = 3.0
+"""The bound `contact`: after this time without disruption a machine is in touch."""
 
 
 class CaseError(Exception):
@@ -99,7 +101,7 @@
         self.record.write(f"operator writes version {self._version}; the store acknowledges it")
 
     async def start(self) -> None:
-        """Start all, and wait until the daemons are ready and their servers are known."""
+        """Start all, and wait until the daemons are ready and in touch."""
         await self.store.start(self.store_address)
         for server in self.servers:
             await server.start()
@@ -107,6 +109,7 @@
             machine.start()
         for machine in self.machines:
             await machine.wait_until_ready()
+        await asyncio.sleep(CONTACT_S)
 
     def stop(self) -> None:
         """End all processes that were started."""
