--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -19,6 +19,7 @@
 HOST = "jepu9.example"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 MAX_RUN_S = 115.0
+WAIT_TIMEOUT_S = 15.0
 CONTACT_S = 3.0
 """The bound `contact`: after this time without disruption a machine is in touch."""
 
@@ -150,14 +151,14 @@
         return request_id, status
 
     async def wait_for(
-        self, condition: Callable[[], Awaitable[bool]], what: str, timeout_s: float = 15.0
+        self, condition: Callable[[], Awaitable[bool]], what: str, interval_s: float = 0.05
     ) -> None:
         """Wait until a condition holds; without it the case can't run."""
-        deadline = time.monotonic() + timeout_s
+        deadline = time.monotonic() + WAIT_TIMEOUT_S
         while not await condition():
             if time.monotonic() > deadline:
                 raise CaseError(f"waited in vain until {what}")
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(interval_s)
 
 
 Case = Callable[[Deployment], Awaitable[str]]
