Test that a late heartbeat after a restart brings back no server that had left

Cause: the daemon was killed after the acknowledgement; its only health check waited for a slot of the busy server and was given up after 0.5 s, and without an answer the first heartbeat was believed, which was older than the leaving. Evidence: upstream-registered with sequence 5 and no answered check before.

--- a/tests/cover/test_identification.py
+++ b/tests/cover/test_identification.py
@@ -10,6 +10,12 @@
 from godwitpass_platform_stand_ins.deployment import Machine
 from godwitpass_platform_stand_ins.server import StandInServer
 
+DRAIN_S = 0.4
+"""Drain time of the deployment's settings."""
+
+HEALTH_CHECK_GIVEN_UP_S = 2.0
+"""Longer than a daemon waits for one health check."""
+
 CALLS_AT_ONCE = 4
 """Twice the slots of a server, so that no ready one is left out."""
 
@@ -83,6 +89,30 @@
         run_check(check)
 
 
+class TestAcknowledgedLeaving:
+    def test_a_late_heartbeat_brings_back_no_server_whose_leaving_was_acknowledged(
+        self, run_check: RunCheck
+    ) -> None:
+        # Guards against a first heartbeat that is believed while the health check has no answer.
+        async def check(deployment: Deployment) -> None:
+            machine = deployment.machines[1]
+            leaving = machine.server
+            late_heartbeat = leaving.build_heartbeat()
+            control = machine.control_address
+            assert await leaving.send_registration_request(control, "DELETE") == 200
+            leaving.health_check_delay_s = HEALTH_CHECK_GIVEN_UP_S
+            await machine.stop()
+            async with restart(machine):
+                await anyio.sleep(0.7)
+                await leaving.send_registration_request(control, "PUT", late_heartbeat)
+                await anyio.sleep(DRAIN_S + 0.3)
+                received = len(leaving.received_requests)
+                await send_calls(deployment.machines[0], "left")
+                assert len(leaving.received_requests) == received
+
+        run_check(check)
+
+
 class TestRecordedServers:
     def test_a_restarted_daemon_uses_its_server_before_the_next_heartbeat(
         self, run_check: RunCheck
