Test that a late heartbeat of a former server changes no caller service

Cause: the first heartbeat after a start was believed whoever had sent it, and RelayService takes the caller service from it.

--- a/tests/cover/test_identification.py
+++ b/tests/cover/test_identification.py
@@ -113,6 +113,33 @@
         run_check(check)
 
 
+class TestCallerService:
+    def test_a_late_heartbeat_of_a_former_server_changes_no_caller_service(
+        self, run_check: RunCheck
+    ) -> None:
+        # Guards against the first heartbeat after a restart that is believed whoever sent it.
+        async def check(deployment: Deployment) -> None:
+            machine = deployment.machines[2]
+            former = StandInServer("i-8", machine.server.address, "desk")
+            former.started_ms = machine.server.started_ms - 60_000
+            await machine.stop()
+            async with restart(machine):
+                await former.send_heartbeat(machine.control_address)
+                await anyio.sleep(0.5)
+                assert 200 in await send_calls(machine, "former")
+                callers = {
+                    request.headers["x-godwitpass-caller-service"]
+                    for server in deployment.vault_servers
+                    for request in server.received_requests
+                    if request.request_id.startswith("former")
+                }
+                assert callers == {"vault"}
+                await machine.server.send_heartbeat(machine.control_address)
+                await wait_until_registered(machine, "vault")
+
+        run_check(check)
+
+
 class TestRecordedServers:
     def test_a_restarted_daemon_uses_its_server_before_the_next_heartbeat(
         self, run_check: RunCheck
