Decode entries and heartbeats of other writers to values that can be used

After a heartbeat with such values callers got none of 20 calls through, as the heartbeats of the real server counted as older; `slots` of 10^30 was answered 500.

Cause: decoders checked types and not values, so that the error came where the value was used: in a timer of the kernel, which ends the daemon, or in the registration. RecursionError was not caught by the decoder of seed records. Both are one fault: a value of another writer that its decoder lets pass.

Unusable addresses are left out and reported with the key, and the others of the record are used.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/peers/transport.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/peers/transport.py
@@ -8,6 +8,7 @@
 from anyio.abc import TaskGroup
 
 from godwitpass.ids import Address
+from godwitpass.internal.addresses import is_connectable
 from godwitpass_daemon.boot_clock import read_boot_clock
 from godwitpass_daemon.peers.channels import Channel, Handler
 from godwitpass_daemon.peers.counters import DropCounter, TrafficCounter, build_traffic_counters
@@ -103,6 +104,9 @@
                 f"payload of {len(payload)} bytes for channel {channel.name} is too large;"
                 f" split it into messages of at most {MAX_PAYLOAD_BYTES} bytes each"
             )
+        if not is_connectable(to):
+            self.dropped_outgoing.count("invalid address")
+            return
         frame = seal_frame(
             self._keys[0], channel, self.address, to, self._next_timestamp_us(), payload
         )
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_records.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_records.py
@@ -66,7 +66,12 @@
         try:
             entry = await self._store.get_cached(self._key)
             self._stored = None if entry.value is None else _decoder.decode(entry.value)
-        except (StoreUnavailable, StoreOutcomeUnknown, msgspec.MsgspecError) as error:
+        except (
+            StoreUnavailable,
+            StoreOutcomeUnknown,
+            msgspec.MsgspecError,
+            RecursionError,
+        ) as error:
             self._emit(kinds.UPSTREAM_RECORD_FAILED, {"operation": "read", "reason": str(error)})
         return self._stored
 
--- a/packages/godwitpass-daemon/tests/peers/test_transport.py
+++ b/packages/godwitpass-daemon/tests/peers/test_transport.py
@@ -195,6 +195,19 @@
 
         anyio.run(send_to_absent_daemon)
 
+    @pytest.mark.parametrize("address", ["host:80", "10.0.0.1:99999", "10.0.0.1:", ""])
+    def test_sends_to_an_address_that_can_t_be_used_are_counted_as_dropped(
+        self, addresses: AddressPair, recorder: EventRecorder, address: str
+    ) -> None:
+        # Guards against addresses of other writers that end the daemon.
+        async def send() -> None:
+            sender = PeerTransport(addresses[0], [KEY], recorder)
+            async with run_transports([sender]):
+                sender.send(Channel.MEMBERSHIP, Address(address), b"x")
+                assert sender.dropped_outgoing.totals["invalid address"] == 1
+
+        anyio.run(send)
+
 
 def test_a_step_of_the_time_of_day_does_not_separate_a_daemon(
     monkeypatch: pytest.MonkeyPatch,
--- a/packages/godwitpass/src/godwitpass/internal/distribution/delta.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/delta.py
@@ -123,7 +123,7 @@
     try:
         encoded = decompress(body[1:]) if body[:1] == COMPRESSED_PREFIX else body[1:]
         document = apply_delta(old, msgspec.msgpack.decode(encoded, type=Delta))
-    except (msgspec.MsgspecError, zstandard.ZstdError) as error:
+    except (msgspec.MsgspecError, RecursionError, zstandard.ZstdError) as error:
         raise InvalidContent(str(error)) from error
     if hash_content(encode_canonical(document)) != expected:
         raise InvalidContent(
@@ -137,7 +137,7 @@
     try:
         content = decompress(body)
         document = msgspec.json.decode(content, type=Document)
-    except (msgspec.MsgspecError, zstandard.ZstdError) as error:
+    except (msgspec.MsgspecError, RecursionError, zstandard.ZstdError) as error:
         raise InvalidContent(str(error)) from error
     if hash_content(content) != expected:
         raise InvalidContent("the document does not have the expected hash")
--- a/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
@@ -304,7 +304,7 @@
             return self._handle_document(self._source, entry, now)
         try:
             root = decode_root(entry)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             return [RecordEvent(events.CONTENT_WRONG, {"reason": str(error)}), *self._watch(now)]
         if root.version <= self._cache.version:
             return self._check_consistency(root.newest, now)
@@ -421,7 +421,7 @@
             document = self._codec.decode_full(
                 b"".join(self._loaded_parts), loading_version.content_hash
             )
-        except (InvalidContent, msgspec.MsgspecError) as error:
+        except (InvalidContent, msgspec.MsgspecError, RecursionError) as error:
             return [
                 RecordEvent(events.CONTENT_WRONG, {"reason": str(error)}),
                 *self._handle_failure(now),
--- a/packages/godwitpass/src/godwitpass/internal/membership/discovery.py
+++ b/packages/godwitpass/src/godwitpass/internal/membership/discovery.py
@@ -7,6 +7,7 @@
 
 from godwitpass.ids import NO_REVISION, Address
 from godwitpass.internal.actions import RecordEvent, Send
+from godwitpass.internal.addresses import is_connectable
 from godwitpass.internal.membership.events import SEEDS_UNAVAILABLE, SEEDS_UNREADABLE
 from godwitpass.internal.membership.messages import ANY_MEMBER, Message, SeedRecord
 from godwitpass.internal.membership.state import SharedState
@@ -246,10 +247,15 @@
         empty = SeedRecord(self._state.identity.region)
         if seed_entry.value is None:
             return empty, []
+        report = RecordEvent(SEEDS_UNREADABLE, {"key": seed_entry.key})
         try:
-            return _decoder.decode(seed_entry.value), []
-        except msgspec.MsgspecError:
-            return empty, [RecordEvent(SEEDS_UNREADABLE, {"key": seed_entry.key})]
+            record = _decoder.decode(seed_entry.value)
+        except (msgspec.MsgspecError, RecursionError):
+            return empty, [report]
+        usable = tuple(address for address in record.addresses if is_connectable(address))
+        if usable == record.addresses:
+            return record, []
+        return msgspec.structs.replace(record, addresses=usable), [report]
 
     def _build_put(self, seed_entry: Entry, addresses: tuple[Address, ...]) -> Put:
         self._request_tag += 1
--- a/packages/godwitpass/src/godwitpass/internal/relay/frames.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/frames.py
@@ -275,5 +275,5 @@
     def _decode(self, body: bytes) -> Frame:
         try:
             return _decoder.decode(body)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise InvalidFrame(str(error)) from error
--- a/packages/godwitpass/src/godwitpass/internal/relay/registration.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/registration.py
@@ -10,6 +10,7 @@
 
 MAX_SLOTS = 100_000
 MAX_STARTED_MS = 1 << 52
+MAX_SEQUENCE = 1 << 52
 """Upper bounds of what an upstream may report about itself."""
 
 MAX_DEREGISTERED = 64
--- a/tests/cover/test_platform.py
+++ b/tests/cover/test_platform.py
@@ -1,5 +1,6 @@
 """The platform adapter, tested with three daemons in one process."""
 
+import json
 import re
 from pathlib import Path
 
@@ -359,6 +360,67 @@
         run_check(check)
 
 
+class TestOddHeartbeats:
+    """A heartbeat with a value out of range hid the real server, whose own counted as older."""
+
+    @pytest.mark.parametrize(
+        ("field", "value"),
+        [
+            ("address", "{host}:99999"),
+            ("address", "{host}:-1"),
+            ("address", "{host}:0"),
+            ("address", "{host}:port"),
+            ("address", "{host}:"),
+            ("address", "{host}:" + "9" * 6_000),
+            ("born", 10**40),
+            ("born", 2**64),
+            ("born", 32_503_680_000_000),
+            ("sequence", 10**40),
+            ("slots", 10**30),
+            ("slots", 0),
+            ("extra", "[" * 30_000),
+        ],
+        ids=lambda value: str(value)[:20],
+    )
+    def test_the_server_is_used_after_it(
+        self, run_check: RunCheck, field: str, value: int | str
+    ) -> None:
+        async def check(deployment: Deployment) -> None:
+            machine = deployment.machines[1]
+            server = machine.server
+            wire = msgspec.json.decode(server.build_heartbeat())
+            host = server.address.rpartition(":")[0]
+            # Starts a moment after the real server, as the next one at its address does.
+            wire["born"] += 500
+            section = {"slots": wire["info"], "sequence": wire["status"]}.get(field, wire)
+            section[field] = value.format(host=host) if isinstance(value, str) else value
+            body = json.dumps(wire).encode()
+            if field == "extra":
+                body = body.replace(json.dumps(value).encode(), str(value).encode())
+            control = machine.control_address
+            assert await server.send_registration_request(control, "PUT", body) == 400
+            await server.send_heartbeat(control)
+            deployment.vault_servers[1].work_s = 0.2
+            received = len(server.received_requests)
+            async with anyio.create_task_group() as tasks:
+                for number in range(8):
+                    data = encode_call("/read/1", f"odd{number}", 2_000)
+                    tasks.start_soon(exchange, deployment.outbound_address, data)
+            assert len(server.received_requests) > received
+
+        run_check(check)
+
+    def test_an_id_that_would_end_a_header_line_is_rejected(self, run_check: RunCheck) -> None:
+        # Guards against requests to the server with header lines of another writer.
+        async def check(deployment: Deployment) -> None:
+            machine = deployment.machines[1]
+            foreign = StandInServer("i%0d%0aX-Odd:%201", machine.server.address, "vault")
+            foreign.started_ms = machine.server.started_ms + 500
+            assert await foreign.send_heartbeat(machine.control_address) == 400
+
+        run_check(check)
+
+
 class TestServiceOfTheMachine:
     def test_changed_settings_change_the_caller_service_before_the_next_heartbeat(
         self, run_check: RunCheck
