Attribute a response without an id to the first request of a connection only

Cause: UpstreamConnection compared the id only where the response had one, so a response without an id answered whatever request waited.

Change: behind an earlier request such a response is invalid, and the call may have run; on the first request of a connection it counts, and the connection is not kept. So each connection that is used again belongs to a server that has echoed ids so far.

Price: none at servers that echo ids. A refusal without an id costs a connection, and on a kept connection it gives an unsafe call 502 in place of 503.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_connections.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_connections.py
@@ -47,7 +47,11 @@
 
 
 class UpstreamConnection(asyncio.Protocol):
-    """A connection to the upstream; responses to earlier requests are dropped."""
+    """A connection to the upstream; responses to earlier requests are dropped.
+
+    A response without an id can be attributed to the first request of a connection only, which is
+    closed after it. Behind an earlier request it is invalid, and the request may have run.
+    """
 
     def __init__(self, pool: "UpstreamConnectionPool") -> None:
         self.opened_at = pool.now()
@@ -60,6 +64,7 @@
         self._handler: ResponseHandler | None = None
         self._method = b"GET"
         self._request_id = b""
+        self._request_count = 0
         self._headers: list[Header] = []
         self._head: ResponseHead | None = None
         self._is_reading_head = False
@@ -83,6 +88,7 @@
         self._handler = handler
         self._method = method
         self._request_id = request_id
+        self._request_count += 1
         self._head = None
         self._has_received = False
         self._is_response_complete = False
@@ -193,6 +199,11 @@
             # Later responses may belong to earlier requests too.
             self._is_out_of_sync = True
             return
+        if self._request_id and not head.request_id:
+            self._is_out_of_sync = True
+            if self._request_count > 1:
+                self._is_broken = True
+                return
         self._head = head
         self._bytes_without_body = 0
         handler.handle_head(head)
--- a/packages/godwitpass-daemon/tests/relay/test_upstream.py
+++ b/packages/godwitpass-daemon/tests/relay/test_upstream.py
@@ -148,6 +148,65 @@
         assert handler.head is None
 
 
+class TestResponsesWithoutAnId:
+    """An earlier refusal that is written once more belongs to no request, but looks like one."""
+
+    REFUSAL = b"HTTP/1.1 503 X\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+
+    @pytest.mark.parametrize(
+        "response", [REFUSAL, encode_response(b"x", "x-seal: s", request_id="")]
+    )
+    def test_behind_an_earlier_request_it_answers_nothing(self, response: bytes) -> None:
+        connection, transport = open_connection()
+        earlier, later = RecordingHandler(), RecordingHandler()
+        connection.send(earlier, b"GET", b"r1", b"")
+        connection.data_received(encode_response(b"own", request_id="r1"))
+        connection.send(later, b"GET", b"r2", b"")
+        connection.data_received(response)
+        assert earlier.outcome == "complete"
+        assert later.outcome == "invalid" and later.head is None
+        assert transport.is_aborted
+
+    def test_it_answers_the_first_request_of_a_connection_which_is_not_kept(self) -> None:
+        connection, transport = open_connection()
+        handler = RecordingHandler()
+        connection.send(handler, b"GET", b"r1", b"")
+        connection.data_received(self.REFUSAL)
+        assert handler.outcome == "complete"
+        assert handler.head is not None and handler.head.is_not_run
+        assert transport.is_aborted
+
+    def test_a_repeated_refusal_of_an_earlier_request_is_no_promise(self) -> None:
+        # Guards against 503 for a request that the upstream runs.
+        running = RunningCall()
+        running.receive(encode_response(b"first", "x-seal: s"))
+        running.runner.open_call(running.channel, running.build_request(2))
+        running.receive(self.REFUSAL)
+        last = running.channel.frames[-1]
+        assert isinstance(last, Failed) and last.reason is Failure.INVALID
+
+
+class TestTruncatedHeads:
+    @pytest.mark.parametrize("framing", ["content-length: 5", "transfer-encoding: chunked", ""])
+    @pytest.mark.parametrize("is_first", [True, False])
+    def test_a_head_that_breaks_off_is_no_response(self, framing: str, is_first: bool) -> None:
+        lines = ["HTTP/1.1 200 OK", "x-request-id: r", "x-seal: s", framing, "x-end: 1"]
+        head = "\r\n".join(line for line in lines if line).encode() + b"\r\n\r\n"
+        for size in range(len(head)):
+            connection, _ = open_connection()
+            if not is_first:
+                connection.send(RecordingHandler(), b"GET", b"r0", b"")
+                connection.data_received(encode_response(b"own", request_id="r0"))
+            handler = RecordingHandler()
+            connection.send(handler, b"GET", b"r", b"")
+            if size:
+                connection.data_received(head[:size])
+            connection.eof_received()
+            connection.connection_lost(None)
+            assert handler.head is None
+            assert handler.outcome == "lost"
+
+
 class TestConnectionPool:
     def test_an_expired_connection_is_closed_behind_one_that_is_kept_longer(self) -> None:
         now = 0.0
