--- a/packages/godwitpass/tests/relay/test_identification.py
+++ b/packages/godwitpass/tests/relay/test_identification.py
@@ -107,9 +107,10 @@
         # The former upstream has left before the start; the next one belongs to another service.
         late = [build_heartbeat(FORMER, sequence) for sequence in (7, 8)]
         next_heartbeats = [build_heartbeat(NEXT, n, 9_000, "vault") for n in (1, 2)]
-        for events in itertools.permutations([*late, *next_heartbeats, check(""), check(NEXT)]):
+        events: list[Heartbeat | HealthCheck] = [*late, *next_heartbeats, check(""), check(NEXT)]
+        for order in itertools.permutations(events):
             identification = Identification()
-            confirmed = [_apply(identification, event) for event in events]
+            confirmed = [_apply(identification, event) for event in order]
             confirmed += [_apply(identification, build_heartbeat(NEXT, 3, 9_000, "vault"))]
             confirmed += [_apply(identification, check(NEXT))]
             services = [heartbeat.service for heartbeat in confirmed if heartbeat is not None]
