Try a request that crashed upstreams at one daemon and once at a time

Cause: a request with a single burst of crashes was released by time, at each daemon by itself, and a released daemon handed over all that arrived until the first attempt had crashed.

Change: a release is a trial. Daemons beside upstreams of the service have an order by a hash; the first one may try 6 s after the latest crash, two a second later, and so on doubling; each has one attempt in progress. The first success is reported and admits the request everywhere, a crash refuses it everywhere. A sender leaves the trial to the daemon beside the upstream.

Reports carry one number more.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/call_guards.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/call_guards.py
@@ -68,6 +68,7 @@
             self._crash_guard.record_completed(
                 self._route.service.name, self._head.method.encode(), self._head.target.raw
             )
+            self._crash_guard.record_ended(self._build_descriptor(), has_succeeded=True)
 
     def _build_descriptor(self) -> RequestDescriptor:
         if self._descriptor is None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/guards.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/guards.py
@@ -65,6 +65,10 @@
         """Record that an upstream's connection broke while it ran the request."""
         ...
 
+    def record_ended(self, request: RequestDescriptor, has_succeeded: bool) -> None:
+        """Record that an attempt of a suspected request ended without a broken connection."""
+        ...
+
     def record_completed(self, service: ServiceName, method: bytes, target: bytes) -> None:
         """Record that an upstream completed a call."""
         ...
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/crash_guard.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/crash_guard.py
@@ -19,8 +19,11 @@
         """Return whether any request is suspected."""
         ...
 
-    def would_refuse(self, request: RequestDescriptor) -> bool:
-        """Return whether the request is refused, without counting an attempt."""
+    def would_refuse(self, request: RequestDescriptor, is_forwarding: bool = False) -> bool:
+        """Return whether the request is refused, without counting an attempt.
+
+        With `is_forwarding`, the daemon beside the upstream decides whether it is tried again.
+        """
         ...
 
     def is_suspected(self, request: RequestDescriptor) -> bool:
@@ -35,6 +38,10 @@
         """Record that the upstream's connection broke `age_s` ago while it ran the request."""
         ...
 
+    def record_ended(self, request: RequestDescriptor, has_succeeded: bool) -> None:
+        """Record that an attempt of a suspected request ended without a broken connection."""
+        ...
+
     def record_completed(self, service: ServiceName, method: bytes, target: bytes) -> None:
         """Record that the upstream completed a call."""
         ...
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
@@ -475,7 +475,11 @@
 
     def _is_refused_as_crash_suspect(self) -> bool:
         guard = self._core.runner.crash_guard
-        return guard is not None and guard.has_suspects and guard.would_refuse(self._describe())
+        return (
+            guard is not None
+            and guard.has_suspects
+            and guard.would_refuse(self._describe(), is_forwarding=True)
+        )
 
     def _is_crash_suspect(self) -> bool:
         guard = self._core.runner.crash_guard
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
@@ -72,6 +72,7 @@
         "_response_chunks",
         "_runner",
         "_sent_at",
+        "_suspect",
         "_target",
         "_was_connection_idle",
         "_window_bytes",
@@ -118,6 +119,7 @@
         self._was_connection_idle = False
         self._sent_at = 0.0
         self._target: Heartbeat | None = None
+        self._suspect: RequestDescriptor | None = None
         self._head: ResponseHead | None = None
         self._response_chunks: list[bytes] = []
         self._buffered_response_bytes = 0
@@ -205,6 +207,8 @@
         self._runner.call_log.record_failed(self, reason)
         self._record_outcome(True, is_reset=reason is Failure.RESET)
         if reason is Failure.RESET and self._runner.crash_detector is not None:
+            # The detector finds out whether the upstream has ended.
+            self._suspect = None
             self._runner.crash_detector.record_reset(self.describe(), self._target)
         self._drop_connection()
         if self._is_streaming:
@@ -403,10 +407,14 @@
             self._end_unsent(refusal)
             return
         guard = runner.crash_guard
-        if guard is not None and guard.has_suspects and guard.is_refused(self.describe()):
-            runner.pool.release(connection)
-            self._end_unsent(Refusal.CRASH_SUSPECT)
-            return
+        if guard is not None and guard.has_suspects:
+            descriptor = self.describe()
+            if guard.is_refused(descriptor):
+                runner.pool.release(connection)
+                self._end_unsent(Refusal.CRASH_SUSPECT)
+                return
+            if guard.is_suspected(descriptor):
+                self._suspect = descriptor
         self._target = target
         self._connection = connection
         self._was_connection_idle = connection.was_idle_for_long
@@ -446,6 +454,9 @@
     def _finish(self, is_completed: bool = False) -> Load:
         """Free the slot and return the remaining load."""
         self.has_ended = True
+        guard = self._runner.crash_guard
+        if guard is not None and self._suspect is not None:
+            guard.record_ended(self._suspect, is_completed)
         self._body_chunks.clear()
         self._response_chunks.clear()
         if self._connect_task is not None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/crashes.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/crashes.py
@@ -19,6 +19,7 @@
 )
 from godwitpass.internal.crashes.messages import decode_message, encode_message
 from godwitpass.internal.crashes.node import (
+    AttemptEnded,
     AttemptStarted,
     CrashesEvent,
     CrashesNode,
@@ -71,19 +72,22 @@
         if not fingerprints:
             return False
         now = time.monotonic()
-        if any(self._node.is_refused(fingerprint, now) for fingerprint in fingerprints):
+        if self._is_any_refused(request.service, fingerprints, now):
             return True
         context = {"service": request.service, "route": request.route}
         for fingerprint in fingerprints:
             self._handle(AttemptStarted(fingerprint), context)
         return False
 
-    def would_refuse(self, request: RequestDescriptor) -> bool:
+    def would_refuse(self, request: RequestDescriptor, is_forwarding: bool = False) -> bool:
         """Return whether the request is refused, without counting an attempt."""
-        now = time.monotonic()
-        return any(
-            self._node.is_refused(fingerprint, now) for fingerprint in self._find_suspects(request)
-        )
+        fingerprints = self._find_suspects(request)
+        return self._is_any_refused(request.service, fingerprints, time.monotonic(), is_forwarding)
+
+    def record_ended(self, request: RequestDescriptor, has_succeeded: bool) -> None:
+        """Record that an attempt of a suspected request ended without a broken connection."""
+        for fingerprint in self._find_suspects(request):
+            self._handle(AttemptEnded(fingerprint, has_succeeded))
 
     def record_completed(self, service: ServiceName, method: bytes, target: bytes) -> None:
         """Record that an upstream completed a call."""
@@ -108,6 +112,35 @@
             for fingerprint in self._find_suspects(request)
         )
 
+    def _is_any_refused(
+        self,
+        service: ServiceName,
+        fingerprints: tuple[Fingerprint, ...],
+        now: float,
+        is_forwarding: bool = False,
+    ) -> bool:
+        def list_competitors() -> list[Address]:
+            return self._list_competitors(service)
+
+        return any(
+            self._node.is_refused(fingerprint, now, list_competitors, is_forwarding)
+            for fingerprint in fingerprints
+        )
+
+    def _list_competitors(self, service: ServiceName) -> list[Address]:
+        """List the daemons beside upstreams of `service`; all if this one is beside none."""
+        members = [
+            member for member in self._membership.members() if member.state is MemberState.ALIVE
+        ]
+        beside = [
+            member.address
+            for member in members
+            if member.upstream is not None and member.upstream.service == service
+        ]
+        if self._peers.address in beside:
+            return beside
+        return [member.address for member in members]
+
     def _find_suspects(self, request: RequestDescriptor) -> tuple[Fingerprint, ...]:
         """Return the fingerprints of a request that may be suspected; none if it can't be."""
         if not self._node.has_suspects:
--- a/packages/godwitpass-daemon/tests/edge/test_faults.py
+++ b/packages/godwitpass-daemon/tests/edge/test_faults.py
@@ -235,6 +235,9 @@
     def report_crash(self, request: RequestDescriptor) -> None:
         self.has_crashed = True
 
+    def record_ended(self, request: RequestDescriptor, has_succeeded: bool) -> None:
+        pass
+
     def record_completed(self, service: ServiceName, method: bytes, target: bytes) -> None:
         pass
 
--- a/packages/godwitpass-daemon/tests/relay/test_crash_detector.py
+++ b/packages/godwitpass-daemon/tests/relay/test_crash_detector.py
@@ -29,7 +29,7 @@
     def __init__(self) -> None:
         self.crash_ages: list[float] = []
 
-    def would_refuse(self, request: RequestDescriptor) -> bool:
+    def would_refuse(self, request: RequestDescriptor, is_forwarding: bool = False) -> bool:
         return False
 
     is_suspected = is_refused = would_refuse
@@ -37,6 +37,9 @@
     def report_crash(self, request: RequestDescriptor, age_s: float = 0.0) -> None:
         self.crash_ages.append(age_s)
 
+    def record_ended(self, request: RequestDescriptor, has_succeeded: bool) -> None:
+        pass
+
     def record_completed(self, service: ServiceName, method: bytes, target: bytes) -> None:
         pass
 
--- a/packages/godwitpass-daemon/tests/relay/test_upstream.py
+++ b/packages/godwitpass-daemon/tests/relay/test_upstream.py
@@ -285,7 +285,7 @@
 
     has_suspects = True
 
-    def would_refuse(self, request: RequestDescriptor) -> bool:
+    def would_refuse(self, request: RequestDescriptor, is_forwarding: bool = False) -> bool:
         return True
 
     is_suspected = is_refused = would_refuse
@@ -293,6 +293,9 @@
     def report_crash(self, request: RequestDescriptor, age_s: float = 0.0) -> None:
         pass
 
+    def record_ended(self, request: RequestDescriptor, has_succeeded: bool) -> None:
+        pass
+
     def record_completed(self, service: ServiceName, method: bytes, target: bytes) -> None:
         pass
 
--- a/packages/godwitpass/src/godwitpass/internal/crashes/messages.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/messages.py
@@ -15,12 +15,14 @@
     """What one daemon observed of a request since it was first suspected.
 
     An upstream that crashes breaks all its attempts at once: they add to `broken_attempts` one by
-    one, but count as a single one of `crashes`.
+    one, but count as a single one of `crashes`. `survived_trials` is 1 once an attempt has
+    succeeded after a single burst of crashes, for which the request was refused.
     """
 
     crashes: int = 0
     broken_attempts: int = 0
     attempts: int = 0
+    survived_trials: int = 0
 
 
 class SuspectReport(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/godwitpass/src/godwitpass/internal/crashes/node.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/node.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 
@@ -18,6 +18,7 @@
     SuspectReports,
     SuspectsRequest,
 )
+from godwitpass.internal.crashes.release import FIRST_TRIAL_S, compute_rank
 from godwitpass.internal.crashes.suspects import Admission, Suspect, Suspects
 
 GOSSIP_INTERVAL_S = 0.2
@@ -56,6 +57,13 @@
     fingerprint: Fingerprint
 
 
+class AttemptEnded(msgspec.Struct, frozen=True):
+    """An attempt ended without a broken connection; successfully if it was completed."""
+
+    fingerprint: Fingerprint
+    has_succeeded: bool
+
+
 class UpstreamCrashed(msgspec.Struct, frozen=True):
     """The connection to an upstream broke `age_s` ago while it ran the request."""
 
@@ -84,7 +92,18 @@
     members: tuple[Address, ...]
 
 
-CrashesEvent = AttemptStarted | UpstreamCrashed | ReportsReceived | Started | Tick | MembersChanged
+CrashesEvent = (
+    AttemptStarted
+    | AttemptEnded
+    | UpstreamCrashed
+    | ReportsReceived
+    | Started
+    | Tick
+    | MembersChanged
+)
+ListCompetitors = Callable[[], Sequence[Address]]
+"""Lists the peer addresses of the daemons that can try a request."""
+
 CrashesAction = Send[CrashesMessage] | SetTimer | RecordEvent
 ReportKey = tuple[Fingerprint, Address]
 
@@ -116,10 +135,22 @@
         """Return False only if no request with this head is a suspect."""
         return self._suspects.may_contain(head_fingerprint)
 
-    def is_refused(self, fingerprint: Fingerprint, now: float) -> bool:
-        """Return whether a request is refused because it crashed too many upstreams."""
+    def is_refused(
+        self,
+        fingerprint: Fingerprint,
+        now: float,
+        list_competitors: ListCompetitors | None = None,
+        is_forwarding: bool = False,
+    ) -> bool:
+        """Return whether a request is refused because it crashed too many upstreams.
+
+        With `is_forwarding`, the request goes to another daemon, which decides on trials.
+        """
         suspect = self._suspects.find(fingerprint, now)
-        return suspect is not None and suspect.is_refused(now)
+        if suspect is None:
+            return False
+        rank = 0 if is_forwarding else self._find_rank(fingerprint, suspect, now, list_competitors)
+        return suspect.find_admission(now, rank, is_forwarding) is None
 
     def is_suspected(self, fingerprint: Fingerprint, now: float) -> bool:
         """Return whether an upstream crashed while it ran the request."""
@@ -129,8 +160,10 @@
         """Update the state for one event and return the actions to perform."""
         match event:
             case AttemptStarted(fingerprint):
-                self._suspects.count_attempt(fingerprint, now)
-                return [*self._report_admission(fingerprint, now)]
+                return [*self._start_attempt(fingerprint, now)]
+            case AttemptEnded(fingerprint, has_succeeded):
+                if self._suspects.end_attempt(fingerprint, now, has_succeeded):
+                    return [*self._queue_report(fingerprint, self._reporter, now)]
             case UpstreamCrashed(fingerprint, age_s):
                 return [*self._count_crash(fingerprint, now, now - age_s)]
             case ReportsReceived(sender, SuspectReports() as message):
@@ -146,6 +179,30 @@
                 self._members = tuple(member for member in members if member != self._own_address)
         return []
 
+    def _find_rank(
+        self,
+        fingerprint: Fingerprint,
+        suspect: Suspect,
+        now: float,
+        list_competitors: ListCompetitors | None = None,
+    ) -> int:
+        """Return this daemon's place in the order of trials; computed only once one is due."""
+        if suspect.rank is None and now - suspect.crashed_at >= FIRST_TRIAL_S:
+            competitors = list_competitors() if list_competitors is not None else self._members
+            suspect.rank = compute_rank(self._own_address, fingerprint, competitors)
+        return suspect.rank or 0
+
+    def _start_attempt(self, fingerprint: Fingerprint, now: float) -> Iterable[CrashesAction]:
+        suspect = self._suspects.find(fingerprint, now)
+        if suspect is None:
+            return
+        rank = self._find_rank(fingerprint, suspect, now)
+        if suspect.find_admission(now, rank) is Admission.TRIAL:
+            self._suspects.start_trial(fingerprint, now)
+            yield from self._report_admission(fingerprint, now, Admission.TRIAL)
+        self._suspects.count_attempt(fingerprint, now)
+        yield from self._report_admission(fingerprint, now, suspect.find_admission(now, rank))
+
     def _count_crash(
         self, fingerprint: Fingerprint, now: float, crashed_at: float
     ) -> Iterable[CrashesAction]:
@@ -191,17 +248,16 @@
         suspect = self._suspects.find(fingerprint, now)
         if suspect is None or suspect.is_refusal_reported:
             return
-        if suspect.is_refused(now):
+        if suspect.find_admission(now, suspect.rank or 0) is None:
             suspect.is_refusal_reported = True
             yield RecordEvent(events.REQUEST_REFUSED, self._describe(fingerprint, now))
 
-    def _report_admission(self, fingerprint: Fingerprint, now: float) -> Iterable[CrashesAction]:
+    def _report_admission(
+        self, fingerprint: Fingerprint, now: float, admission: Admission | None
+    ) -> Iterable[CrashesAction]:
         """Report once per crash that a request is admitted in spite of enough crashes."""
         suspect = self._suspects.find(fingerprint, now)
-        if suspect is None:
-            return
-        admission = suspect.find_admission(now)
-        if admission is None or admission is Admission.FEW_CRASHES:
+        if suspect is None or admission is None or admission is Admission.FEW_CRASHES:
             return
         crashes = suspect.total.crashes
         if crashes > suspect.reported_admission_crashes:
--- a/packages/godwitpass/src/godwitpass/internal/crashes/suspects.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/suspects.py
@@ -3,6 +3,7 @@
 The counts are bounded in number and lifetime.
 """
 
+import math
 from enum import Enum
 
 import msgspec
@@ -14,10 +15,7 @@
     HeadFingerprint,
 )
 from godwitpass.internal.crashes.messages import CrashCounts, SuspectReport
-from godwitpass.internal.crashes.release import (
-    MAX_PROVISIONAL_REFUSAL_S,
-    compute_provisional_refusal_s,
-)
+from godwitpass.internal.crashes.release import TRIAL_TIMEOUT_S, compute_trial_delay_s
 
 MAX_CRASHES = 3
 """Crashes, over all daemons, after which a request is refused."""
@@ -44,7 +42,7 @@
 """Time between two crashes from which they belong to different bursts.
 
 One call that is retried beside a crashing request can break at several upstreams at once, so a
-request with a single burst is refused for a short time only.
+request with a single burst is tried again soon.
 """
 
 MAX_SUSPECTS = 256
@@ -56,7 +54,8 @@
     """Why a suspected request is admitted."""
 
     FEW_CRASHES = "few crashes"
-    SINGLE_BURST_EXPIRED = "single burst expired"
+    TRIAL = "trial after a single burst"
+    SURVIVED_TRIAL = "a trial succeeded"
     ATTEMPTS_SUCCEED = "attempts succeed"
 
 
@@ -65,7 +64,8 @@
 
     `crashed_at` is the latest crash at any daemon, `own_crashed_at` the latest one at this daemon.
     `reported_admission_crashes` is the number of crashes at the latest report that the request is
-    admitted in spite of them.
+    admitted in spite of them. `trial_ends_at` is when the running trial no longer prevents the next
+    one, and `rank` the cached rank of this daemon among those that can try the request.
     """
 
     crashed_at: float
@@ -75,7 +75,8 @@
     is_refusal_reported: bool = False
     reported_admission_crashes: int = 0
     bursts: int = 1
-    provisional_refusal_s: float = MAX_PROVISIONAL_REFUSAL_S
+    trial_ends_at: float = -math.inf
+    rank: int | None = None
 
     def set_counts(self, reporter: Address, counts: CrashCounts) -> None:
         """Replace the counts of one daemon, and update the sum over all daemons."""
@@ -85,6 +86,7 @@
             self.total.crashes + counts.crashes - previous.crashes,
             self.total.broken_attempts + counts.broken_attempts - previous.broken_attempts,
             self.total.attempts + counts.attempts - previous.attempts,
+            self.total.survived_trials + counts.survived_trials - previous.survived_trials,
         )
 
     def record_crash_time(self, crashed_at: float) -> None:
@@ -93,17 +95,22 @@
             self.bursts += 1
         self.crashed_at = max(self.crashed_at, crashed_at)
 
-    def is_refused(self, now: float) -> bool:
-        """Return whether it crashed often enough, and a large enough share of attempts broke."""
-        return self.find_admission(now) is None
+    def find_admission(
+        self, now: float, rank: int = 0, is_forwarding: bool = False
+    ) -> Admission | None:
+        """Return why the daemon of `rank` admits the request, or None if it is refused.
 
-    def find_admission(self, now: float) -> Admission | None:
-        """Return why the request is admitted, or None if it is refused."""
+        With `is_forwarding`, another daemon decides whether the request is tried.
+        """
         total = self.total
         if total.crashes < MAX_CRASHES:
             return Admission.FEW_CRASHES
-        if self.bursts == 1 and now - self.crashed_at >= self.provisional_refusal_s:
-            return Admission.SINGLE_BURST_EXPIRED
+        if self.bursts == 1:
+            if total.survived_trials:
+                return Admission.SURVIVED_TRIAL
+            has_waited = now - self.crashed_at >= compute_trial_delay_s(rank)
+            if has_waited and (is_forwarding or now >= self.trial_ends_at):
+                return Admission.TRIAL
         if total.broken_attempts < MIN_BROKEN_SHARE * total.attempts:
             return Admission.ATTEMPTS_SUCCEED
         return None
@@ -154,11 +161,30 @@
             own_counts = suspect.counts.get(self._own_address, CrashCounts())
             suspect.set_counts(
                 self._own_address,
-                CrashCounts(
-                    own_counts.crashes, own_counts.broken_attempts, own_counts.attempts + 1
-                ),
+                msgspec.structs.replace(own_counts, attempts=own_counts.attempts + 1),
             )
 
+    def end_attempt(self, fingerprint: Fingerprint, now: float, has_succeeded: bool) -> bool:
+        """End a trial of a request; return whether it is the first one that succeeded."""
+        suspect = self.find(fingerprint, now)
+        if suspect is None:
+            return False
+        suspect.trial_ends_at = min(suspect.trial_ends_at, now)
+        is_on_trial = suspect.bursts == 1 and suspect.total.crashes >= MAX_CRASHES
+        if not has_succeeded or not is_on_trial or suspect.total.survived_trials:
+            return False
+        own_counts = suspect.counts.get(self._own_address, CrashCounts())
+        suspect.set_counts(
+            self._own_address, msgspec.structs.replace(own_counts, survived_trials=1)
+        )
+        return True
+
+    def start_trial(self, fingerprint: Fingerprint, now: float) -> None:
+        """Let no further attempt start until the trial ends."""
+        suspect = self.find(fingerprint, now)
+        if suspect is not None:
+            suspect.trial_ends_at = now + TRIAL_TIMEOUT_S
+
     def count_crash(self, fingerprint: Fingerprint, now: float, crashed_at: float) -> bool:
         """Count a broken attempt; return False when it belongs to the crash counted last."""
         suspect = self.find(fingerprint, now) or self._add_suspect(fingerprint, crashed_at)
@@ -174,7 +200,12 @@
         # Attempts made before the request became a suspect were not counted.
         suspect.set_counts(
             self._own_address,
-            CrashCounts(crashes, broken_attempts, max(own_counts.attempts, broken_attempts)),
+            msgspec.structs.replace(
+                own_counts,
+                crashes=crashes,
+                broken_attempts=broken_attempts,
+                attempts=max(own_counts.attempts, broken_attempts),
+            ),
         )
         if not is_same_crash:
             suspect.own_crashed_at = crashed_at
@@ -182,7 +213,7 @@
         return not is_same_crash
 
     def merge(self, report: SuspectReport, now: float) -> bool:
-        """Merge another daemon's counts; return whether they contain a new crash."""
+        """Merge another daemon's counts; return whether they contain a crash or success."""
         crashed_at = now - report.age_ms / 1000
         if now - crashed_at >= SUSPECT_TTL_S:
             return False
@@ -199,6 +230,7 @@
             max(known.crashes, reported.crashes),
             max(known.broken_attempts, reported.broken_attempts),
             max(known.attempts, reported.attempts),
+            max(known.survived_trials, reported.survived_trials),
         )
         has_new_crash = merged.crashes > known.crashes
         if has_new_crash:
@@ -206,7 +238,7 @@
             suspect.record_crash_time(crashed_at)
         suspect.bursts = max(suspect.bursts, report.bursts)
         suspect.set_counts(report.reporter, merged)
-        return has_new_crash
+        return has_new_crash or merged.survived_trials > known.survived_trials
 
     def _has_room(self, rank: tuple[bool, float]) -> bool:
         """Tell whether a suspect of this rank would not be the first one to be evicted."""
@@ -231,10 +263,7 @@
     def _add_suspect(self, fingerprint: Fingerprint, crashed_at: float) -> Suspect:
         if len(self._suspects) >= MAX_SUSPECTS:
             del self._suspects[self._find_lowest()]
-        suspect = self._suspects[fingerprint] = Suspect(
-            crashed_at,
-            provisional_refusal_s=compute_provisional_refusal_s(self._own_address, fingerprint),
-        )
+        suspect = self._suspects[fingerprint] = Suspect(crashed_at)
         if self._lowest is not None and _rank(suspect) < self._lowest[1]:
             self._lowest = fingerprint, _rank(suspect)
         # An expired suspect stays in this set until the next addition. Until then, a request with
--- a/packages/godwitpass/tests/crashes/test_crashes.py
+++ b/packages/godwitpass/tests/crashes/test_crashes.py
@@ -6,7 +6,7 @@
 from godwitpass.ids import Address
 from godwitpass.internal.actions import Send
 from godwitpass.internal.crashes import events
-from godwitpass.internal.crashes.fingerprint import compute_fingerprint
+from godwitpass.internal.crashes.fingerprint import Fingerprint, compute_fingerprint
 from godwitpass.internal.crashes.messages import (
     MAX_REPORTS,
     SuspectReports,
@@ -21,6 +21,7 @@
     REPEAT_INTERVAL_S,
     REQUEST_FANOUT,
     REQUEST_INTERVAL_S,
+    AttemptEnded,
     AttemptStarted,
     CrashesNode,
     MembersChanged,
@@ -29,7 +30,7 @@
     Tick,
     UpstreamCrashed,
 )
-from godwitpass.internal.crashes.release import MAX_PROVISIONAL_REFUSAL_S
+from godwitpass.internal.crashes.release import FIRST_TRIAL_S, TRIAL_TIMEOUT_S
 from godwitpass.internal.crashes.suspects import (
     MAX_CRASHES,
     MAX_REPORTERS,
@@ -47,6 +48,35 @@
 """Crashes that may follow later than `CONTACT_S` after the third one."""
 
 
+SERVED_AGAIN_WITHIN_S = 10.0
+"""Time within which a request with a single burst of crashes must be tried everywhere."""
+
+STEP_S, RUN_S = 0.02, 0.15
+
+
+def play_requests(
+    mesh: GossipMesh, fingerprint: Fingerprint, duration_s: float, crashes: bool
+) -> list[float]:
+    """Send a request to each daemon in each step; return when it reached upstreams."""
+    started_at: list[float] = []
+    running: list[tuple[float, Address]] = []
+    steps_per_round = round(GOSSIP_INTERVAL_S / STEP_S)
+    for step in range(round(duration_s / STEP_S)):
+        for address in mesh.addresses:
+            if mesh.start(address, fingerprint):
+                started_at.append(mesh.now)
+                running.append((mesh.now + RUN_S, address))
+        for ended in [item for item in running if item[0] <= mesh.now]:
+            running.remove(ended)
+            event = UpstreamCrashed(fingerprint) if crashes else AttemptEnded(fingerprint, True)
+            mesh.end(ended[1], event)
+        mesh.now += STEP_S
+        if step % steps_per_round == 0:
+            mesh.now -= GOSSIP_INTERVAL_S
+            mesh.run(GOSSIP_INTERVAL_S)
+    return started_at
+
+
 def crash_everywhere(mesh: GossipMesh, addresses: list[Address], interval_s: float) -> None:
     """Let the request crash once at each of `addresses`, `interval_s` apart."""
     for address in addresses:
@@ -218,7 +248,7 @@
         crash_everywhere(mesh, mesh.addresses[:MAX_CRASHES], 1)
         restarted = mesh.addresses[5]
         mesh.restart(restarted, "second")
-        mesh.run(CONTACT_S + MAX_PROVISIONAL_REFUSAL_S)
+        mesh.run(CONTACT_S + SERVED_AGAIN_WITHIN_S)
         assert mesh.nodes[restarted].is_refused(CRASHING_REQUEST, mesh.now)
 
     def test_a_crash_counts_although_one_elsewhere_was_reported_a_moment_before(self) -> None:
@@ -248,6 +278,55 @@
             assert mesh.count_refusing(CRASHING_REQUEST) == size
 
 
+class TestTrials:
+    """A crashing request that comes at all machines all the time, after a burst of crashes."""
+
+    @pytest.mark.parametrize("size", [3, 6, 14, 60])
+    def test_a_frequent_crashing_request_reaches_few_servers_after_it_is_known(
+        self, size: int
+    ) -> None:
+        # Guards against daemons that release a request together, and several at a time.
+        for number in range(20):
+            fingerprint = compute_fingerprint("maal", "GET", b"/%d" % number, b"")
+            mesh = GossipMesh(size, loss=0.01)
+            for address in mesh.addresses[:MAX_CRASHES]:
+                mesh.send(address, fingerprint, crashes=True)
+            mesh.run(CONTACT_S)
+            later_runs = play_requests(mesh, fingerprint, 60.0, crashes=True)
+            assert len(later_runs) <= MAX_LATER_CRASHES, (size, number, later_runs)
+
+    @pytest.mark.parametrize("size", [3, 6, 60])
+    def test_a_frequent_innocent_request_is_served_everywhere_soon_after_its_trial(
+        self, size: int
+    ) -> None:
+        mesh = GossipMesh(size)
+        for address in mesh.addresses[:MAX_CRASHES]:
+            mesh.send(address, HARMLESS_REQUEST, crashes=True)
+        play_requests(mesh, HARMLESS_REQUEST, FIRST_TRIAL_S + CONTACT_S / 2, crashes=False)
+        assert mesh.count_refusing(HARMLESS_REQUEST) == 0
+
+    def test_a_trial_without_an_end_prevents_the_next_one_for_a_while_only(self) -> None:
+        mesh = GossipMesh(1)
+        for _ in range(MAX_CRASHES):
+            mesh.send(mesh.addresses[0], HARMLESS_REQUEST, crashes=True)
+            mesh.now += 0.12
+        mesh.run(FIRST_TRIAL_S + 1)
+        assert mesh.start(mesh.addresses[0], HARMLESS_REQUEST)
+        assert not mesh.start(mesh.addresses[0], HARMLESS_REQUEST)
+        mesh.run(TRIAL_TIMEOUT_S + 1)
+        assert mesh.start(mesh.addresses[0], HARMLESS_REQUEST)
+
+    def test_a_cancelled_trial_makes_room_for_the_next_one(self) -> None:
+        mesh = GossipMesh(1)
+        for _ in range(MAX_CRASHES):
+            mesh.send(mesh.addresses[0], HARMLESS_REQUEST, crashes=True)
+            mesh.now += 0.12
+        mesh.run(FIRST_TRIAL_S + 1)
+        assert mesh.start(mesh.addresses[0], HARMLESS_REQUEST)
+        mesh.end(mesh.addresses[0], AttemptEnded(HARMLESS_REQUEST, has_succeeded=False))
+        assert mesh.start(mesh.addresses[0], HARMLESS_REQUEST)
+
+
 class TestFalsePositives:
     def test_a_request_during_which_upstreams_seldom_crash_is_not_refused(self) -> None:
         mesh = GossipMesh(20)
@@ -275,7 +354,7 @@
             mesh.now += 0.04
         mesh.run(1)
         assert mesh.count_refusing(HARMLESS_REQUEST) == len(mesh.addresses)
-        mesh.run(MAX_PROVISIONAL_REFUSAL_S)
+        mesh.run(SERVED_AGAIN_WITHIN_S)
         assert mesh.count_refusing(HARMLESS_REQUEST) == 0
 
     def test_a_request_that_crashes_again_after_a_burst_is_refused_for_long(self) -> None:
@@ -283,9 +362,9 @@
         for address in mesh.addresses[:MAX_CRASHES]:
             mesh.send(address, CRASHING_REQUEST, crashes=True)
             mesh.now += 0.04
-        mesh.run(MAX_PROVISIONAL_REFUSAL_S + 1)
+        mesh.run(SERVED_AGAIN_WITHIN_S + 1)
         assert mesh.send(mesh.addresses[4], CRASHING_REQUEST, crashes=True)
-        mesh.run(2 * MAX_PROVISIONAL_REFUSAL_S)
+        mesh.run(2 * SERVED_AGAIN_WITHIN_S)
         assert mesh.count_refusing(CRASHING_REQUEST) == len(mesh.addresses)
 
     def test_requests_that_broke_beside_a_crashing_one_are_not_refused(self) -> None:
--- a/testkit/src/godwitpass_testkit/experiments/claims_crashes.py
+++ b/testkit/src/godwitpass_testkit/experiments/claims_crashes.py
@@ -21,6 +21,7 @@
 from godwitpass.internal.crashes.node import (
     GOSSIP_INTERVAL_S,
     RECENT_CRASH_S,
+    AttemptEnded,
     AttemptStarted,
     CrashesAction,
     CrashesNode,
@@ -30,10 +31,7 @@
     Tick,
     UpstreamCrashed,
 )
-from godwitpass.internal.crashes.release import (
-    MAX_PROVISIONAL_REFUSAL_S,
-    MIN_PROVISIONAL_REFUSAL_S,
-)
+from godwitpass.internal.crashes.release import FIRST_TRIAL_S, compute_trial_delay_s
 from godwitpass_testkit.measurements import Param, Row, write_rows
 
 MAX_DATAGRAM_BYTES = 1200
@@ -85,6 +83,14 @@
             self._perform_actions(address, node.handle(UpstreamCrashed(fingerprint), self.now))
         return True
 
+    def start(self, address: Address, fingerprint: Fingerprint) -> bool:
+        """Send a request to a daemon, where it runs; False if it is refused."""
+        return self.send(address, fingerprint, crashes=False)
+
+    def end(self, address: Address, event: AttemptEnded | UpstreamCrashed) -> None:
+        """End a request that runs at a daemon."""
+        self._perform_actions(address, self.nodes[address].handle(event, self.now))
+
     def restart(self, address: Address, start_id: str) -> None:
         """Replace a daemon with one that has just started and knows nothing of the crashes."""
         node = self.nodes[address] = CrashesNode(address, random.Random(address), start_id)
@@ -174,9 +180,9 @@
         mesh = GossipMesh(daemons, LOSS_RATE)
         for address in mesh.addresses[:SPREAD_CRASHES]:
             mesh.send(address, fingerprint, crashes=True)
-        mesh.run(MIN_PROVISIONAL_REFUSAL_S / 2)
+        mesh.run(FIRST_TRIAL_S / 2)
         later_crashes = 0
-        for _ in range(round(MAX_PROVISIONAL_REFUSAL_S / GOSSIP_INTERVAL_S)):
+        for _ in range(round(compute_trial_delay_s(daemons) / GOSSIP_INTERVAL_S)):
             for address in mesh.addresses:
                 later_crashes += mesh.send(address, fingerprint, crashes=True)
             mesh.run(GOSSIP_INTERVAL_S)
