--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -52,6 +52,9 @@
     return [violation.invariant for violation in checker.violations]
 
 
+RESTARTS_SEED = 410001
+
+
 class TestStreamProxy:
     def test_a_silent_connection_stays_open_and_new_ones_work(self) -> None:
         async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -369,6 +372,13 @@
         logs = b"".join(path.read_bytes() for path in tmp_path.glob("side-*.log"))
         assert b"crash-request-refused" in logs, "the plan sends crashing requests"
 
+    def test_restarts_beside_late_heartbeats_and_odd_entries_violate_no_invariant(
+        self, tmp_path: Path
+    ) -> None:
+        plan = draw_plan(RESTARTS_SEED, 4, 14, only_restart_faults=True)
+        outcome = run_soak(plan, tmp_path)
+        assert not outcome.violations, outcome.violations
+
     def test_extra_requests_violate_no_invariant_under_faults(self, tmp_path: Path) -> None:
         plan = draw_plan(EXTRA_REQUESTS_SEED, 4, 14, True, extra_request_share=0.2)
         outcome = run_soak(plan, tmp_path)
