--- a/tests/cover/test_endless_responses.py
+++ b/tests/cover/test_endless_responses.py
@@ -23,7 +23,9 @@
 MAX_LATE_BYTES = 64 * 1024
 """What may still be taken once all windows and kernel buffers are full."""
 
-SEALED_HEAD = b"HTTP/1.1 200 OK\r\nX-Godwitpass-Response-Seal: 3e1b.07\r\n"
+SEALED_HEAD = (
+    b"HTTP/1.1 200 OK\r\nX-Godwitpass-Attempt-Id: {id}\r\nX-Godwitpass-Response-Seal: 3e1b.07\r\n"
+)
 CHUNKED_HEAD = SEALED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 NO_RESPONSES = {
     "noise": (b"", bytes(range(256)) * 32),
