Ignore upstream records that arrive late or start in the future

A record of another writer with a start far ahead would have hidden the real server, as its heartbeats would have counted as older, and one that was read after the registration could have replaced it. The record becomes a claim only before the registration and within the bound of heartbeats.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/identifier.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/identifier.py
@@ -42,6 +42,11 @@
         self._changed = asyncio.Event()
         self._checked = asyncio.Event()
 
+    @property
+    def is_complete(self) -> bool:
+        """Return whether an upstream is registered."""
+        return self._identification.is_complete
+
     def receive(self, heartbeat: Heartbeat, has_health_check: bool) -> bool:
         """Return whether a heartbeat is confirmed; an unconfirmed one leads to a health check."""
         if self._identification.is_complete:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -17,7 +17,12 @@
 from godwitpass.internal.quotas.settings import QuotaSettings
 from godwitpass.internal.relay import events as kinds
 from godwitpass.internal.relay.frames import Refusal
-from godwitpass.internal.relay.registration import Deregistration, Heartbeat, UpdateOutcome
+from godwitpass.internal.relay.registration import (
+    MAX_AHEAD_MS,
+    Deregistration,
+    Heartbeat,
+    UpdateOutcome,
+)
 from godwitpass.internal.relay.retry_budget import RetryBudgetSettings
 from godwitpass.internal.relay.routes import RelayTable
 from godwitpass.internal.rollouts.settings import RolloutSettings
@@ -39,7 +44,12 @@
 from godwitpass_daemon.relay.metrics import build_identity_check_counter, collect_relay_metrics
 from godwitpass_daemon.relay.probe import Health, probe_health
 from godwitpass_daemon.relay.quota_metrics import collect_quota_metrics
-from godwitpass_daemon.relay.upstream_records import UpstreamRecord, UpstreamRecords
+from godwitpass_daemon.relay.upstream_records import (
+    UpstreamRecord,
+    UpstreamRecords,
+    build_claim,
+    build_record,
+)
 from godwitpass_daemon.relay.upstream_runner import UpstreamRunner
 from godwitpass_daemon.services.distribution import DistributionService
 from godwitpass_daemon.services.freshness import FreshnessService
@@ -68,7 +78,7 @@
 
 DRAIN_POLL_S = 0.05
 MAX_IDENTIFICATION_WAIT_S = 0.1
-"""Time that calls, which waited for the first configuration, wait for the local upstream too."""
+"""Time that calls wait for the local upstream after they waited for the first configuration."""
 
 NS_PER_MS = 1_000_000
 
@@ -257,22 +267,14 @@
     async def _read_record(self, records: UpstreamRecords) -> None:
         """Claim the upstream that an earlier process of this daemon has recorded."""
         record = await records.read()
-        settings = self._settings
+        if record is None or self._identifier.is_complete:
+            return
+        latest_start_ms = time.time_ns() // NS_PER_MS + MAX_AHEAD_MS
         # The address may have gone to another service since.
-        if record is None or record.service != settings.service:
+        if record.service != self._settings.service or record.started_ms > latest_start_ms:
             return
         self._record = record
-        self.apply_heartbeat(
-            Heartbeat(
-                record.upstream,
-                record.service,
-                settings.upstream,
-                record.slots,
-                False,
-                0,
-                record.started_ms,
-            )
-        )
+        self.apply_heartbeat(build_claim(record, self._settings.upstream))
 
     def _emit(self, kind: EventKind, fields: dict[str, FieldValue]) -> None:
         self._events.emit(kind, **fields)
@@ -422,15 +424,7 @@
     def _update_record(self, heartbeat: Heartbeat) -> None:
         path = self._find_health_path(heartbeat)
         if self._records is not None and path:
-            self._records.update(
-                UpstreamRecord(
-                    heartbeat.upstream,
-                    heartbeat.service,
-                    heartbeat.slots,
-                    heartbeat.started_ms,
-                    path,
-                )
-            )
+            self._records.update(build_record(heartbeat, path))
 
     def _get_table(self) -> RelayTable | None:
         return self._core.table if self._core is not None else None
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_records.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_records.py
@@ -11,7 +11,7 @@
 from godwitpass.errors import StoreOutcomeUnknown, StoreUnavailable
 from godwitpass.ids import Address, InstanceId, ServiceName
 from godwitpass.internal.relay import events as kinds
-from godwitpass.internal.relay.registration import MAX_SLOTS, MAX_STARTED_MS
+from godwitpass.internal.relay.registration import MAX_SLOTS, MAX_STARTED_MS, Heartbeat
 from godwitpass.store import Store
 from godwitpass_daemon.relay.call_log import Emit
 
@@ -38,6 +38,20 @@
 _decoder = msgspec.msgpack.Decoder(UpstreamRecord)
 
 
+def build_record(heartbeat: Heartbeat, health_path: str) -> UpstreamRecord:
+    """Build the record of a registered upstream."""
+    return UpstreamRecord(
+        heartbeat.upstream, heartbeat.service, heartbeat.slots, heartbeat.started_ms, health_path
+    )
+
+
+def build_claim(record: UpstreamRecord, address: Address) -> Heartbeat:
+    """Build the heartbeat that a record stands for; any other one of the upstream is newer."""
+    return Heartbeat(
+        record.upstream, record.service, address, record.slots, False, 0, record.started_ms
+    )
+
+
 class UpstreamRecords:
     """Keeps the record of the upstream at one address.
 
--- a/packages/godwitpass/src/godwitpass/internal/relay/registration.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/registration.py
@@ -13,6 +13,9 @@
 MAX_SEQUENCE = 1 << 52
 """Upper bounds of what an upstream may report about itself."""
 
+MAX_AHEAD_MS = 24 * 60 * 60 * 1000
+"""How far the start of an upstream may lie ahead of this machine's clock."""
+
 MAX_DEREGISTERED = 64
 """Deregistered upstreams that are remembered, so that their late heartbeats are rejected."""
 
