Send large request bodies to other daemons in linear time

Cause: PeerLink cut each chunk off the front of the rest of the body, which copied the rest.

No other slice of this kind was found in the relay or the edge.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/links.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/links.py
@@ -151,7 +151,7 @@
         self._transport: asyncio.Transport | None = None
         self._pending_writes: list[bytes] = []
         self._handlers: dict[int, StreamHandler] = {}
-        self._unsent_bodies: dict[int, bytes] = {}
+        self._unsent_bodies: dict[int, memoryview] = {}
         self.identity = LinkIdentity(random.getrandbits(LINK_ID_BITS) + 1, instance, address, now())
         self._is_being_settled = False
         self._last_stream_id = 0
@@ -178,7 +178,7 @@
             )
         )
         if is_flow_controlled:
-            self._unsent_bodies[stream_id] = body
+            self._unsent_bodies[stream_id] = memoryview(body)
         return stream_id
 
     def cancel(self, stream_id: int) -> None:
@@ -295,10 +295,11 @@
                 self._disconnect("unexpected frame", was_reached=True)
 
     def _send_chunk(self, stream_id: int, size_bytes: int) -> None:
-        body = self._unsent_bodies.pop(stream_id, b"")
-        if body:
-            self._write(BodyChunk(stream_id, body[:size_bytes]))
+        body = self._unsent_bodies.pop(stream_id, None)
+        if body is not None:
+            self._write(BodyChunk(stream_id, bytes(body[:size_bytes])))
             if len(body) > size_bytes:
+                # A view, since a copy of the rest for each chunk takes quadratic time.
                 self._unsent_bodies[stream_id] = body[size_bytes:]
 
     def _dispatch(self, frame: Response | BodyChunk | Refused | Failed | ResponseAborted) -> None:
