Stop a daemon only after its responses were taken

Cause: a call ends when its last bytes are in the write buffer of the caller's connection, and the stop waited for calls only.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/inbound_peers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/inbound_peers.py
@@ -97,6 +97,11 @@
         """Tell the other daemon to forward no further calls."""
         self.send(GoAway())
 
+    @property
+    def has_unsent_output(self) -> bool:
+        """Return whether the other daemon has yet to take parts of responses."""
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
     def close(self) -> None:
         """Close the connection after the pending data is sent."""
         if self._transport is not None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
@@ -95,6 +95,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def has_unsent_output(self) -> bool:
+        """Return whether the caller has yet to take parts of responses."""
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
         if self.is_idle and self._transport is not None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -305,6 +305,7 @@
                 or core.runner.calls_in_progress
                 or core.requests_awaiting_configuration
                 or core.admission.waiting_count
+                or _has_unsent_output(core)
             )
             if not is_busy and loop.time() - stopping_since > READINESS_PROPAGATION_S:
                 break
@@ -534,3 +535,11 @@
             if is_silent and not self._is_upstream_silent:
                 self._events.emit(kinds.UPSTREAM_SILENT)
             self._is_upstream_silent = is_silent
+
+
+def _has_unsent_output(core: RelayCore) -> bool:
+    """Tell whether parts of responses would be lost if the process ended now."""
+    has_caller_output = any(caller.has_unsent_output for caller in core.caller_connections)
+    return has_caller_output or any(
+        peer.has_unsent_output for peer in core.inbound_links.connections
+    )
