--- a/testkit/src/godwitpass_testkit/bench/roles.py
+++ b/testkit/src/godwitpass_testkit/bench/roles.py
@@ -58,6 +58,13 @@
         "batches of claims",
         "compare-and-swap of the shard's head",
     ),
+    Role(
+        "upstream record",
+        "every daemon",
+        "one record in the store",
+        "one cached read at its start, one write for each new start of its upstream",
+        "last write wins; a hint that a health check confirms",
+    ),
     Role(
         "edge",
         "every daemon",
