Let no error of an upstream record end the daemon, and spread first writes

An error that the store client doesn't expect would have ended the daemon, as reads and writes of records run in tasks of the kernel; it is logged now, as for other requests to the store. And daemons that start together for the first time don't know each other yet, so that all would have written within a fraction of a second and tried again together: a record is written from 2 s after the registration on, spread by the number of daemons known then, and retries are spread too.

Price: a daemon that restarts within these seconds of its server's start waits for the next heartbeat.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_records.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_records.py
@@ -8,7 +8,7 @@
 import msgspec
 from msgspec import Meta
 
-from godwitpass.errors import StoreOutcomeUnknown, StoreUnavailable
+from godwitpass.events import FieldValue
 from godwitpass.ids import Address, InstanceId, ServiceName
 from godwitpass.internal.relay import events as kinds
 from godwitpass.internal.relay.registration import MAX_SLOTS, MAX_STARTED_MS, Heartbeat
@@ -19,6 +19,9 @@
 WRITES_PER_S = 50.0
 """Writes of all daemons together after a common start, a part of what the store accepts."""
 
+WRITE_DELAY_S = 2.0
+"""Time after a registration before its record is written."""
+
 MIN_RETRY_S = 2.0
 MAX_RETRY_S = 60.0
 
@@ -80,13 +83,9 @@
         try:
             entry = await self._store.get_cached(self._key)
             self._stored = None if entry.value is None else _decoder.decode(entry.value)
-        except (
-            StoreUnavailable,
-            StoreOutcomeUnknown,
-            msgspec.MsgspecError,
-            RecursionError,
-        ) as error:
-            self._emit(kinds.UPSTREAM_RECORD_FAILED, {"operation": "read", "reason": str(error)})
+        except Exception as error:
+            # In a task of the kernel, an error that nobody expects would end the whole daemon.
+            self._report_failure("read", error)
         return self._stored
 
     def update(self, record: UpstreamRecord) -> None:
@@ -102,18 +101,25 @@
             if self._latest is None or self._latest == self._stored:
                 await self._changed.wait()
             self._changed = anyio.Event()
-            # Daemons that start together don't write together.
-            await anyio.sleep(self._rng.uniform(0.0, self._count_daemons() / WRITES_PER_S))
+            await self._wait_for_turn()
             record = self._latest
             if record is None or record == self._stored:
                 continue
             try:
                 await self._store.put(self._key, _encoder.encode(record), None)
-            except (StoreUnavailable, StoreOutcomeUnknown) as error:
-                reason = str(error)
-                self._emit(kinds.UPSTREAM_RECORD_FAILED, {"operation": "write", "reason": reason})
-                await anyio.sleep(retry_s)
+            except Exception as error:
+                self._report_failure("write", error)
+                await anyio.sleep(retry_s * self._rng.uniform(0.5, 1.5))
                 retry_s = min(2 * retry_s, MAX_RETRY_S)
                 continue
             self._stored = record
             retry_s = MIN_RETRY_S
+
+    async def _wait_for_turn(self) -> None:
+        """Spread the writes of daemons that start together, once they know each other."""
+        await anyio.sleep(WRITE_DELAY_S)
+        await anyio.sleep(self._rng.uniform(0.0, self._count_daemons() / WRITES_PER_S))
+
+    def _report_failure(self, operation: str, error: Exception) -> None:
+        fields: dict[str, FieldValue] = {"operation": operation, "reason": repr(error)}
+        self._emit(kinds.UPSTREAM_RECORD_FAILED, fields)
--- a/packages/godwitpass-daemon/tests/relay/test_upstream_records.py
+++ b/packages/godwitpass-daemon/tests/relay/test_upstream_records.py
@@ -11,7 +11,12 @@
 from godwitpass.events import EventKind, FieldValue
 from godwitpass.ids import Address, InstanceId, Revision, ServiceName
 from godwitpass.store import Entry, Store, WriteResult
-from godwitpass_daemon.relay.upstream_records import PREFIX, UpstreamRecord, UpstreamRecords
+from godwitpass_daemon.relay.upstream_records import (
+    PREFIX,
+    WRITE_DELAY_S,
+    UpstreamRecord,
+    UpstreamRecords,
+)
 
 ADDRESS = Address("10.0.0.1:80")
 RECORD = UpstreamRecord(InstanceId("i-1"), ServiceName("desk"), 12, 1_000, "/healthz")
@@ -19,17 +24,17 @@
 
 
 class OneEntryStore:
-    """A store with one entry, whose first `failures` calls fail."""
+    """A store with one entry, whose first call fails with `error`."""
 
-    def __init__(self, value: bytes | None, failures: int = 0) -> None:
+    def __init__(self, value: bytes | None, error: Exception | None = None) -> None:
         self.value = value
-        self.failures = failures
+        self.error = error
         self.writes = 0
 
     def _fail(self) -> None:
-        if self.failures:
-            self.failures -= 1
-            raise StoreUnavailable("the store answered 503")
+        error, self.error = self.error, None
+        if error is not None:
+            raise error
 
     async def get_cached(self, key: str) -> Entry:
         self._fail()
@@ -73,8 +78,9 @@
         assert anyio.run(records.read) is None
         assert [event["operation"] for event in events] == ["read"]
 
-    def test_a_store_that_fails_leaves_the_daemon_without_a_record(self) -> None:
-        records, events = build_records(OneEntryStore(VALUE, failures=1))
+    @pytest.mark.parametrize("error", [StoreUnavailable("503"), KeyError("an error of ours")])
+    def test_a_store_that_fails_leaves_the_daemon_without_a_record(self, error: Exception) -> None:
+        records, events = build_records(OneEntryStore(VALUE, error))
         assert anyio.run(records.read) is None
         assert len(events) == 1
 
@@ -88,7 +94,7 @@
                 tasks.start_soon(records.run)
                 for _ in range(3):
                     records.update(RECORD)
-                    await anyio.sleep(0.05)
+                    await anyio.sleep(WRITE_DELAY_S / 2)
                 tasks.cancel_scope.cancel()
 
         anyio.run(run)
