Test retries after a reset once the retry budget allows any

Cause: a daemon that has just started has no retry budget for SETTLING_S, 2 s, and the test ran 0.2 s after the start of the last daemon. It passed as long as the first call went elsewhere, which depends on the test before it, which resets at both servers and hit the other one in that run. So it tested no retry at all. It waits for the budget now; its checks are the same.

--- a/tests/cover/test_platform.py
+++ b/tests/cover/test_platform.py
@@ -11,6 +11,7 @@
 
 from godwitpass.errors import InvalidSettings
 from godwitpass.ids import Address
+from godwitpass.internal.relay.retry_budget import SETTLING_S
 from godwitpass.timeline import concerns_request, merge_timelines, parse_timeline
 from godwitpass_daemon.relay.service import RelayService
 from godwitpass_platform.process import build_platform_kernel
@@ -149,6 +150,9 @@
         run_check(check)
 
 
+RETRY_BUDGET_GROWTH_S = 2.0
+
+
 class TestFaultyServers:
     def test_an_unsafe_call_is_not_retried_after_a_reset(self, run_check: RunCheck) -> None:
         async def check(deployment: Deployment) -> None:
@@ -166,6 +170,8 @@
         self, run_check: RunCheck
     ) -> None:
         async def check(deployment: Deployment) -> None:
+            # The retry budget of a daemon grows from nothing, beginning some time after its start.
+            await anyio.sleep(SETTLING_S + RETRY_BUDGET_GROWTH_S)
             deployment.vault_servers[0].fault = "reset"
             for number in range(8):
                 response = await exchange(
