Give the deployments of each test process a network of their own

Two runs of the tests beside each other used the same loopback addresses, so that a daemon of one run could reach servers and daemons of the other one.

--- a/tests/cover/test_cold_start.py
+++ b/tests/cover/test_cold_start.py
@@ -9,7 +9,13 @@
 
 from godwitpass.ids import Address
 from godwitpass_daemon.listeners import HttpListener
-from godwitpass_platform_stand_ins import Client, build_configuration, build_route, encode_call
+from godwitpass_platform_stand_ins import (
+    Client,
+    build_configuration,
+    build_route,
+    choose_network,
+    encode_call,
+)
 from godwitpass_platform_stand_ins.deployment import Machine
 from godwitpass_platform_stand_ins.store import StandInStore
 
@@ -25,7 +31,7 @@
     ) -> None:
         async def start_and_check() -> None:
             store, base_port = StandInStore(), next(_base_ports)
-            address = Address(f"127.0.{base_port // 100 % 200 + 1}.8:{base_port}")
+            address = Address(f"{choose_network(base_port // 100)}.8:{base_port}")
             listener = HttpListener(store.handle_request, address)
             store.is_unavailable = True
             store.write_configuration(
--- a/tests/cover/test_stalled_log.py
+++ b/tests/cover/test_stalled_log.py
@@ -19,6 +19,7 @@
 from godwitpass_platform_stand_ins import (
     build_configuration,
     build_route,
+    choose_network,
     encode_call,
     exchange,
     wait_until,
@@ -56,7 +57,7 @@
 
 async def run_calls_with_unread_log(folder: Path) -> int:
     """Send calls that each log a line, stop the daemon, and return the number of unread bytes."""
-    store, address = StandInStore(), Address(f"127.0.81.8:{BASE_PORT}")
+    store, address = StandInStore(), Address(f"{choose_network(BASE_PORT // 100)}.8:{BASE_PORT}")
     store.write_configuration(build_configuration(1, {"read": build_route("/read/", "desk")}))
     listener = HttpListener(store.handle_request, address)
     machine = Machine(folder, 42, "desk", address, BASE_PORT)
