--- a/packages/godwitpass-daemon/src/godwitpass_daemon/settings.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/settings.py
@@ -16,6 +16,13 @@
 from godwitpass.internal.validation.findings import Findings
 from godwitpass.internal.validation.reader import read_struct
 from godwitpass.internal.validation.structure import format_value
+from godwitpass_daemon.resources import (
+    DEFAULT_DESCRIPTORS,
+    DEFAULT_MEMORY_MB,
+    MIN_DESCRIPTORS,
+    MIN_MEMORY_MB,
+    Resources,
+)
 
 MIN_SECRET_CHARS = 16
 MAX_PEER_KEY_BYTES = 64
@@ -158,6 +165,20 @@
     log_level: Annotated[
         Level, Meta(description="Lowest level in the log; the timeline has all events.")
     ] = Level.INFO
+    memory_mb: Annotated[
+        int,
+        Meta(
+            ge=MIN_MEMORY_MB,
+            description="Memory of the instance for this process; bounds what clients may take.",
+        ),
+    ] = DEFAULT_MEMORY_MB
+    max_descriptors: Annotated[
+        int,
+        Meta(
+            ge=MIN_DESCRIPTORS,
+            description="Descriptors that this process may open; bounds the open connections.",
+        ),
+    ] = DEFAULT_DESCRIPTORS
     profile: Annotated[Profile, Meta(description="Size of the deployment; selects defaults.")] = (
         Profile.SMALL
     )
@@ -172,6 +193,11 @@
         keys = (self.peer_key, self.peer_key_accepted)
         return tuple(key.encode() for key in keys if key)
 
+    @property
+    def resources(self) -> Resources:
+        """Return what the process may use."""
+        return Resources(self.memory_mb, self.max_descriptors)
+
     @property
     def tuning(self) -> Tuning:
         """Return the defaults of the profile."""
