Tell how long a daemon has gone without an answer of the store, and report missed changes

Cause: a version that was late on all readers could not be told apart from a late machine; the log had the number of polls, but not whether they were answered without changes, nor how old the last answer was. Change: version-activated gains empty_polls, heard_ms and store_ms; change-missed (224) reports a change that an earlier answer covered without listing it; digests carry the age of the newest answer of the store, and the gauge store_age_seconds shows it.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/metrics.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/metrics.py
@@ -9,6 +9,7 @@
 from godwitpass_daemon.kernel import Kernel
 from godwitpass_daemon.peers import PeerTransport
 from godwitpass_daemon.services.claims import ClaimsService
+from godwitpass_daemon.services.distribution import DistributionService
 from godwitpass_daemon.services.membership import MembershipService
 from godwitpass_daemon.services.store import StoreClient
 
@@ -20,6 +21,7 @@
     yield from _collect_members(kernel.find("membership", MembershipService))
     yield from _collect_peers(kernel.find("peers", PeerTransport))
     yield from _collect_store(kernel.find("store", StoreClient))
+    yield _build_store_age(kernel.find("distribution", DistributionService))
     yield from _collect_edge(kernel.find("edge", EdgeService))
     yield from _collect_claims(kernel.find("claims", ClaimsService))
 
@@ -99,6 +101,15 @@
     )
 
 
+def _build_store_age(distribution: DistributionService) -> Metric:
+    return Metric(
+        "godwitpass_store_age_seconds",
+        "Time since an answer of the store to any reader that is known here.",
+        MetricKind.GAUGE,
+        (Sample(distribution.compute_store_age()),),
+    )
+
+
 def _collect_edge(edge: EdgeService) -> Iterator[Metric]:
     statistics = edge.core.statistics
     yield Metric(
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/metrics.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/metrics.py
@@ -11,11 +11,12 @@
 
 
 def collect_relay_metrics(
-    core: RelayCore, events: EventLog, has_rejected_document: bool
+    core: RelayCore, events: EventLog, has_rejected_document: bool, store_age_s: float
 ) -> Iterator[Metric]:
     """Yield the metrics of the calls accepted and run by this daemon, and of its state.
 
-    `has_rejected_document` tells that this daemon can't use the newest document in the store.
+    `has_rejected_document` tells that this daemon can't use the newest document in the store, which
+    answered a reader `store_age_s` ago, as far as this daemon knows.
     """
     runner, now = core.runner, core.now()
     yield _build_customer_counter(core)
@@ -44,6 +45,7 @@
         "upstream_connections_opened": runner.pool.opened_count,
         "configuration_version": core.table.version if core.table else 0,
         "configuration_rejected": int(has_rejected_document),
+        "store_age_seconds": store_age_s,
         "heartbeat_age_seconds": now - runner.registration.last_heartbeat_at,
         "upstream_ready": int(runner.registration.state is UpstreamState.READY),
         "proof_age_seconds": core.admission.compute_proof_age_s(core.table),
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -368,7 +368,8 @@
     def render_metrics(self) -> str:
         """Return the metrics as text."""
         has_rejected = self._distribution.rejected_document() is not None
-        metrics = [*collect_relay_metrics(self.core, self._events, has_rejected)]
+        store_age_s = self._distribution.compute_store_age()
+        metrics = [*collect_relay_metrics(self.core, self._events, has_rejected, store_age_s)]
         metrics.append(build_identity_check_counter(self._identifier.check_counts))
         if self._quotas is not None:
             metrics += collect_quota_metrics(self._quotas)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
@@ -110,6 +110,10 @@
         """Return the version that this daemon, as a reader, has read last from the store."""
         return self._distributor.stored_version
 
+    def compute_store_age(self) -> float:
+        """Return the seconds since an answer of the store to any reader that is known here."""
+        return self._distributor.compute_store_age(anyio.current_time())
+
     def view(self) -> View | None:
         """Return the known members and the distribution tree, once the service is started."""
         return self._view
--- a/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
@@ -86,6 +86,7 @@
         self._next_announce_at = math.inf
         self._reader_start_at = math.inf
         self._timer_at = math.inf
+        self._store_reported_at = -math.inf
 
     @property
     def current(self) -> Snapshot | None:
@@ -100,6 +101,13 @@
         """Return the known holdings of each availability zone."""
         return self._reporter.zones.list_zones()
 
+    def compute_store_age(self, now: float) -> float:
+        """Return the seconds since an answer of the store to any reader that is known here.
+
+        It is infinite if none is known.
+        """
+        return now - max(self._reader.heard_at, self._store_reported_at)
+
     def handle(self, event: Event, now: float) -> list[Action]:
         """Return the actions that `event` causes."""
         actions = self._dispatch(event, now)
@@ -132,9 +140,7 @@
         if now >= self._reader.deadline:
             actions += self._perform_reader_actions(self._reader.run_due(now), now)
             actions += (
-                []
-                if self._reader.is_store_reachable
-                else self._announce_to_random_peer(to_other_zone=True)
+                [] if self._reader.is_store_reachable else self._announce_to_random_peer(True, now)
             )
         if now >= self._reader_start_at:
             self._reader_start_at = math.inf
@@ -144,7 +150,7 @@
             self._reporter.zones.remove_expired(now)
             actions += self._pusher.probe_incomplete_children()
             actions += self._announce_to_random_peer(
-                self._random.random() < REMOTE_ANNOUNCE_FRACTION
+                self._random.random() < REMOTE_ANNOUNCE_FRACTION, now
             )
         return actions
 
@@ -201,7 +207,12 @@
         parent = find_parent_position(position) if position else None
         return self._view.ranked_members[parent] if self._view and parent is not None else None
 
-    def _announce_to_random_peer(self, to_other_zone: bool) -> list[Action]:
+    def _build_announce(self, now: float) -> Announce:
+        age_s = self.compute_store_age(now)
+        age_ms = int(age_s * 1000) if age_s < math.inf else None
+        return Announce(self._cache.version, self._cache.digest, store_age_ms=age_ms)
+
+    def _announce_to_random_peer(self, to_other_zone: bool, now: float) -> list[Action]:
         if self._view is None or self.current is None:
             return []
         zones = [addresses for addresses in self._view.remote_members.values() if addresses]
@@ -209,7 +220,7 @@
         peer = self._random.choice(peers) if peers else self._own_address
         if peer == self._own_address:
             return []
-        return [Send(peer, Announce(self._cache.version, self._cache.digest))]
+        return [Send(peer, self._build_announce(now))]
 
     def _perform_reader_actions(
         self, reader_actions: list[ReaderAction], now: float
@@ -237,6 +248,9 @@
             return [RecordEvent(events.VERSION_NOT_CLOSED, {"refused": snapshot.version})]
         previous = self._cache.version
         reader_fields = self._reader.describe(now)
+        store_age_s = self.compute_store_age(now)
+        if store_age_s < math.inf:
+            reader_fields["store_ms"] = int(store_age_s * 1000)
         self._cache.add(snapshot, update)
         self._fetcher.handle_activation()
         favour = snapshot.document.distribution.favour
@@ -286,12 +300,15 @@
 
     def _handle_announce(self, sender: Address, message: Announce, now: float) -> list[Action]:
         self._pusher.record_contact(sender, message.version)
+        if message.store_age_ms is not None:
+            answered_at = now - message.store_age_ms / 1000
+            self._store_reported_at = max(self._store_reported_at, answered_at)
         if self._contradicts_current(message.version, message.digest):
             return [RecordEvent(events.VERSION_DIFFERS, {"held": message.version, "peer": sender})]
         if message.version > self._cache.version:
             return [*self._fetcher.record_holder(sender, message.version, now)]
         if message.version < self._cache.version:
-            return [Send(sender, Announce(self._cache.version, self._cache.digest))]
+            return [Send(sender, self._build_announce(now))]
         return [Send(sender, self._reporter.summarize())] if message.wants_reply else []
 
     def _handle_update(self, sender: Address, message: Update, now: float) -> list[Action]:
--- a/packages/godwitpass/src/godwitpass/internal/distribution/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/events.py
@@ -72,6 +72,12 @@
     "A new version is used although parts of its document are unknown or have no effect.",
     Level.WARNING,
 )
+CHANGE_MISSED = EventKind(
+    224,
+    "change-missed",
+    "A change arrived that an earlier answer of the store did not list but covered.",
+    Level.WARNING,
+)
 ZONE_CONVERGED = EventKind(
     220, "zone-converged", "All daemons of the availability zone hold the version."
 )
--- a/packages/godwitpass/src/godwitpass/internal/distribution/messages.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/messages.py
@@ -24,12 +24,14 @@
 class Announce(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Tells that the sender holds `version`; `wants_reply` requests a reply.
 
-    Without `wants_reply`, a receiver that holds the same version does not reply.
+    Without `wants_reply`, a receiver that holds the same version does not reply. The store last
+    answered a reader `store_age_ms` ago, as far as the sender knows.
     """
 
     version: VersionNumber
     digest: Digest
     wants_reply: bool = False
+    store_age_ms: Annotated[int, Meta(ge=0)] | None = None
 
 
 class Update(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
@@ -40,6 +40,7 @@
     RequestFailed,
     Watch,
 )
+from godwitpass.internal.revisions import NamedRevisions
 from godwitpass.snapshot import Snapshot
 from godwitpass.store import Entry
 
@@ -131,6 +132,10 @@
         self._lost_at = 0.0
         self._failures = 0
         self._polls = 0
+        self._empty_polls = 0
+        self._handled_revision = Revision(0)
+        self._named = NamedRevisions()
+        self.heard_at = -math.inf
         self.is_store_reachable = True
         self.rejected_document: RejectedDocument | None = None
         self.stored_version: StoredVersion | None = None
@@ -143,14 +148,21 @@
         return self._step is not Step.IDLE
 
     def describe(self, now: float) -> dict[str, FieldValue]:
-        """Return log fields: what the reader waits for, since when, and its polls in a row."""
+        """Return log fields: what the reader waits for, since when, and its polls in a row.
+
+        `empty_polls` of these were answered without changes; the last answer came `heard_ms` ago.
+        """
         if self._step is Step.IDLE:
             return {"reader": "idle"}
-        return {
+        fields: dict[str, FieldValue] = {
             "reader": self._step.name.lower(),
             "reader_ms": int((now - self._step_since) * 1000),
             "polls": self._polls,
+            "empty_polls": self._empty_polls,
         }
+        if self.heard_at > -math.inf:
+            fields["heard_ms"] = int((now - self.heard_at) * 1000)
+        return fields
 
     def start(self, now: float) -> list[ReaderAction]:
         """Start reading, unless it is running already."""
@@ -221,7 +233,7 @@
 
     def _pause(self, now: float) -> list[ReaderAction]:
         self._enter(Step.PAUSE, now)
-        self._polls = 0
+        self._polls = self._empty_polls = 0
         self.deadline = now + self.pause_s
         return []
 
@@ -230,6 +242,8 @@
         if is_poll_unanswered:
             # The connection is dead, which says nothing about the store: versions may be missing.
             return [*self._record_failure(now, reason, 0.0), *self._read_root(now)]
+        # The store may have gone back to an earlier copy, which gives revisions out again.
+        self._named.clear()
         retry_in_s = self._backoff_s * self._random.uniform(0.5, 1.5)
         self._backoff_s = min(self._backoff_s * 2, STORE_RETRY_MAX_S)
         actions = self._record_failure(now, reason, retry_in_s)
@@ -254,6 +268,7 @@
 
     def _record_success(self, now: float) -> list[ReaderAction]:
         self._backoff_s = STORE_RETRY_MIN_S
+        self.heard_at = now
         if self.is_store_reachable:
             return []
         self.is_store_reachable = True
@@ -270,6 +285,8 @@
             report = self._report_step_back(self._revision, answer.result.revision)
             return [report, *self._read_root(now)]
         if not entries:
+            self._empty_polls += 1
+            self._named.record(answer.result.revision, now)
             if self._source is not None:
                 # Advance, since the revision of an old document soon leaves the store's history.
                 self._revision = answer.result.revision
@@ -279,16 +296,32 @@
         # catches up.
         self._is_behind = self._source is not None and len(entries) > 1
         newest = max(entries, key=lambda entry: entry.revision)
-        return self._handle_root(newest, now)
+        return [*self._report_missed(newest, now), *self._handle_root(newest, now)]
+
+    def _report_missed(self, entry: Entry, now: float) -> list[ReaderAction]:
+        """Report a change that an earlier answer should have listed."""
+        handled_revision, self._handled_revision = self._handled_revision, entry.revision
+        if entry.revision <= handled_revision:
+            return []
+        cover = self._named.find_cover(entry.revision)
+        if cover is None:
+            return []
+        fields: dict[str, FieldValue] = {
+            **self.describe(now),
+            "revision": entry.revision,
+            "named": cover.revision,
+            "late_ms": int((now - cover.at) * 1000),
+            "held": self._cache.version,
+        }
+        return [RecordEvent(events.CHANGE_MISSED, fields)]
 
     def _handle_entry(self, entry: Entry, now: float) -> list[ReaderAction]:
-        return (
-            self._handle_root(entry, now)
-            if self._step is Step.ROOT
-            else self._handle_part(entry, now)
-        )
+        if self._step is not Step.ROOT:
+            return self._handle_part(entry, now)
+        return [*self._report_missed(entry, now), *self._handle_root(entry, now)]
 
     def _report_step_back(self, seen: Revision, revision: Revision) -> RecordEvent:
+        self._named.clear()
         return RecordEvent(
             events.STORE_WENT_BACK,
             {"seen": seen, "revision": revision, "held": self._cache.version},
--- a/packages/godwitpass/tests/distribution/test_document_source.py
+++ b/packages/godwitpass/tests/distribution/test_document_source.py
@@ -15,11 +15,11 @@
     Version,
     ZoneId,
 )
-from godwitpass.internal.actions import RecordEvent, Send, TimerFired
+from godwitpass.internal.actions import MessageReceived, RecordEvent, Send, TimerFired
 from godwitpass.internal.codec import encode_canonical, hash_content
 from godwitpass.internal.distribution.delta import DocumentCodec
 from godwitpass.internal.distribution.distributor import Distributor
-from godwitpass.internal.distribution.events import DOCUMENT_REJECTED
+from godwitpass.internal.distribution.events import CHANGE_MISSED, DOCUMENT_REJECTED
 from godwitpass.internal.distribution.interface import ViewChanged
 from godwitpass.internal.distribution.messages import Announce
 from godwitpass.internal.distribution.reader import (
@@ -260,3 +260,32 @@
             calls += 2
             watch = answer_as_a_healthy_store(reader, get, 40, now)
         assert calls <= 2 * 10.0 / 0.25 + 1
+
+
+class TestMissedChanges:
+    def test_a_change_that_an_empty_answer_covered_is_reported_when_it_arrives(self) -> None:
+        reader, _ = build_reader()
+        (get,) = reader.start(0.0)
+        assert isinstance(get, Get)
+        watch = answer_as_a_healthy_store(reader, get, 40, 0.0)
+        empty = EntriesRead(watch.tag, EntryList(Revision(50), ()))
+        (watch,) = reader.handle(empty, 2.0)
+        assert isinstance(watch, Watch)
+        assert reader.describe(3.0)["empty_polls"] == 1
+        assert reader.describe(3.0)["heard_ms"] == 1000
+        (get,) = reader.read_now(3.5)
+        assert isinstance(get, Get)
+        actions = reader.handle(EntryRead(get.tag, build_entry(7, 45, 60)), 3.5)
+        (event,) = [action for action in actions if isinstance(action, RecordEvent)]
+        assert event.kind == CHANGE_MISSED
+        assert (event.fields["named"], event.fields["late_ms"]) == (50, 1500)
+
+
+class TestStoreAge:
+    def test_a_daemon_that_reads_nothing_knows_from_peers_when_the_store_last_answered(
+        self,
+    ) -> None:
+        distributor = Distributor(Address("one:1"), random.Random(1))
+        announce = Announce(Version(0), b"", store_age_ms=500)
+        distributor.handle(MessageReceived(Address("two:1"), announce), 10.0)
+        assert distributor.compute_store_age(10.5) == 1.0
