Read the store on a new connection after a request that was not answered

Cause: what silences one connection to the store silences all that are open. Ruled out: closing the idle connections one by one; the pool has no such call. Change: a timeout of a request replaces the pool; requests in progress end on the former one, which is closed after the last. Before: test_after_a_poll_without_an_answer_the_store_is_read_on_a_new_connection fails with "no valid response from the store to a read: ReadTimeout". After: it passes.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/store.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/store.py
@@ -13,15 +13,13 @@
 from godwitpass.ids import Address, LeaseId, Revision
 from godwitpass.store import Entry, EntryList, WriteResult
 from godwitpass_daemon.services.store_circuit_breaker import CircuitBreaker
+from godwitpass_daemon.services.store_connections import StoreConnections
 from godwitpass_daemon.services.store_wire import CALL_PATH, WRITES, Operation, Request
 
 T = TypeVar("T")
 
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 2.0
-MAX_CONNECTIONS = 8
-MAX_IDLE_CONNECTIONS = 2
-IDLE_CONNECTION_TIMEOUT_S = 4.0
 
 UNSENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 LOST_RESPONSE_ERRORS = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
@@ -46,15 +44,6 @@
         return StoreOutcomeUnknown(f"no valid response from the store to a write: {error!r}")
 
 
-def open_pool() -> httpcore.AsyncConnectionPool:
-    """Create the connection pool of a store client."""
-    return httpcore.AsyncConnectionPool(
-        max_connections=MAX_CONNECTIONS,
-        max_keepalive_connections=MAX_IDLE_CONNECTIONS,
-        keepalive_expiry=IDLE_CONNECTION_TIMEOUT_S,
-    )
-
-
 class StoreClient:
     """Calls the store over HTTP; if an address can't be reached, it tries the next one.
 
@@ -75,14 +64,14 @@
         self._preferred_index = 0
         self._clock = clock
         self._circuit_breaker = CircuitBreaker(random.Random(seed))
-        self._pool = open_pool()
+        self._connections = StoreConnections()
 
     async def start(self, tasks: TaskGroup) -> None:
         """Do nothing: connections are opened on demand."""
 
     async def stop(self) -> None:
         """Close the connections."""
-        await self._pool.aclose()
+        await self._connections.close()
 
     async def get(self, key: str) -> Entry:
         """Return the entry at `key`; an absent one has the value None and revision 0."""
@@ -169,9 +158,7 @@
         for _ in self._addresses:
             url = f"http://{self._addresses[self._preferred_index]}{CALL_PATH}"
             try:
-                response = await self._pool.request(
-                    "POST", url, content=content, extensions={"timeout": timeouts}
-                )
+                response = await self._connections.request("POST", url, None, content, timeouts)
             except UNSENT_ERRORS as error:
                 last_error = error
                 self._preferred_index = (self._preferred_index + 1) % len(self._addresses)
--- a/tests/cover/test_platform_store.py
+++ b/tests/cover/test_platform_store.py
@@ -11,6 +11,7 @@
 from godwitpass.ids import Address, Revision
 from godwitpass.snapshot import Snapshot
 from godwitpass.store import Entry
+from godwitpass_daemon.services.store_connections import MAX_IDLE_CONNECTIONS
 from godwitpass_platform.configuration import CONFIGURATION_KEY, decode_configuration
 from godwitpass_platform.store import PlatformStore, StoreResponse
 from godwitpass_platform_stand_ins import (
@@ -146,3 +147,19 @@
             await wait_for_route(deployment, "/late/1")
 
         run_check(check)
+
+    def test_after_a_poll_without_an_answer_the_store_is_read_on_a_new_connection(
+        self, run_check: RunCheck
+    ) -> None:
+        async def check(deployment: Deployment) -> None:
+            client = PlatformStore(deployment.store_address)
+            async with anyio.create_task_group() as tasks:
+                for _ in range(MAX_IDLE_CONNECTIONS):
+                    tasks.start_soon(client.get, CONFIGURATION_KEY)
+            deployment.store.silence_open_connections()
+            with pytest.raises(StoreUnavailable):
+                await client.watch(CONFIGURATION_KEY, Revision(10_000), 0.1)
+            assert (await client.get(CONFIGURATION_KEY)).value is not None
+            await client.stop()
+
+        run_check(check)
