Watch the document from a revision named seconds ago, so that a missed change is in the next poll

Cause: a reader took the revision of an answer without changes as proof that there were none up to it. A change that the store listed only after it had named its revision was skipped by all readers until the next version; no other path found it. Ruled out: a transaction on each poll that confirms the revision; it costs a call of each reader every 2 s beside the poll. Watching from the revision of the document itself; it leaves the history. Change: a poll asks from the oldest revision that was named in the last 4 s, never below the newest entry that was listed. After a failure that was answered, such as a history that ended, it starts at the revision of the next read. The virtual store can end all polls without a change that it lists later.

--- a/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
@@ -134,6 +134,7 @@
         self._polls = 0
         self._empty_polls = 0
         self._handled_revision = Revision(0)
+        self._listed_revision = Revision(0)
         self._named = NamedRevisions()
         self.heard_at = -math.inf
         self.is_store_reachable = True
@@ -228,8 +229,14 @@
         self._tag += 1
         self._polls += 1
         self._enter(Step.WATCH, now)
-        self.deadline = now + WATCH_TIMEOUT_S + ANSWER_GRACE_S
-        return [Watch(self._tag, self._watched_key, self._revision, WATCH_TIMEOUT_S)]
+        timeout_s = WATCH_TIMEOUT_S
+        self.deadline = now + timeout_s + ANSWER_GRACE_S
+        return [Watch(self._tag, self._watched_key, self._choose_start(now), timeout_s)]
+
+    def _choose_start(self, now: float) -> Revision:
+        """Return the revision to watch from; what was listed already must not be listed again."""
+        start = self._named.choose_start(now) if self._source is not None else None
+        return self._revision if start is None else max(start, self._listed_revision)
 
     def _pause(self, now: float) -> list[ReaderAction]:
         self._enter(Step.PAUSE, now)
@@ -238,11 +245,10 @@
         return []
 
     def _handle_failure(self, now: float, reason: str = "") -> list[ReaderAction]:
-        is_poll_unanswered = self._step is Step.WATCH and now - self._step_since >= WATCH_TIMEOUT_S
-        if is_poll_unanswered:
+        if self._step is Step.WATCH and now - self._step_since >= WATCH_TIMEOUT_S:
             # The connection is dead, which says nothing about the store: versions may be missing.
             return [*self._record_failure(now, reason, 0.0), *self._read_root(now)]
-        # The store may have gone back to an earlier copy, which gives revisions out again.
+        # The history may have ended, or the store gone back to an earlier copy.
         self._named.clear()
         retry_in_s = self._backoff_s * self._random.uniform(0.5, 1.5)
         self._backoff_s = min(self._backoff_s * 2, STORE_RETRY_MAX_S)
@@ -282,13 +288,16 @@
     def _handle_changes(self, answer: EntriesRead, now: float) -> list[ReaderAction]:
         entries = [entry for entry in answer.result.entries if entry.key == self._watched_key]
         if answer.result.revision < self._revision:
+            self._named.clear()
             report = self._report_step_back(self._revision, answer.result.revision)
             return [report, *self._read_root(now)]
+        revisions = [entry.revision for entry in answer.result.entries]
+        self._listed_revision = max([self._listed_revision, *revisions])
         if not entries:
             self._empty_polls += 1
             self._named.record(answer.result.revision, now)
             if self._source is not None:
-                # Advance, since the revision of an old document soon leaves the store's history.
+                # The revision of an old document soon leaves the store's history.
                 self._revision = answer.result.revision
             return self._watch(now)
         # A watch returns every document that was written in the meantime, in full. On a slow link,
@@ -318,10 +327,10 @@
     def _handle_entry(self, entry: Entry, now: float) -> list[ReaderAction]:
         if self._step is not Step.ROOT:
             return self._handle_part(entry, now)
+        self._listed_revision = entry.revision
         return [*self._report_missed(entry, now), *self._handle_root(entry, now)]
 
     def _report_step_back(self, seen: Revision, revision: Revision) -> RecordEvent:
-        self._named.clear()
         return RecordEvent(
             events.STORE_WENT_BACK,
             {"seen": seen, "revision": revision, "held": self._cache.version},
@@ -331,6 +340,7 @@
         previous_revision, self._revision = self._revision, entry.revision
         if self._source is not None:
             self._revision = max(entry.revision, entry.store_revision)
+            self._named.record(self._revision, now)
             if entry.store_revision and self._revision < previous_revision:
                 report = self._report_step_back(previous_revision, self._revision)
                 return [report, *self._handle_document(self._source, entry, now)]
--- a/packages/godwitpass/src/godwitpass/internal/revisions.py
+++ b/packages/godwitpass/src/godwitpass/internal/revisions.py
@@ -1,6 +1,7 @@
 """Revisions that answers of the store named lately.
 
-An answer without changes may name a revision although a change up to it is listed only later.
+An answer without changes may name a revision although a change up to it is listed only later, so a
+watch starts at a revision that was named some seconds ago.
 """
 
 from collections import deque
@@ -12,6 +13,9 @@
 KEPT_S = 12.0
 """Age at which a named revision is dropped; it is below the history that the store keeps."""
 
+OVERLAP_S = 4.0
+"""Time for which a watch asks again for changes that answers already covered."""
+
 MIN_SPACING_S = 0.25
 """Of answers that follow each other faster, only the first is kept, and the newest of all."""
 
@@ -46,6 +50,13 @@
         self._kept.clear()
         self._newest = None
 
+    def choose_start(self, now: float) -> Revision | None:
+        """Return the revision from which a watch that starts now asks; None if none is known."""
+        for named in self._kept:
+            if named.at >= now - OVERLAP_S:
+                return named.revision
+        return self._newest.revision if self._newest is not None else None
+
     def find_cover(self, revision: Revision) -> NamedRevision | None:
         """Return the earliest kept answer that named `revision` or a later one."""
         for named in self._kept:
--- a/testkit/src/godwitpass_testkit/virtual_store.py
+++ b/testkit/src/godwitpass_testkit/virtual_store.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
+
 from godwitpass.ids import NO_REVISION, Address, Revision
 from godwitpass.internal.requests import (
     Delete,
@@ -22,6 +24,9 @@
 CALL_OVERHEAD_BYTES = 400
 """HTTP, TCP and IP overhead of a request with its answer."""
 
+WATCH_ANSWER_TIMEOUT_S = 0.7
+"""Silence, after the time that a watch may take, by which a client gives it up."""
+
 
 class MemoryStore:
     """Entries and revisions of the store, without time and faults."""
@@ -72,9 +77,10 @@
 class _PendingWatch:
     """A watch that waits for a change or its timeout."""
 
-    def __init__(self, request: Watch, answer: Callable[[Any], None]) -> None:
+    def __init__(self, request: Watch, answer: Callable[[Any], None], ends_at: float) -> None:
         self.request = request
         self.answer = answer
+        self.ends_at = ends_at
         self.is_answered = False
 
 
@@ -85,6 +91,10 @@
     writes that take effect without an answer. `is_cut_off` tells which addresses can't reach the
     store. Call `set_down` to begin or end an outage. `calls` counts requests by type, and
     `transferred_bytes` estimates the traffic with each address.
+
+    With `answers_watches_late`, a watch is answered only when its time is over. `write_unlisted`
+    ends all watches without the change but with its revision; others list it `listing_delay_s`
+    later.
     """
 
     def __init__(self, memory: MemoryStore | None = None) -> None:
@@ -92,6 +102,9 @@
         self.is_down = False
         self.delay_s = 0.003
         self.lost_answers = 0
+        self.answers_watches_late = False
+        self.listing_delay_s = 0.0
+        self._unlisted_revisions: set[Revision] = set()
         self.is_cut_off: Callable[[Address], bool] = lambda address: False
         self.calls: Counter[str] = Counter()
         self.call_counts_by_second: Counter[int] = Counter()
@@ -117,6 +130,35 @@
                 self._answer_once(watch, RequestFailed(watch.request.tag))
             self._pending_watches.clear()
 
+    def silence_watches(self, queue: VirtualQueue) -> None:
+        """Leave all waiting watches without an answer, so that the clients give them up."""
+        for watch in self._pending_watches:
+            given_up_at = watch.ends_at + WATCH_ANSWER_TIMEOUT_S
+
+            def give_up(watch: _PendingWatch = watch) -> None:
+                watch.answer(RequestFailed(watch.request.tag))
+
+            if not watch.is_answered:
+                queue.call_at(given_up_at, give_up)
+                watch.is_answered = True
+        self._pending_watches.clear()
+
+    def write_unlisted(self, queue: VirtualQueue, key: str, value: bytes) -> Revision:
+        """Write at once; watches list the change only after `listing_delay_s`."""
+        revision = self.memory.put(key, value, None).entry.revision
+        self._unlisted_revisions.add(revision)
+        for watch in self._pending_watches:
+            empty = EntriesRead(watch.request.tag, EntryList(revision, ()))
+            self._answer_once(watch, empty)
+        self._pending_watches.clear()
+
+        def list_change() -> None:
+            self._unlisted_revisions.discard(revision)
+            self._answer_watches()
+
+        queue.call_at(queue.now + self.listing_delay_s, list_change)
+        return revision
+
     def write(self, key: str, value: bytes | None, expected: Revision | None = None) -> WriteResult:
         """Write at once, without delay or faults, and answer the affected watches."""
         result = self.memory.put(key, value, expected)
@@ -136,7 +178,9 @@
         if self.is_down or self.is_cut_off(address):
             answer(RequestFailed(action.tag))
         elif isinstance(action, Get):
-            answer(EntryRead(action.tag, self.memory.get(action.key)))
+            entry = self.memory.get(action.key)
+            revision = self.memory.revision
+            answer(EntryRead(action.tag, msgspec.structs.replace(entry, store_revision=revision)))
         elif isinstance(action, List):
             answer(EntriesRead(action.tag, self.memory.list(action.prefix)))
         elif isinstance(action, Watch):
@@ -154,15 +198,19 @@
             answer(WriteDone(action.tag, result))
 
     def _add_watch(self, queue: VirtualQueue, action: Watch, answer: Callable[[Any], None]) -> None:
-        watch = _PendingWatch(action, answer)
-        if not self._try_answer(watch):
+        watch = _PendingWatch(action, answer, queue.now + action.timeout_s)
+        if self.answers_watches_late or not self._try_answer(watch):
             self._pending_watches.append(watch)
-            no_changes = EntriesRead(action.tag, EntryList(self.memory.revision, ()))
-            queue.call_at(
-                queue.now + action.timeout_s, lambda: self._answer_once(watch, no_changes)
-            )
+            queue.call_at(watch.ends_at, lambda: self._end_watch(watch))
+
+    def _end_watch(self, watch: _PendingWatch) -> None:
+        if not watch.is_answered and not self._try_answer(watch):
+            empty = EntriesRead(watch.request.tag, EntryList(self.memory.revision, ()))
+            self._answer_once(watch, empty)
 
     def _answer_watches(self) -> None:
+        if self.answers_watches_late:
+            return
         self._pending_watches = [
             watch
             for watch in self._pending_watches
@@ -170,7 +218,11 @@
         ]
 
     def _try_answer(self, watch: _PendingWatch) -> bool:
-        changes = self.memory.list_changes(watch.request.prefix, watch.request.after)
+        changes = tuple(
+            entry
+            for entry in self.memory.list_changes(watch.request.prefix, watch.request.after)
+            if entry.revision not in self._unlisted_revisions
+        )
         if changes:
             result = EntryList(self.memory.revision, changes)
             self._answer_once(watch, EntriesRead(watch.request.tag, result))
