End the polls of the readers one after another

Cause: all readers started their polls in the same moment, right after a version, so all polls were over in the same moment: what one missed, or waited for in vain, all did. Ruled out: random times of polls; two readers of a zone may still end together, and calls rise by a third. Leases of the readers: they cost writes. Change: the readers of all zones share the time of a poll by rank. The first poll after a version ends at the reader's part of it, and later ones every 2 s from there, whatever an answer takes.

--- a/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
@@ -193,6 +193,7 @@
 
     def _update_reader_role(self, view: View, now: float) -> None:
         """Start reading the store after a random delay, unless this daemon is no reader by then."""
+        self._reader.phase = view.compute_reader_phase(self._own_address)
         if not view.is_reader(self._own_address):
             self._reader.stop()
             self._reader_start_at = math.inf
@@ -256,6 +257,7 @@
         favour = snapshot.document.distribution.favour
         self._tuning = self._fixed_tuning or choose_tuning(favour)
         self._reader.pause_s = self._tuning.push_interval_s
+        self._reader.aligned_at = now
         include_upward = not self._is_above(sender)
         actions: list[Action] = [
             Activate(snapshot),
--- a/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
@@ -28,6 +28,7 @@
 from godwitpass.internal.distribution.delta import DocumentCodec, InvalidContent
 from godwitpass.internal.distribution.snapshot_cache import SnapshotCache
 from godwitpass.internal.distribution.tuning import (
+    MIN_WATCH_TIMEOUT_S,
     STORE_RETRY_MAX_S,
     STORE_RETRY_MIN_S,
     WATCH_TIMEOUT_S,
@@ -103,7 +104,9 @@
 class StoreReader:
     """Watches the root record by one long poll at a time.
 
-    It pauses for `pause_s` after a new version, so that a burst of versions needs few reads.
+    It pauses for `pause_s` after a new version, so that a burst of versions needs few reads. Polls
+    end at `phase`, a share of `WATCH_TIMEOUT_S`, after `aligned_at`, the time of the last version,
+    so that those of several readers do not end together.
     """
 
     def __init__(
@@ -141,6 +144,9 @@
         self.rejected_document: RejectedDocument | None = None
         self.stored_version: StoredVersion | None = None
         self.pause_s = 0.0
+        self.phase = 0.0
+        self.aligned_at = 0.0
+        self._poll_timeout_s = WATCH_TIMEOUT_S
         self.deadline = math.inf
 
     @property
@@ -229,10 +235,15 @@
         self._tag += 1
         self._polls += 1
         self._enter(Step.WATCH, now)
-        timeout_s = WATCH_TIMEOUT_S
+        self._poll_timeout_s = timeout_s = self._choose_poll_timeout(now)
         self.deadline = now + timeout_s + ANSWER_GRACE_S
         return [Watch(self._tag, self._watched_key, self._choose_start(now), timeout_s)]
 
+    def _choose_poll_timeout(self, now: float) -> float:
+        since_phase_s = now - self.aligned_at - self.phase * WATCH_TIMEOUT_S
+        timeout_s = WATCH_TIMEOUT_S - since_phase_s % WATCH_TIMEOUT_S
+        return timeout_s if timeout_s >= MIN_WATCH_TIMEOUT_S else timeout_s + WATCH_TIMEOUT_S
+
     def _choose_start(self, now: float) -> Revision:
         """Return the revision to watch from; what was listed already must not be listed again."""
         start = self._named.choose_start(now) if self._source is not None else None
@@ -245,7 +256,7 @@
         return []
 
     def _handle_failure(self, now: float, reason: str = "") -> list[ReaderAction]:
-        if self._step is Step.WATCH and now - self._step_since >= WATCH_TIMEOUT_S:
+        if self._step is Step.WATCH and now - self._step_since >= self._poll_timeout_s:
             # The connection is dead, which says nothing about the store: versions may be missing.
             return [*self._record_failure(now, reason, 0.0), *self._read_root(now)]
         # The history may have ended, or the store gone back to an earlier copy.
--- a/packages/godwitpass/src/godwitpass/internal/distribution/tuning.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/tuning.py
@@ -21,6 +21,9 @@
 A connection may go silent without a reset, and then only the end of the poll shows it.
 """
 
+MIN_WATCH_TIMEOUT_S = 0.1
+"""A poll that would end sooner at the reader's phase lasts until that phase comes again."""
+
 STORE_RETRY_MIN_S = 0.5
 STORE_RETRY_MAX_S = 0.9
 """Bounds how late a reader notices that the store is back; there are two readers per zone."""
--- a/packages/godwitpass/src/godwitpass/internal/distribution/view.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/view.py
@@ -37,6 +37,17 @@
         position = self.positions.get(address)
         return position is not None and position < READERS_PER_ZONE
 
+    def compute_reader_phase(self, address: Address) -> float:
+        """Return the middle of a reader's part of 1, which the readers of all zones share."""
+        members_by_zone = {**self.remote_members, self.zone: self.ranked_members}
+        readers = [
+            members_by_zone[zone][position]
+            for position in range(READERS_PER_ZONE)
+            for zone in sorted(members_by_zone)
+            if position < len(members_by_zone[zone])
+        ]
+        return (readers.index(address) + 0.5) / len(readers) if address in readers else 0.0
+
     def list_following_zones(self, count: int) -> list[ZoneId]:
         """Return up to `count` availability zones that follow the own one in a ring of all."""
         zone_ring = sorted([self.zone, *self.remote_members])
--- a/testkit/tests/test_late_polls.py
+++ b/testkit/tests/test_late_polls.py
@@ -72,6 +72,17 @@
 
 @pytest.mark.parametrize("zone_count", ZONE_COUNTS)
 class TestPollsOfAllReaders:
+    def test_a_version_is_in_time_if_polls_are_answered_only_when_their_time_is_over(
+        self, zone_count: int
+    ) -> None:
+        for offset_s in OFFSETS_S:
+            fleet = start_fleet(zone_count)
+            fleet.queue.run(fleet.queue.now + offset_s)
+            fleet.store.answers_watches_late = True
+            fleet.store.write(KEY, build_value(3))
+            lateness_s = measure_lateness(fleet, 3)
+            assert lateness_s < IN_FORCE_S, f"{lateness_s:.2f} s, {offset_s:.2f} s after another"
+
     def test_a_version_is_in_time_if_answers_to_all_polls_cover_but_do_not_list_it(
         self, zone_count: int
     ) -> None:
@@ -85,3 +96,14 @@
             assert any(
                 event.kind == events.CHANGE_MISSED for _, _, event in fleet.queue.recorded_events
             )
+
+    def test_a_version_is_in_time_if_the_connections_of_all_polls_go_silent(
+        self, zone_count: int
+    ) -> None:
+        for offset_s in OFFSETS_S:
+            fleet = start_fleet(zone_count)
+            fleet.queue.run(fleet.queue.now + offset_s)
+            fleet.store.silence_watches(fleet.queue)
+            fleet.store.write(KEY, build_value(3))
+            lateness_s = measure_lateness(fleet, 3)
+            assert lateness_s < IN_FORCE_S, f"{lateness_s:.2f} s, {offset_s:.2f} s after another"
