--- a/packages/godwitpass/tests/rollouts/test_rollouts.py
+++ b/packages/godwitpass/tests/rollouts/test_rollouts.py
@@ -1,14 +1,24 @@
 """Roll-outs under virtual time: 32 daemons with 256 senders, orders of 12 s."""
 
 import random
+from collections.abc import Sequence
 
 import msgspec
 import pytest
 
 from godwitpass.ids import Address, InstanceId, Revision, RouteName, SoftwareVersion
 from godwitpass.internal.actions import MessageReceived, Send, TimerFired
-from godwitpass.internal.requests import EntryRead, Get, Put, WriteDone
+from godwitpass.internal.requests import (
+    EntriesRead,
+    EntryRead,
+    Get,
+    List,
+    Put,
+    Watch,
+    WriteDone,
+)
 from godwitpass.internal.rollouts.agent import Agent, MembersChanged, UpstreamChanged
+from godwitpass.internal.rollouts.controller import ReaderChanged
 from godwitpass.internal.rollouts.judgement import Judgement
 from godwitpass.internal.rollouts.messages import (
     Answer,
@@ -20,7 +30,7 @@
 from godwitpass.internal.rollouts.records import Order, Phase, Record, Step
 from godwitpass.internal.rollouts.rollout import Rollout
 from godwitpass.mesh import UpstreamState
-from godwitpass.store import Entry, WriteResult
+from godwitpass.store import Entry, EntryList, WriteResult
 from godwitpass_testkit.rollouts import (
     NEW,
     OLD,
@@ -72,6 +82,10 @@
     return world
 
 
+def _list_requests(actions: Sequence[object]) -> list[List | Watch]:
+    return [action for action in actions if isinstance(action, List | Watch)]
+
+
 def assert_exposure(world: World) -> None:
     bound = EXPOSURE_SHARE * world.calls_in_order + EXPOSURE_SLACK
     assert world.target_runs_in_order <= bound
@@ -215,6 +229,21 @@
         assert world.phase is Phase.COMPLETED
         assert world.late_old_runs == 0
 
+    def test_an_order_that_an_empty_answer_covered_is_still_seen(self) -> None:
+        world = start()
+        controller = world.machines[0].controller
+        controller.handle(ReaderChanged(False), 9.0)
+        (listing,) = _list_requests(controller.handle(ReaderChanged(True), 9.0))
+        answer = EntriesRead(listing.tag, EntryList(Revision(900), ()))
+        (watch,) = _list_requests(controller.handle(answer, 9.0))
+        empty = EntriesRead(watch.tag, EntryList(Revision(950), ()))
+        (watch,) = _list_requests(controller.handle(empty, 11.0))
+        order = Entry(f"{SOURCE.order_prefix}{SERVICE}", b"broken", Revision(940))
+        assert isinstance(watch, Watch) and watch.after < order.revision
+        listed = EntriesRead(watch.tag, EntryList(Revision(960), (order,)))
+        (watch,) = _list_requests(controller.handle(listed, 11.1))
+        assert isinstance(watch, Watch) and watch.after == order.revision
+
     def test_two_controllers_write_one_history(self) -> None:
         """Guards against two readers that each take themselves for the first."""
         for seed in range(4):
