Let the soak end the polls of all daemons late or without a version

Cause: the soak held back the store of one machine at a time or disturbed all, and its versions came so close together that the next one hid a version that was missed.

--- a/testkit/src/godwitpass_testkit/store/fake.py
+++ b/testkit/src/godwitpass_testkit/store/fake.py
@@ -51,7 +51,9 @@
         while True:
             result = self.state.list_changes(prefix, after, self._clock())
             remaining_s = deadline_s - self._clock()
-            if result.entries or remaining_s <= 0 or self.state.faults.down:
+            faults = self.state.faults
+            has_answer = bool(result.entries) and not faults.watch_at_timeout
+            if has_answer or remaining_s <= 0 or faults.down:
                 return result
             await anyio.sleep(min(remaining_s, WATCH_POLL_INTERVAL_S))
 
--- a/testkit/src/godwitpass_testkit/store/faults.py
+++ b/testkit/src/godwitpass_testkit/store/faults.py
@@ -10,6 +10,9 @@
 
     `delay_s` delays each call, `watch_delay_s` the visibility of a write to watches.
     `lost_answers` is the number of coming writes that take effect without an answer.
+    With `watch_covers_delayed`, answers name the newest revision although they lack a delayed
+    write; otherwise they name the one before it. With `watch_at_timeout`, a watch is answered only
+    when its time is over.
     `watch_reversed` and `watch_repeated` return changes in reverse order and twice.
     `read_rate` and `write_rate` are calls a second; a watch counts as one read.
     """
@@ -18,6 +21,8 @@
     delay_s: float = 0.0
     lost_answers: int = 0
     watch_delay_s: float = 0.0
+    watch_covers_delayed: bool = False
+    watch_at_timeout: bool = False
     watch_reversed: bool = False
     watch_repeated: bool = False
     read_rate: float = UNLIMITED_CALLS_PER_S
--- a/testkit/src/godwitpass_testkit/store/state.py
+++ b/testkit/src/godwitpass_testkit/store/state.py
@@ -91,13 +91,18 @@
         """Return the changes that a watch may see by `now`, only the newest one of each key.
 
         The returned revision precedes the first delayed change, so that the next watch returns
-        that change.
+        that change, unless the faults say otherwise.
         """
         self.end_expired_leases(now)
         entries = tuple(entry for entry in self._list_entries(prefix) if entry.revision > after)
         delayed = tuple(entry for entry in entries if self._is_delayed(entry, now))
-        revision = Revision(delayed[0].revision - 1) if delayed else self.revision
-        visible = tuple(entry for entry in entries if entry.revision <= revision)
+        if delayed and not self.faults.watch_covers_delayed:
+            revision = Revision(delayed[0].revision - 1)
+        else:
+            revision = self.revision
+        visible = tuple(
+            entry for entry in entries if entry.revision <= revision and entry not in delayed
+        )
         if self.faults.watch_reversed:
             visible = visible[::-1]
         if self.faults.watch_repeated:
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -19,7 +19,12 @@
     hash_body,
 )
 from godwitpass_platform_soak.keys import LASTING_KEY
-from godwitpass_platform_soak.plan import CRASHING_FAULTS, Fault
+from godwitpass_platform_soak.plan import (
+    CRASHING_FAULTS,
+    LATE_POLL_FAULTS,
+    POLL_FAULTS,
+    Fault,
+)
 from godwitpass_platform_soak.proxy import Link, StreamProxy
 
 BODY = b"body"
@@ -29,6 +34,7 @@
 NEWER_SEEDS = [1, 2]
 EXTRA_REQUESTS_SEED = 41
 CRASHING_SEED = 37
+LATE_POLLS_SEED = 52058
 
 
 def build_checker(disturbances: Disturbances | None = None) -> Checker:
@@ -107,6 +113,13 @@
             others = draw_plan(seed, 6, 20, with_newer_faults=True)
             assert Fault.CRASHING_BURST not in {step.fault for step in others.steps}
 
+    def test_polls_that_end_late_are_drawn_alone(self) -> None:
+        for seed in range(100):
+            plan = draw_plan(seed, 6, 20, only_late_polls=True)
+            assert {step.fault for step in plan.steps} <= set(LATE_POLL_FAULTS)
+            others = draw_plan(seed, 6, 20, with_newer_faults=True)
+            assert not {step.fault for step in others.steps} & set(POLL_FAULTS)
+
     def test_a_plan_with_a_single_machine_is_rejected(self) -> None:
         with pytest.raises(ValueError, match="two machines or more"):
             draw_plan(1, 1, 20)
@@ -379,6 +392,15 @@
         outcome = run_soak(plan, tmp_path)
         assert not outcome.violations, outcome.violations
 
+    def test_versions_are_in_time_while_all_polls_end_late_or_without_them(
+        self, tmp_path: Path
+    ) -> None:
+        plan = draw_plan(LATE_POLLS_SEED, 4, 10, only_late_polls=True)
+        outcome = run_soak(plan, tmp_path)
+        assert not outcome.violations, outcome.violations
+        logs = b"".join(path.read_bytes() for path in tmp_path.glob("side-*.log"))
+        assert b"change-missed" in logs, "the plan writes versions that polls miss"
+
     def test_extra_requests_violate_no_invariant_under_faults(self, tmp_path: Path) -> None:
         plan = draw_plan(EXTRA_REQUESTS_SEED, 4, 14, True, extra_request_share=0.2)
         outcome = run_soak(plan, tmp_path)
