Let other daemons read while readers can't reach the store

Cause: readers follow from rank alone. When a cut and a store that turned machines away hit the readers of all zones, no other daemon read in their place, though others reached the store. Ruled out: leases of readers, which lapse in the outage that they are for; more readers all the time, which cost calls all the time. Change: a reader that fails tells the next of the substitutes, four more daemons of each zone by rank, in turn with each attempt. A substitute reads for 3 s after it was told and stops at its first failure; it has the phase of a reader. Two events tell of it, unless its last attempt failed.

--- a/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
@@ -4,6 +4,7 @@
 import random
 
 from godwitpass.document import Favour
+from godwitpass.events import EventKind, FieldValue
 from godwitpass.ids import NO_VERSION, Address, Version
 from godwitpass.internal.actions import MessageReceived, RecordEvent, Send, SetTimer, TimerFired
 from godwitpass.internal.distribution import events
@@ -23,6 +24,7 @@
     Announce,
     Busy,
     Fetch,
+    Handover,
     HoldingsRequest,
     HoldingsResponse,
     Message,
@@ -35,6 +37,7 @@
 from godwitpass.internal.distribution.reader import (
     DocumentSource,
     ReaderAction,
+    ReadingFailed,
     RejectedDocument,
     StoredVersion,
     StoreReader,
@@ -47,12 +50,13 @@
     find_dangling_references,
 )
 from godwitpass.internal.distribution.tuning import (
+    HANDOVER_S,
     MAX_READER_DELAY_S,
     REMOTE_ANNOUNCE_FRACTION,
     Tuning,
     choose_tuning,
 )
-from godwitpass.internal.distribution.view import View, find_parent_position
+from godwitpass.internal.distribution.view import ReaderRanking, View, find_parent_position
 from godwitpass.internal.requests import EntriesRead, EntryRead, RequestFailed
 from godwitpass.snapshot import Snapshot
 
@@ -87,6 +91,8 @@
         self._reader_start_at = math.inf
         self._timer_at = math.inf
         self._store_reported_at = -math.inf
+        self._reader_ranking: ReaderRanking | None = None
+        self._substitute_until = math.inf
 
     @property
     def current(self) -> Snapshot | None:
@@ -145,6 +151,8 @@
         if now >= self._reader_start_at:
             self._reader_start_at = math.inf
             actions += self._perform_reader_actions(self._reader.start(now), now)
+        if now >= self._substitute_until:
+            actions += self._end_substitution()
         if now >= self._next_announce_at:
             self._next_announce_at = now + self._draw_announce_interval()
             self._reporter.zones.remove_expired(now)
@@ -162,6 +170,7 @@
             self._next_announce_at,
             self._reader_start_at,
             self._reporter.deadline,
+            self._substitute_until,
         )
         if due_at >= self._timer_at:
             return []
@@ -193,11 +202,15 @@
 
     def _update_reader_role(self, view: View, now: float) -> None:
         """Start reading the store after a random delay, unless this daemon is no reader by then."""
-        self._reader.phase = view.compute_reader_phase(self._own_address)
+        self._reader_ranking = view.rank_readers()
+        self._reader.phase = self._reader_ranking.compute_phase(self._own_address)
         if not view.is_reader(self._own_address):
-            self._reader.stop()
             self._reader_start_at = math.inf
-        elif not self._reader.is_running and self._reader_start_at == math.inf:
+            if self._substitute_until == math.inf:
+                self._reader.stop()
+            return
+        self._substitute_until = math.inf
+        if not self._reader.is_running and self._reader_start_at == math.inf:
             self._reader_start_at = now + self._random.random() * MAX_READER_DELAY_S
 
     def _draw_announce_interval(self) -> float:
@@ -230,10 +243,41 @@
         for action in reader_actions:
             if isinstance(action, VersionFound):
                 actions += self._activate(action.snapshot, None, now)
+            elif isinstance(action, ReadingFailed):
+                if self._substitute_until < math.inf:
+                    return [*actions, *self._end_substitution()]
+                actions += self._hand_over(action.attempt)
             else:
                 actions.append(action)
         return actions
 
+    def _hand_over(self, attempt: int) -> list[Action]:
+        """Let another daemon read in place of this one, if this is a reader."""
+        ranking = self._reader_ranking
+        substitute = ranking.choose_substitute(self._own_address, attempt) if ranking else None
+        return [Send(substitute, Handover())] if substitute is not None else []
+
+    def _start_substitution(self, sender: Address, now: float) -> list[Action]:
+        ranking = self._reader_ranking
+        if ranking is None or self._own_address not in ranking.substitutes:
+            return []
+        self._substitute_until = now + HANDOVER_S
+        if self._reader.is_running:
+            return []
+        return [
+            *self._record_substitution(events.SUBSTITUTION_STARTED, {"for": sender}),
+            *self._perform_reader_actions(self._reader.start(now), now),
+        ]
+
+    def _end_substitution(self) -> list[Action]:
+        self._substitute_until = math.inf
+        self._reader.stop()
+        return self._record_substitution(events.SUBSTITUTION_ENDED, {})
+
+    def _record_substitution(self, kind: EventKind, fields: dict[str, FieldValue]) -> list[Action]:
+        """Record the event, unless the last attempt here failed, as all do in an outage."""
+        return [RecordEvent(kind, fields)] if self._reader.is_store_reachable else []
+
     def _activate(
         self,
         snapshot: Snapshot,
@@ -289,6 +333,8 @@
             return self._handle_fetch(sender, message, now)
         if isinstance(message, Busy):
             return [*self._fetcher.record_busy(sender, message.retry_s, now)]
+        if isinstance(message, Handover):
+            return self._start_substitution(sender, now)
         if isinstance(message, HoldingsRequest):
             return [Send(sender, HoldingsResponse(self._reporter.zones.list_zones()))]
         if isinstance(message, ZoneHoldings):
--- a/packages/godwitpass/src/godwitpass/internal/distribution/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/events.py
@@ -78,6 +78,14 @@
     "A change arrived that an earlier answer of the store did not list but covered.",
     Level.WARNING,
 )
+SUBSTITUTION_STARTED = EventKind(
+    225,
+    "substitution-started",
+    "The daemon reads the store in place of a reader that can't reach it.",
+)
+SUBSTITUTION_ENDED = EventKind(
+    226, "substitution-ended", "The daemon no longer reads the store in place of a reader."
+)
 ZONE_CONVERGED = EventKind(
     220, "zone-converged", "All daemons of the availability zone hold the version."
 )
--- a/packages/godwitpass/src/godwitpass/internal/distribution/messages.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/messages.py
@@ -84,6 +84,10 @@
     zones: Annotated[tuple[ZoneHoldings, ...], Meta(max_length=MAX_ZONES)]
 
 
+class Handover(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Tells that the sender, a reader, can't reach the store; the receiver reads in its place."""
+
+
 Message = (
     Announce
     | Update
@@ -93,6 +97,7 @@
     | ZoneHoldings
     | HoldingsRequest
     | HoldingsResponse
+    | Handover
 )
 
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
@@ -92,13 +92,19 @@
     reason: str
 
 
+class ReadingFailed(msgspec.Struct, frozen=True):
+    """Action, internal to distribution: the store did not answer; `attempt` of several in a row."""
+
+    attempt: int
+
+
 class VersionFound(msgspec.Struct, frozen=True):
     """Action, internal to distribution: the store holds this later version."""
 
     snapshot: Snapshot
 
 
-ReaderAction = Get | Watch | RecordEvent | VersionFound
+ReaderAction = Get | Watch | RecordEvent | VersionFound | ReadingFailed
 
 
 class StoreReader:
@@ -270,9 +276,10 @@
 
     def _record_failure(self, now: float, reason: str, retry_in_s: float) -> list[ReaderAction]:
         """Count a failure, and report the first of several in a row."""
+        failed = ReadingFailed(self._failures)
         self._failures += 1
         if not self.is_store_reachable:
-            return []
+            return [failed]
         self.is_store_reachable = False
         self._lost_at = now
         fields = {
@@ -281,7 +288,7 @@
             "retry_ms": int(retry_in_s * 1000),
             "revision": self._revision,
         }
-        return [RecordEvent(events.STORE_LOST, fields)]
+        return [RecordEvent(events.STORE_LOST, fields), failed]
 
     def _record_success(self, now: float) -> list[ReaderAction]:
         self._backoff_s = STORE_RETRY_MIN_S
--- a/packages/godwitpass/src/godwitpass/internal/distribution/tuning.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/tuning.py
@@ -6,6 +6,16 @@
 
 FAN_OUT = 8
 READERS_PER_ZONE = 2
+SUBSTITUTES_PER_READER = 2
+"""Number of daemons that may read in place of a reader that can't reach the store."""
+
+HANDOVER_S = 3.0
+"""Time for which a substitute reads after a reader told it that it can't reach the store.
+
+A reader that still can't repeats it after each attempt, with another substitute. A substitute that
+can't either stops at once.
+"""
+
 MAX_READER_DELAY_S = 1.0
 """Maximum delay of a new reader, so that daemons that start together discover each other first."""
 
--- a/packages/godwitpass/src/godwitpass/internal/distribution/view.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/view.py
@@ -12,10 +12,36 @@
 import xxhash
 
 from godwitpass.ids import Address, InstanceId, ZoneId
-from godwitpass.internal.distribution.tuning import FAN_OUT, READERS_PER_ZONE
+from godwitpass.internal.distribution.tuning import (
+    FAN_OUT,
+    READERS_PER_ZONE,
+    SUBSTITUTES_PER_READER,
+)
 from godwitpass.mesh import Member, MemberState
 
 
+class ReaderRanking(msgspec.Struct, frozen=True):
+    """The daemons of all zones that read the store, and those that may in their place, by rank."""
+
+    readers: tuple[Address, ...]
+    substitutes: tuple[Address, ...]
+
+    def compute_phase(self, address: Address) -> float:
+        """Return the middle of the part of 1 that belongs to `address`.
+
+        The readers share 1 evenly; a substitute has the part of a reader.
+        """
+        ranked = (*self.readers, *self.substitutes)
+        rank = ranked.index(address) if address in ranked else 0
+        return (rank % len(self.readers) + 0.5) / len(self.readers)
+
+    def choose_substitute(self, reader: Address, attempt: int) -> Address | None:
+        """Return the substitute that `reader` tells at its `attempt`, in turn, or None."""
+        if reader not in self.readers or not self.substitutes:
+            return None
+        return self.substitutes[(self.readers.index(reader) + attempt) % len(self.substitutes)]
+
+
 class View(msgspec.Struct, frozen=True):
     """Members of the own availability zone and known members of the others, each by rank.
 
@@ -37,16 +63,23 @@
         position = self.positions.get(address)
         return position is not None and position < READERS_PER_ZONE
 
-    def compute_reader_phase(self, address: Address) -> float:
-        """Return the middle of a reader's part of 1, which the readers of all zones share."""
+    def rank_readers(self) -> "ReaderRanking":
+        """Return the readers of all zones and their substitutes."""
         members_by_zone = {**self.remote_members, self.zone: self.ranked_members}
-        readers = [
-            members_by_zone[zone][position]
-            for position in range(READERS_PER_ZONE)
-            for zone in sorted(members_by_zone)
-            if position < len(members_by_zone[zone])
-        ]
-        return (readers.index(address) + 0.5) / len(readers) if address in readers else 0.0
+        zones = sorted(members_by_zone)
+
+        def list_members(positions: range) -> tuple[Address, ...]:
+            return tuple(
+                members_by_zone[zone][position]
+                for position in positions
+                for zone in zones
+                if position < len(members_by_zone[zone])
+            )
+
+        end = READERS_PER_ZONE * (1 + SUBSTITUTES_PER_READER)
+        return ReaderRanking(
+            list_members(range(READERS_PER_ZONE)), list_members(range(READERS_PER_ZONE, end))
+        )
 
     def list_following_zones(self, count: int) -> list[ZoneId]:
         """Return up to `count` availability zones that follow the own one in a ring of all."""
--- a/testkit/tests/test_late_polls.py
+++ b/testkit/tests/test_late_polls.py
@@ -70,6 +70,60 @@
     return fleet.queue.now - written_s
 
 
+@pytest.mark.parametrize("zone_count", ZONE_COUNTS)
+class TestReadersWithoutTheStore:
+    @pytest.mark.parametrize("are_polls_silent", [False, True])
+    def test_a_version_is_in_time_if_only_other_daemons_than_the_readers_reach_the_store(
+        self, zone_count: int, are_polls_silent: bool
+    ) -> None:
+        for offset_s in OFFSETS_S:
+            fleet = start_fleet(zone_count)
+            fleet.queue.run(fleet.queue.now + offset_s)
+            readers = next(iter(fleet.views.values())).rank_readers().readers
+            assert len(readers) == 2 * zone_count
+            fleet.store.is_cut_off = readers.__contains__
+            if are_polls_silent:
+                fleet.store.silence_watches(fleet.queue)
+            fleet.store.write(KEY, build_value(3))
+            lateness_s = measure_lateness(fleet, 3)
+            assert lateness_s < IN_FORCE_S, f"{lateness_s:.2f} s, {offset_s:.2f} s after another"
+
+    def test_substitutes_read_as_long_as_readers_can_not_and_no_longer(
+        self, zone_count: int
+    ) -> None:
+        fleet = start_fleet(zone_count)
+        fleet.queue.run(30.0)
+        assert not fleet.queue.message_counts["Handover"]
+        ranking = next(iter(fleet.views.values())).rank_readers()
+        fleet.store.is_cut_off = lambda address: address in ranking.readers
+        for version in range(3, 13):
+            fleet.queue.run(fleet.queue.now + 2.7)
+            fleet.store.write(KEY, build_value(version))
+            assert measure_lateness(fleet, version) < IN_FORCE_S
+        fleet.store.is_cut_off = lambda address: False
+        fleet.queue.run(fleet.queue.now + 6.0)
+        before = fleet.store.calls.total()
+        fleet.queue.run(fleet.queue.now + 20.0)
+        assert fleet.store.calls.total() - before <= 11 * len(ranking.readers)
+
+
+class TestPromotedSubstitutes:
+    def test_a_substitute_that_became_a_reader_goes_on_after_a_failure(self) -> None:
+        fleet = start_fleet(1)
+        (view,) = fleet.views.values()
+        ranking = view.rank_readers()
+        fleet.store.is_cut_off = ranking.readers.__contains__
+        fleet.store.write(KEY, build_value(3))
+        measure_lateness(fleet, 3)
+        fleet.kill(ranking.readers)
+        fleet.sync_membership()
+        fleet.queue.run(fleet.queue.now + 0.5)
+        fleet.store.silence_watches(fleet.queue)
+        fleet.queue.run(fleet.queue.now + 4.0)
+        fleet.store.write(KEY, build_value(4))
+        assert measure_lateness(fleet, 4) < IN_FORCE_S
+
+
 @pytest.mark.parametrize("zone_count", ZONE_COUNTS)
 class TestPollsOfAllReaders:
     def test_a_version_is_in_time_if_polls_are_answered_only_when_their_time_is_over(
