Give the age of the answer before the one that brings a version

Cause: heard_ms in version-activated was 0 where the version came in an answer of the store, which is the case that it should explain. Change: it is the age of the answer before that one. Test: the event of a missed change has 1,500.

--- a/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
@@ -146,6 +146,7 @@
         self._listed_revision = Revision(0)
         self._named = NamedRevisions()
         self.heard_at = -math.inf
+        self._heard_before = -math.inf
         self.is_store_reachable = True
         self.rejected_document: RejectedDocument | None = None
         self.stored_version: StoredVersion | None = None
@@ -163,7 +164,8 @@
     def describe(self, now: float) -> dict[str, FieldValue]:
         """Return log fields: what the reader waits for, since when, and its polls in a row.
 
-        `empty_polls` of these were answered without changes; the last answer came `heard_ms` ago.
+        `empty_polls` of these were answered without changes. The last answer came `heard_ms` ago;
+        the one before it, if it came now.
         """
         if self._step is Step.IDLE:
             return {"reader": "idle"}
@@ -173,8 +175,9 @@
             "polls": self._polls,
             "empty_polls": self._empty_polls,
         }
-        if self.heard_at > -math.inf:
-            fields["heard_ms"] = int((now - self.heard_at) * 1000)
+        heard_at = self.heard_at if self.heard_at < now else self._heard_before
+        if heard_at > -math.inf:
+            fields["heard_ms"] = int((now - heard_at) * 1000)
         return fields
 
     def start(self, now: float) -> list[ReaderAction]:
@@ -292,7 +295,7 @@
 
     def _record_success(self, now: float) -> list[ReaderAction]:
         self._backoff_s = STORE_RETRY_MIN_S
-        self.heard_at = now
+        self._heard_before, self.heard_at = self.heard_at, now
         if self.is_store_reachable:
             return []
         self.is_store_reachable = True
--- a/packages/godwitpass/tests/distribution/test_document_source.py
+++ b/packages/godwitpass/tests/distribution/test_document_source.py
@@ -278,6 +278,7 @@
         (event,) = [action for action in actions if isinstance(action, RecordEvent)]
         assert event.kind == CHANGE_MISSED
         assert (event.fields["named"], event.fields["late_ms"]) == (50, 1500)
+        assert event.fields["heard_ms"] == 1500
 
 
 class TestStoreAge:
