Bound what clients of the HTTP listeners may take

Seen: 200 clients with a head without end on `control` took 2,304 MB and then 5,480 MB of a daemon, on `readiness` 4,746 MB, 50 on `metrics` 2,638 MB, and no ordinary request was answered afterwards.

Cause: uvicorn bounds neither heads, lines, trailers, chunk framing, connections nor time, and queues any number of pipelined requests.

Weighed: uvicorn's settings (its limit of connections refuses probes too); bounds in front of its protocol (would parse the framing twice and can't reach what it has read or written); a protocol on httptools for the same ASGI applications, chosen.

Change: input is parsed in slices; bytes without progress, headers, bodies, pipelined requests, time and connections are bounded by named constants; at the limit of connections the one that has waited longest for its client is closed; costly input shares a tenth of the loop's time. Metrics by listener and reason, one log line a minute and client.

A crowd that reconnects at once still takes half of the loop or more.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/admin/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/admin/service.py
@@ -6,16 +6,21 @@
 from anyio.abc import TaskGroup
 
 from godwitpass.administration import Spread
+from godwitpass.internal.validation.text import MAX_TEXT_BYTES
 from godwitpass.snapshot import Snapshot
 from godwitpass_daemon.admin.application import build_application
 from godwitpass_daemon.admin.handlers import ApiContext
 from godwitpass_daemon.admin.meter import RequestMeter, collect_process_metrics
 from godwitpass_daemon.admin.metrics import Metric
 from godwitpass_daemon.admin.ports import Acceptance, Events, Ports
+from godwitpass_daemon.http.limits import BODY_BUFFER_BYTES, HttpLimits
+from godwitpass_daemon.http.metrics import collect_listener_metrics
 from godwitpass_daemon.kernel import Kernel
 from godwitpass_daemon.listeners import HttpListener
 from godwitpass_daemon.settings import Settings
 
+LISTENER_NAME = "admin"
+
 MetricSource = Callable[[], Iterable[Metric]]
 
 
@@ -47,13 +52,30 @@
     def __init__(self, settings: Settings, ports: Ports, meter: RequestMeter) -> None:
         self._address = settings.listen.admin
         self._application = build_application(ApiContext(settings, ports), meter)
+        self._limits = HttpLimits(
+            settings.resources.service_connections,
+            MAX_TEXT_BYTES + BODY_BUFFER_BYTES,
+        )
+        self._events = ports.events
         self._listener: HttpListener | None = None
 
     async def start(self, tasks: TaskGroup) -> None:
         """Start listening on the admin address."""
-        self._listener = HttpListener(self._application, self._address)
+        self._listener = HttpListener(
+            self._application,
+            self._address,
+            LISTENER_NAME,
+            self._limits,
+            lambda kind, fields: self._events.emit(kind, **fields),
+        )
         await self._listener.start(tasks)
 
+    def collect_metrics(self) -> Iterable[Metric]:
+        """Return the metrics of the listener."""
+        if self._listener is None or self._listener.connections is None:
+            return ()
+        return collect_listener_metrics({LISTENER_NAME: self._listener.connections})
+
     async def stop(self) -> None:
         """Stop listening once the requests in progress are answered."""
         if self._listener is not None:
@@ -72,6 +94,7 @@
         metrics = [*collect_process_metrics(distribution.snapshot), *meter.collect()]
         for metric_source in metric_sources:
             metrics.extend(metric_source())
+        metrics.extend(service.collect_metrics())
         return metrics
 
     ports = Ports(
@@ -82,4 +105,5 @@
         upstream.drain,
         collect_metrics,
     )
-    return AdminService(settings, ports, meter)
+    service = AdminService(settings, ports, meter)
+    return service
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
@@ -1,6 +1,6 @@
 """Composition root of a daemon that relays calls."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Sequence
 from typing import Protocol
 
 import msgspec
@@ -10,7 +10,11 @@
 from godwitpass.internal.distribution.reader import DocumentSource
 from godwitpass.internal.rollouts.records import RolloutSource
 from godwitpass.store import Store
+from godwitpass_daemon.admin.metrics import Metric
 from godwitpass_daemon.eventlog.service import EventLog
+from godwitpass_daemon.http.connections import Connections
+from godwitpass_daemon.http.limits import HttpLimits
+from godwitpass_daemon.http.metrics import collect_listener_metrics
 from godwitpass_daemon.kernel import Kernel, Service
 from godwitpass_daemon.listeners import Application, HttpListener
 from godwitpass_daemon.peers import PeerTransport
@@ -46,14 +50,35 @@
 class ListenerService:
     """Serves an application on one address."""
 
-    def __init__(self, application: Application, address: Address) -> None:
+    def __init__(
+        self,
+        name: str,
+        application: Application,
+        address: Address,
+        max_connections: int,
+        events: EventLog,
+    ) -> None:
+        self._name = name
         self._application = application
         self._address = address
+        self._limits = HttpLimits(max_connections)
+        self._events = events
         self._listener: HttpListener | None = None
 
+    @property
+    def connections(self) -> Connections | None:
+        """The open connections and their counts; None before the start."""
+        return None if self._listener is None else self._listener.connections
+
     async def start(self, tasks: TaskGroup) -> None:
         """Start listening."""
-        self._listener = HttpListener(self._application, self._address)
+        self._listener = HttpListener(
+            self._application,
+            self._address,
+            self._name,
+            self._limits,
+            lambda kind, fields: self._events.emit(kind, **fields),
+        )
         await self._listener.start(tasks)
 
     async def stop(self) -> None:
@@ -136,7 +161,7 @@
     has_rollouts = _register_rollouts(kernel, settings, dependencies)
     # Registered before the relay, so that they still respond while it finishes its calls.
     for name, address, build in dependencies.listeners:
-        _register_listener(kernel, name, address, build)
+        _register_listener(kernel, settings, name, address, build)
     kernel.register(
         "relay",
         lambda services: RelayService(
@@ -150,6 +175,9 @@
             services.find("freshness", FreshnessService) if freshness_settings else None,
             services.find("quotas", QuotaService) if quota_settings else None,
             dependencies.store,
+            lambda: _collect_listener_metrics(
+                services, [name for name, _, _ in dependencies.listeners]
+            ),
         ),
     )
     return kernel
@@ -176,7 +204,23 @@
 
 
 def _register_listener(
-    kernel: Kernel, name: str, address: Address, build: BuildApplication
+    kernel: Kernel, settings: Settings, name: str, address: Address, build: BuildApplication
 ) -> None:
     application = build(lambda: kernel.find("relay", RelayService))
-    kernel.register(name, lambda _: ListenerService(application, address))
+    kernel.register(
+        name,
+        lambda services: ListenerService(
+            name,
+            application,
+            address,
+            settings.resources.service_connections,
+            services.find("events", EventLog),
+        ),
+    )
+
+
+def _collect_listener_metrics(kernel: Kernel, names: Sequence[str]) -> Iterator[Metric]:
+    connections_by_name = {name: kernel.find(name, ListenerService).connections for name in names}
+    return collect_listener_metrics(
+        {name: item for name, item in connections_by_name.items() if item is not None}
+    )
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -4,6 +4,7 @@
 import gc
 import random
 import time
+from collections.abc import Callable, Iterable
 
 import anyio
 import msgspec
@@ -29,7 +30,7 @@
 from godwitpass.mesh import UpstreamState
 from godwitpass.snapshot import Snapshot
 from godwitpass.store import Store
-from godwitpass_daemon.admin.metrics import render_metrics
+from godwitpass_daemon.admin.metrics import Metric, render_metrics
 from godwitpass_daemon.eventlog.service import EventLog
 from godwitpass_daemon.listeners import split_address
 from godwitpass_daemon.relay.call_admission import ProofSource
@@ -136,7 +137,9 @@
         freshness: FreshnessService | None = None,
         quotas: QuotaService | None = None,
         store: Store | None = None,
+        collect_listener_metrics: Callable[[], Iterable[Metric]] = tuple,
     ) -> None:
+        self._collect_listener_metrics = collect_listener_metrics
         self._crash_guard = crash_guard
         self._rollouts = rollouts
         self._freshness = freshness
@@ -375,6 +378,7 @@
             metrics += collect_quota_metrics(self._quotas)
         if self._rollouts is not None:
             metrics += self._rollouts.collect_metrics()
+        metrics += self._collect_listener_metrics()
         return render_metrics(metrics)
 
     def apply_heartbeat(self, heartbeat: Heartbeat) -> UpdateOutcome:
