Let a stalled body hold up no other request to the administration API

Seen: a client with the token that sends a part of a small body held the lock for bodies, and others with a body waited for up to 20 s. Cause: the lock was taken before the body was read.

Change: the first 64 KiB are read before the lock is taken, and a larger body may stall for 2 s while it holds the lock. 16 requests in progress hold at most 1 MiB so. The new test fails without the change: the second request is not answered while the first stalls.

Cost: a large document over a link that stops for 2 s is answered with 408 and must be sent again.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/admin/application.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/admin/application.py
@@ -13,15 +13,17 @@
     StoreUnavailable,
     StoreWentBack,
 )
+from godwitpass.internal.validation.text import MAX_TEXT_BYTES
 from godwitpass_daemon.admin import events
 from godwitpass_daemon.admin.endpoints import Endpoint, find_endpoint, list_methods
 from godwitpass_daemon.admin.handlers import ApiContext
 from godwitpass_daemon.admin.http import (
+    SMALL_BODY_BYTES,
+    BodyReader,
     HttpError,
     Request,
     Response,
     parse_head,
-    read_body,
     send_response,
 )
 from godwitpass_daemon.admin.memory import release_freed_memory
@@ -36,7 +38,7 @@
 
 def build_application(context: ApiContext, meter: RequestMeter) -> Application:
     """Return the ASGI application that serves `context` and records its requests in `meter`."""
-    # Reading one body at a time bounds the memory that large documents take.
+    # Reading one large body at a time bounds the memory that documents take.
     body_lock = anyio.Lock()
     requests_in_progress = 0
 
@@ -72,9 +74,11 @@
             _authorize(context, request)
         if endpoint.body_type is None:
             return await endpoint.handler(context, request)
+        reader = BodyReader(request, receive)
+        await reader.read(SMALL_BODY_BYTES)
         async with body_lock:
             try:
-                return await _handle_with_body(context, endpoint, request, receive)
+                return await _handle_with_body(context, endpoint, request, reader)
             finally:
                 # The C allocator would otherwise keep the memory that a large document took.
                 release_freed_memory()
@@ -83,9 +87,9 @@
 
 
 async def _handle_with_body(
-    context: ApiContext, endpoint: Endpoint, request: Request, receive: Receive
+    context: ApiContext, endpoint: Endpoint, request: Request, reader: BodyReader
 ) -> Response:
-    body = await read_body(request, receive)
+    body = await reader.read(MAX_TEXT_BYTES + 1)
     request_with_body = Request(request.method, request.path, request.query, request.headers, body)
     return await endpoint.handler(context, request_with_body)
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/admin/http.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/admin/http.py
@@ -1,5 +1,6 @@
 """Requests and responses of the administration API, on top of ASGI."""
 
+import math
 from collections.abc import Mapping
 from urllib.parse import parse_qsl
 
@@ -12,6 +13,15 @@
 from godwitpass_daemon.listeners import Receive, Scope, Send
 
 BODY_TIMEOUT_S = 20.0
+STALL_TIMEOUT_S = 2.0
+"""How long a large body may stall while other requests with bodies wait for it."""
+
+LISTENER_BODY_TIMEOUT_S = 60.0
+"""Time for a body on the connection, including the wait for other large bodies."""
+
+SMALL_BODY_BYTES = 64 * 1024
+"""A body is read up to here beside others."""
+
 MAX_QUERY_BYTES = 1024
 JSON_CONTENT_TYPE = "application/json"
 
@@ -57,30 +67,46 @@
     return Request(scope["method"], scope["path"], dict(pairs), headers)
 
 
-async def read_body(request: Request, receive: Receive) -> bytes:
-    """Return the body; raises `HttpError` when it is too large or arrives too slowly."""
-    declared_length = request.headers.get("content-length", "0")
-    if declared_length.isdigit() and int(declared_length) > MAX_TEXT_BYTES:
-        raise _build_too_large_error()
-    with anyio.move_on_after(BODY_TIMEOUT_S):
-        return await _receive_body(receive)
-    message = f"the body did not arrive within {BODY_TIMEOUT_S:g} s"
-    raise HttpError(408, Problem(ProblemKind.TOO_SLOW, message, "send the request again"))
+class BodyReader:
+    """Reads the body of a request in steps.
 
+    Raises `HttpError` when the body is too large, arrives too slowly, or stalls beyond its first
+    `SMALL_BODY_BYTES`, since other requests then wait for it.
+    """
 
-async def _receive_body(receive: Receive) -> bytes:
-    body = bytearray()
-    while True:
-        message = await receive()
+    def __init__(self, request: Request, receive: Receive) -> None:
+        declared_length = request.headers.get("content-length", "0")
+        if declared_length.isdigit() and int(declared_length) > MAX_TEXT_BYTES:
+            raise _build_too_large_error()
+        self._receive = receive
+        self._body = bytearray()
+        self._is_complete = False
+        self._expires_at = math.inf
+
+    async def read(self, size: int) -> bytes:
+        """Read until the end of the body or `size` bytes; return the body if it is complete."""
+        self._expires_at = anyio.current_time() + BODY_TIMEOUT_S
+        while not self._is_complete and len(self._body) < size:
+            await self._read_part()
+        return bytes(self._body) if self._is_complete else b""
+
+    async def _read_part(self) -> None:
+        now = anyio.current_time()
+        is_small = len(self._body) < SMALL_BODY_BYTES
+        expires_at = self._expires_at if is_small else min(self._expires_at, now + STALL_TIMEOUT_S)
+        with anyio.CancelScope(deadline=expires_at) as scope:
+            message = await self._receive()
+        if scope.cancelled_caught:
+            text = f"the body did not arrive within {BODY_TIMEOUT_S:g} s, or stalled"
+            raise HttpError(408, Problem(ProblemKind.TOO_SLOW, text, "send the request again"))
         if message["type"] == "http.disconnect":
             raise build_bad_request_error(
                 "the connection closed before the end of the body", "send the request again"
             )
-        body += message.get("body", b"")
-        if len(body) > MAX_TEXT_BYTES:
+        self._body += message.get("body", b"")
+        if len(self._body) > MAX_TEXT_BYTES:
             raise _build_too_large_error()
-        if not message.get("more_body", False):
-            return bytes(body)
+        self._is_complete = not message.get("more_body", False)
 
 
 async def send_response(response: Response, send: Send) -> None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/admin/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/admin/service.py
@@ -10,6 +10,7 @@
 from godwitpass.snapshot import Snapshot
 from godwitpass_daemon.admin.application import build_application
 from godwitpass_daemon.admin.handlers import ApiContext
+from godwitpass_daemon.admin.http import LISTENER_BODY_TIMEOUT_S
 from godwitpass_daemon.admin.meter import RequestMeter, collect_process_metrics
 from godwitpass_daemon.admin.metrics import Metric
 from godwitpass_daemon.admin.ports import Acceptance, Events, Ports
@@ -55,6 +56,7 @@
         self._limits = HttpLimits(
             settings.resources.service_connections,
             MAX_TEXT_BYTES + BODY_BUFFER_BYTES,
+            body_timeout_s=LISTENER_BODY_TIMEOUT_S,
         )
         self._events = ports.events
         self._listener: HttpListener | None = None
--- a/packages/godwitpass-daemon/tests/admin/test_admin.py
+++ b/packages/godwitpass-daemon/tests/admin/test_admin.py
@@ -26,7 +26,11 @@
 )
 from godwitpass.internal.validation.text import MAX_TEXT_BYTES
 from godwitpass.mesh import UpstreamState
-from godwitpass_daemon.admin.application import MAX_CONCURRENT_REQUESTS, build_application
+from godwitpass_daemon.admin.application import (
+    MAX_CONCURRENT_REQUESTS,
+    build_application,
+    handle_request,
+)
 from godwitpass_daemon.admin.endpoints import ENDPOINTS
 from godwitpass_daemon.admin.handlers import ApiContext
 from godwitpass_daemon.admin.meter import RequestMeter
@@ -261,3 +265,37 @@
                 endpoint.error_statuses
             )
         assert {"Document", "Problem", "Finding"} <= description["components"]["schemas"].keys()
+
+
+class TestBodies:
+    def test_a_body_that_stalls_does_not_hold_up_another(self) -> None:
+        context = ApiContext(SETTINGS, FakeDaemon().build_ports(RequestMeter()))
+        scope = {
+            "method": "PUT",
+            "path": "/v1/document",
+            "headers": [(b"authorization", f"Bearer {ADMIN_TOKEN}".encode())],
+        }
+
+        async def stall() -> dict[str, Any]:
+            await anyio.sleep_forever()
+            raise AssertionError
+
+        async def receive() -> dict[str, Any]:
+            return {"type": "http.request", "body": json.dumps(DOCUMENT).encode()}
+
+        async def check() -> None:
+            lock = anyio.Lock()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(handle_request, context, scope, stall, lock)
+                await anyio.wait_all_tasks_blocked()
+                responses = []
+
+                async def send_whole() -> None:
+                    responses.append(await handle_request(context, scope, receive, lock))
+
+                tasks.start_soon(send_whole)
+                await anyio.wait_all_tasks_blocked()
+                tasks.cancel_scope.cancel()
+            assert [response.status for response in responses] == [200]
+
+        anyio.run(check)
