Report ready only once calls are accepted

Seen: in one run of the tests a daemon that had restarted answered its readiness probe with 200, and the next connection of a caller was refused (test_a_daemon_without_the_store_gets_the_version_from_other_daemons; its class passed when run again).

Cause: readiness looked at the configuration and the stop only. The probe's listener starts before the relay, and the configuration can be applied before the relay listens.

Evidence: the new test holds the relay back until it has a configuration; before the change it was ready then. The class TestConfiguration passes (8).

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -150,6 +150,7 @@
         self._membership = membership
         self._events = events
         self._servers: list[asyncio.Server] = []
+        self._is_listening = False
         self._core: RelayCore | None = None
         self._is_upstream_silent = False
         self._identifier = UpstreamIdentifier(
@@ -183,9 +184,10 @@
 
     @property
     def is_ready(self) -> bool:
-        """Return whether a configuration is held and the daemon isn't stopping."""
+        """Return whether calls are accepted, a configuration is held and no stop is in progress."""
         core = self._core
-        return core is not None and core.table is not None and not core.is_stopping
+        has_table = core is not None and core.table is not None
+        return self._is_listening and has_table and not self.core.is_stopping
 
     def describe_readiness(self) -> Readiness:
         """Return what a readiness probe reports."""
@@ -239,6 +241,7 @@
         self._distribution.subscribe(self._apply_snapshot)
         self._membership.subscribe(core.update_upstreams)
         await self._listen(loop, core)
+        self._is_listening = True
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
         tasks.start_soon(self._check_timeouts)
--- a/tests/cover/test_platform.py
+++ b/tests/cover/test_platform.py
@@ -3,6 +3,7 @@
 import json
 import re
 from pathlib import Path
+from typing import Any
 
 import anyio
 import anyio.lowlevel
@@ -537,6 +538,30 @@
 
         run_check(check)
 
+    def test_a_daemon_is_not_ready_before_it_accepts_calls(
+        self, run_check: RunCheck, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        ready_before_listening = []
+        listen = RelayService._listen
+
+        async def wait_for_table(relay: RelayService, *arguments: Any) -> None:
+            while relay.core.table is None:
+                await anyio.sleep(0.01)
+            ready_before_listening.append(relay.is_ready)
+            await listen(relay, *arguments)
+
+        async def check(deployment: Deployment) -> None:
+            machine = deployment.machines[2]
+            await machine.stop()
+            async with anyio.create_task_group() as tasks:
+                await machine.start(tasks)
+                await machine.stop()
+                tasks.cancel_scope.cancel()
+
+        monkeypatch.setattr(RelayService, "_listen", wait_for_table)
+        run_check(check)
+        assert ready_before_listening == [False]
+
 
 class TestSettings:
     def test_a_changed_file_is_applied_and_an_invalid_one_changes_nothing(
