Bound the memory and time that the input of callers takes

Causes: whole reads of up to 256 KB were parsed before any limit; bodies were lists of chunks; heads in progress, pipelined heads, bodies of calls in progress and responses behind unread ones were not counted; chunk extensions, trailers and empty lines had no bound; parsing was not shared. Callers are now read in parts of 8 KB into one buffer; limits act between the parts. A body is one bytearray. Input that brings no request forward is refused. A caller that reads nothing is read no further, and closed after the idle timeout. At the bound of connections the longest idle one is closed. Parsers and bodies are dropped on rejection and close. The test of an invalid request calls the method that parses, now named receive; two tests build objects with the budget they need.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
@@ -178,6 +178,7 @@
             lambda: _collect_listener_metrics(
                 services, [name for name, _, _ in dependencies.listeners]
             ),
+            settings.resources,
         ),
     )
     return kernel
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -35,11 +35,13 @@
 from godwitpass_daemon.relay.headers import HeaderNames
 from godwitpass_daemon.relay.inbound_peers import InboundLinks
 from godwitpass_daemon.relay.ingress import CallerConnection
+from godwitpass_daemon.relay.intake import Intake, LimitLog
 from godwitpass_daemon.relay.limits import TIMEOUT_CHECK_INTERVAL_S
 from godwitpass_daemon.relay.links import Link, LocalLink, PeerLink, StreamHandler
 from godwitpass_daemon.relay.pipelining import PipelinedRequest
 from godwitpass_daemon.relay.settlement import LinkIdentity, settle
 from godwitpass_daemon.relay.upstream_runner import UpstreamRunner
+from godwitpass_daemon.resources import DEFAULT_RESOURCES, Resources
 
 LARGE_BODY_BYTES = 16 * 1024
 """Calls with larger bodies use a separate connection, so that short calls don't wait for them.
@@ -80,6 +82,7 @@
         count_daemons: Callable[[], int],
         emit: Emit,
         extra_request_share: float = 0.0,
+        resources: Resources = DEFAULT_RESOURCES,
     ) -> None:
         self.loop = loop
         self.runner = runner
@@ -93,7 +96,7 @@
         self.caller_connections: set[CallerConnection] = set()
         self.requests_awaiting_configuration: dict[PipelinedRequest, CallerConnection] = {}
         self.inbound_links = InboundLinks(own_instance, loop.time)
-        self.buffered_body_bytes = 0
+        self.intake = Intake(loop, resources, LimitLog(loop.time, emit))
         self.calls_in_progress = 0
         self.is_stopping = False
         self.is_refusing = False
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
@@ -263,6 +263,7 @@
         self._response_bytes = len(frame.body)
         head = self._encode_head(frame)
         self._streaming = attempt
+        self._body = b""
         self._request.is_chunked = frame.body_bytes < 0
         chunk = self._encode_chunk(frame.body, frame.body_bytes)
         self._request.write_response(head + chunk, is_last=False)
@@ -607,6 +608,7 @@
     def _finish(self, outcome: str, status: int, frame: Response | None = None) -> None:
         assert not self._has_ended, "a call ends once"
         self._has_ended = True
+        self._body = b""
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
         self._cancel_extra_timer()
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
@@ -2,27 +2,25 @@
 
 import asyncio
 import math
+import time
 from collections import deque
-from functools import partial
 from typing import TYPE_CHECKING, cast
 
 import httptools
 
-from godwitpass.internal.customers.directory import Caller
-from godwitpass.internal.quotas.interface import QuotaDecision, QuotaRefused
 from godwitpass.internal.relay.configuration_wait import compute_configuration_wait_s
 from godwitpass.internal.relay.routes import RelayTable
 from godwitpass_daemon.edge.heads import Header
-from godwitpass_daemon.relay.forwarded_calls import ForwardedCall
-from godwitpass_daemon.relay.headers import (
-    RequestRejected,
-    encode_local_response,
-    parse_request_head,
-)
+from godwitpass_daemon.relay.call_start import find_route, passes_check, reject, start_call
+from godwitpass_daemon.relay.headers import RequestRejected, parse_request_head
 from godwitpass_daemon.relay.limits import (
+    HEADER_MEMORY_BYTES,
     LINGERING_CLOSE_S,
-    MAX_BUFFERED_BODY_BYTES,
+    LONG_PARSE_S,
     MAX_PIPELINED_REQUESTS,
+    RAW_HEAD_RATIO,
+    READ_BYTES,
+    REQUEST_MEMORY_BYTES,
     WRITE_BUFFER_BYTES,
 )
 from godwitpass_daemon.relay.pipelining import PipelinedRequest
@@ -31,28 +29,42 @@
     from godwitpass_daemon.relay.core import RelayCore
 
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
-NO_CONFIGURATION_RETRY_AFTER_S = 0.3
-"""About the time until a daemon that has just started holds a configuration and a proof."""
 
 
-class CallerConnection(asyncio.Protocol):
-    """A caller's connection; reads requests and writes the responses in the same order."""
+class CallerConnection(asyncio.BufferedProtocol):
+    """A caller's connection; reads requests and writes the responses in the same order.
+
+    `_stalled_bytes` counts the input since the last byte of a body or the last complete head, and
+    `_progress_at` is when the body of the request that is being read has last grown. The parser is
+    dropped when nothing more is to be read. Reading is deferred while the connection waits for a
+    turn.
+    """
 
     def __init__(self, core: "RelayCore") -> None:
         self._core = core
+        self._intake = core.intake
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._body = bytearray()
+        self.on_body = self._body.extend
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._requests: deque[PipelinedRequest] = deque()
         self._current_request: PipelinedRequest | None = None
         self._target = b""
         self._headers: list[Header] = []
         self._is_reading_head = False
         self._head_bytes = 0
+        self._measured_headers = 0
+        self._stalled_bytes = 0
+        self._progress_at = 0.0
+        self._discarded_bytes = 0
+        self._is_partial = False
         self._is_paused = False
+        self._is_deferred = False
         self._is_writing_paused = False
+        self._unread_bytes = 0.0
+        self._unread_since = 0.0
         self._untaken_bytes = 0
-        self._has_read_last_request = False
-        self._is_stopped = False
+        self.is_stopped = False
         self._expires_at = math.inf
 
     @property
@@ -60,6 +72,10 @@
         """Return whether no request is in progress."""
         return not self._requests and not self._is_reading_head
 
+    def is_first(self, request: PipelinedRequest) -> bool:
+        """Tell whether the responses to all requests before `request` are written."""
+        return bool(self._requests) and self._requests[0] is request
+
     def closes_after(self, request: PipelinedRequest) -> bool:
         """Tell whether the connection closes after the response to `request`."""
         if not request.keep_alive or not request.is_request_complete:
@@ -68,9 +84,12 @@
         return self._core.is_stopping and is_last and not self._is_reading_head
 
     def flush_responses(self) -> None:
-        """Write the responses that are next in order."""
+        """Write the responses that are next in order, unless the caller reads too slowly."""
         transport = self._transport
         while self._requests and transport is not None:
+            if self._is_writing_paused:
+                self._update_reading()
+                return
             request = self._requests[0]
             data = request.take_pending_output()
             if data and not transport.is_closing():
@@ -81,24 +100,28 @@
                 return
             self._untaken_bytes = 0
             self._requests.popleft()
+            request.release()
             if request.closes_connection:
                 self._start_lingering_close()
                 return
             self._start_next()
         if not self._is_reading_head:
-            self._expires_at = self._core.now() + self._core.idle_timeout_s
-        self._resume_reading()
+            self._become_idle()
+        self._update_reading()
 
     def abort(self) -> None:
         """Close the connection at once."""
-        self._is_stopped = True
+        self.is_stopped = True
         if self._transport is not None:
             self._transport.abort()
 
     @property
     def has_unsent_output(self) -> bool:
         """Return whether the caller has yet to take parts of responses."""
-        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+        if self._transport is None:
+            return False
+        has_pending = bool(self._requests) and self._requests[0].has_pending_output
+        return has_pending or self._transport.get_write_buffer_size() > 0
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
@@ -106,59 +129,119 @@
             self._transport.close()
 
     def check_timeouts(self, now: float) -> None:
-        """Enforce the timeouts of the head, the body and the idle connection."""
+        """Enforce the timeouts of the head, the body, the idle connection and the responses."""
         transport = self._transport
         if transport is None:
             return
-        if now >= self._expires_at:
+        # While reading is paused, the rest of a head can't arrive.
+        if now >= self._expires_at and not (self._is_paused and self._is_reading_head):
             self._expires_at = math.inf
-            if self._is_stopped or not self._is_reading_head:
+            if self.is_stopped or not self._is_reading_head:
                 transport.abort()
             else:
                 self._reject_current(408, "the head took too long")
             return
+        if self._is_writing_paused:
+            self._check_unread_output(transport.get_write_buffer_size(), now)
+            return
         request = self._current_request
         if request is not None and request.head is not None and not request.is_request_complete:
             timeout_ms = request.head.timeout_ms
+            progress_at = max(request.arrived_at, self._progress_at)
             if timeout_ms is not None and now > request.arrived_at + timeout_ms / 1000:
                 self._reject_current(408, "the body took too long")
+            elif now > progress_at + self._core.idle_timeout_s and not self._is_paused:
+                self._record_limit("idle body")
+                self._reject_current(408, "the body does not arrive")
+
+    def make_room(self) -> None:
+        """Refuse the request that is being read, or close if the responses are not read."""
+        self._is_partial = False
+        if self._current_request is not None:
+            self._record_limit("memory")
+            self._reject_current(503, "too many requests are held")
+        elif self._is_writing_paused:
+            self._record_limit("memory")
+            self.abort()
+
+    def check_output(self) -> None:
+        """Make room for responses that can't be written yet."""
+        budget = self._intake.budget
+        budget.record_progress(self)
+        self._is_partial = True
+        budget.has_room(0)
+
+    def take_turn(self) -> None:
+        """Read the next part of the input."""
+        self._is_deferred = False
+        self._update_reading()
 
     # Called by asyncio.
 
     def pause_writing(self) -> None:
-        """Stop extending the windows of streamed responses; the caller reads too slowly."""
+        """Stop reading requests and writing responses; the caller reads too slowly."""
         self._is_writing_paused = True
+        self._unread_bytes = math.inf
 
     def resume_writing(self) -> None:
-        """Extend the window of the streamed response again."""
+        """Go on with the responses."""
         self._is_writing_paused = False
-        if self._requests:
-            self._report_output_taken(self._requests[0])
+        self._forget_partial()
+        for request in list(self._requests):
+            if request.is_request_complete and request.route is not None and not self.is_stopped:
+                start_call(self._core, request)
+        self.flush_responses()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport and start the idle timeout."""
+        """Store the transport and start the idle timeout; close if too many are open."""
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        self._core.caller_connections.add(self)
-        self._expires_at = self._core.now() + self._core.idle_timeout_s
-
-    def data_received(self, data: bytes) -> None:
-        """Parse received data, and pause reading while too many requests await a response."""
-        if self._is_stopped or self._has_read_last_request:
+        connections = self._core.caller_connections
+        if len(connections) >= self._intake.max_connections:
+            self._record_limit("connections")
+            if not self._intake.close_longest_idle():
+                self.abort()
+                return
+        connections.add(self)
+        self._become_idle()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer of all connections, which is parsed before the next read."""
+        return self._intake.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what has been read."""
+        self.receive(self._intake.read_buffer[:nbytes])
+
+    def receive(self, data: bytes | memoryview) -> None:
+        """Parse a part of the input, at most `READ_BYTES`, and check incomplete requests."""
+        parser = self._parser
+        if parser is None:
+            # Input is discarded in turns too, since a client may send without end.
+            self._defer(0.0)
             return
-        if self._is_reading_head:
-            self._head_bytes += len(data)
+        started_at = time.perf_counter()
+        previous, body_bytes = self._current_request, len(self._body)
+        self._stalled_bytes += len(data)
         try:
-            self._parser.feed_data(data)
+            parser.feed_data(data)
         except httptools.HttpParserCallbackError:
             # An error of this program: asyncio logs it and closes the connection.
             raise
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
-            self._reject_current(400, "not a request in HTTP/1.1")
-        if self._is_reading_head and self._head_bytes > self._core.limits.head_bytes:
-            self._reject_current(431, "the head is too large")
+            if self._parser is not None:
+                self._reject_current(400, "not a request in HTTP/1.1")
+        request = self._current_request
+        if self._parser is None:
+            self._drop_input()
+        elif request is not None or self._stalled_bytes > READ_BYTES:
+            self._check_incomplete(request)
         if len(self._requests) >= MAX_PIPELINED_REQUESTS:
-            self._pause_reading()
+            self._update_reading()
+        spent_s = time.perf_counter() - started_at
+        is_costly = request is previous and 2 * (len(self._body) - body_bytes) < len(data)
+        if (is_costly and request is not None) or spent_s > LONG_PARSE_S:
+            self._defer(spent_s)
 
     def eof_received(self) -> bool:
         """Close the connection; a caller that half-closes it counts as disconnected."""
@@ -166,25 +249,29 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the calls in progress."""
-        self._is_stopped = True
+        self.is_stopped = True
         self._core.caller_connections.discard(self)
+        self._intake.idle.pop(self, None)
+        self._stop_reading()
         self._drop_requests()
 
     # Called by the parser.
 
     def on_message_begin(self) -> None:
         """Start a request and its head timeout."""
+        if self._parser is None:
+            return
         now = self._core.now()
-        self._current_request = PipelinedRequest(self, now)
-        self._target = b""
-        self._headers = []
+        self._current_request = PipelinedRequest(self, self._intake.budget, now)
+        self._intake.idle.pop(self, None)
         self._is_reading_head = True
-        self._head_bytes = 0
+        self._stalled_bytes = self._head_bytes = self._measured_headers = 0
         self._expires_at = now + self._core.limits.head_timeout_ms / 1000
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target."""
-        self._target += url
+        if self._is_reading_head:
+            self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header; trailers are dropped."""
@@ -193,15 +280,17 @@
 
     def on_headers_complete(self) -> None:
         """Validate the head and find the route."""
-        request = self._current_request
-        if request is None or self._is_stopped:
+        request, parser = self._current_request, self._parser
+        if request is None or parser is None or self.is_stopped:
             return
         self._is_reading_head = False
         self._expires_at = math.inf
         self._requests.append(request)
-        request.keep_alive = bool(self._parser.should_keep_alive())
+        request.keep_alive = bool(parser.should_keep_alive())
+        target, self._target = self._target, b""
+        headers, self._headers = self._headers, []
         try:
-            self._process_head(request)
+            self._process_head(request, parser, target, headers)
         except RequestRejected as rejection:
             if rejection.status in (401, 404, 503):
                 # Reject after the body has been read, so that the connection stays usable.
@@ -209,6 +298,11 @@
             else:
                 self._reject_current(rejection.status, rejection.reason)
             return
+        finally:
+            self._stalled_bytes = self._discarded_bytes = 0
+            if not request.is_response_complete:
+                head_bytes = len(request.head.encoded) if request.head is not None else 0
+                request.hold(REQUEST_MEMORY_BYTES + head_bytes - request.held_bytes)
         assert request.head is not None
         if (
             request.head.expects_continue
@@ -217,50 +311,101 @@
         ):
             self._transport.write(CONTINUE_RESPONSE)
 
-    def on_body(self, chunk: bytes) -> None:
-        """Buffer a part of the body."""
+    def on_message_complete(self) -> None:
+        """Start the call, or wait for a configuration."""
         request = self._current_request
-        if request is None or self._is_stopped or request.rejection is not None:
+        if request is None or self._parser is None or self.is_stopped:
             return
-        request.body_chunks.append(chunk)
-        request.body_bytes += len(chunk)
-        self._core.buffered_body_bytes += len(chunk)
-        if request.body_bytes > self._core.limits.body_bytes:
+        core, budget = self._core, self._intake.budget
+        if len(self._body) > core.limits.body_bytes and request.rejection is None:
             self._reject_current(413, "the body is too large")
-        elif self._core.buffered_body_bytes > MAX_BUFFERED_BODY_BYTES:
-            self._reject_current(503, "too many bodies are held")
-
-    def on_message_complete(self) -> None:
-        """Start the call, or wait for a configuration."""
-        request, self._current_request = self._current_request, None
-        if request is None or self._is_stopped:
             return
+        self._current_request = None
+        self._stalled_bytes = 0
+        if self._is_partial:
+            self._forget_partial()
         request.is_request_complete = True
         if not request.keep_alive:
             # Reading goes on, because it is the only way to notice that the caller disconnects.
-            self._has_read_last_request = True
+            self._parser = None
         if request.rejection is not None:
-            core = self._core
-            self._reject(
+            self._body.clear()
+            reject(
+                core,
                 request,
                 core.admission.confirm_rejection(request.rejection, core.table, request.version),
             )
-        elif request.route is not None:
-            if self._passes_check(request):
-                self._start(request)
-        else:
+            return
+        if self._body:
+            request.body = bytes(self._body)
+            request.hold_body(len(request.body))
+            self._body.clear()
+        if budget.held_bytes > budget.large_limit_bytes and not budget.has_room(request.held_bytes):
+            self._record_limit("memory")
+            reject(core, request, RequestRejected(503, "too many requests are held"))
+        elif request.route is None:
             self._await_configuration(request)
+        elif passes_check(core, request) and not self._is_writing_paused:
+            start_call(core, request)
 
     def resume_request(self, request: PipelinedRequest) -> None:
         """Route and start a request that waited for a configuration."""
         self._stop_waiting(request)
-        if self._find_route(request) and self._passes_check(request):
-            self._start(request)
+        if find_route(self._core, request) and passes_check(self._core, request):
+            start_call(self._core, request)
 
     def give_up_waiting(self, request: PipelinedRequest) -> None:
         """Refuse a request that waited for a configuration."""
         self._stop_waiting(request)
-        self._reject(request, RequestRejected(503, "no configuration yet"))
+        reject(self._core, request, RequestRejected(503, "no configuration yet"))
+
+    def _check_incomplete(self, request: PipelinedRequest | None) -> None:
+        """Reject input that exceeds a limit or brings no request forward."""
+        limits, budget = self._core.limits, self._intake.budget
+        if self._is_reading_head and request is not None:
+            new_headers = self._headers[self._measured_headers :]
+            self._measured_headers += len(new_headers)
+            self._head_bytes += sum(len(name) + len(value) for name, value in new_headers)
+            raw_limit_bytes = RAW_HEAD_RATIO * limits.head_bytes + READ_BYTES
+            if (
+                self._head_bytes + len(self._target) > limits.head_bytes
+                or self._stalled_bytes > raw_limit_bytes
+            ):
+                self._reject_current(431, "the head is too large")
+                return
+            held_bytes = self._stalled_bytes + HEADER_MEMORY_BYTES * len(self._headers)
+            request.hold(REQUEST_MEMORY_BYTES + held_bytes - request.held_bytes)
+        elif not self._check_body(request):
+            return
+        if request is not None:
+            budget.record_progress(self)
+            self._is_partial = True
+            if budget.held_bytes > budget.large_limit_bytes:
+                budget.has_room(request.held_bytes)
+
+    def _check_body(self, request: PipelinedRequest | None) -> bool:
+        """Hold the part of the body that has arrived; return False if the input is rejected."""
+        limits = self._core.limits
+        if request is not None:
+            body_bytes = len(self._body)
+            if request.rejection is not None:
+                self._discarded_bytes += body_bytes
+                self._body.clear()
+                has_grown, body_bytes = body_bytes > 0, self._discarded_bytes
+            else:
+                has_grown = body_bytes > request.body_bytes
+                request.hold_body(body_bytes)
+            if has_grown:
+                self._stalled_bytes = 0
+                self._progress_at = self._core.now()
+            if body_bytes > limits.body_bytes:
+                self._reject_current(413, "the body is too large")
+                return False
+        if self._stalled_bytes > limits.head_bytes + READ_BYTES:
+            self._record_limit("no progress")
+            self._reject_current(400, "the input brings no request forward")
+            return False
+        return True
 
     def _await_configuration(self, request: PipelinedRequest) -> None:
         """Wait for the configuration, which a daemon that has just started receives soon."""
@@ -279,21 +424,28 @@
             request.wait_timer = None
             self._core.requests_awaiting_configuration.pop(request, None)
 
-    def _process_head(self, request: PipelinedRequest) -> None:
-        if self._parser.should_upgrade():
+    def _process_head(
+        self,
+        request: PipelinedRequest,
+        parser: httptools.HttpRequestParser,
+        target: bytes,
+        headers: list[Header],
+    ) -> None:
+        if parser.should_upgrade():
             raise RequestRejected(400, "upgrades are not supported")
-        if self._parser.get_http_version() != "1.1":
+        if parser.get_http_version() != "1.1":
             raise RequestRejected(505, "only HTTP/1.1 is supported")
         core = self._core
-        head_bytes = len(self._target) + sum(
-            len(name) + len(value) for name, value in self._headers
-        )
-        if head_bytes > core.limits.head_bytes:
-            raise RequestRejected(431, "the head is too large")
+        head_limit_bytes = core.limits.head_bytes
+        # A head that fits with all that was read since its start needs no exact check.
+        if self._stalled_bytes + READ_BYTES > head_limit_bytes:
+            head_bytes = len(target) + sum([len(name) + len(value) for name, value in headers])
+            if head_bytes > head_limit_bytes:
+                raise RequestRejected(431, "the head is too large")
         head = parse_request_head(
-            self._parser.get_method(),
-            self._target,
-            self._headers,
+            parser.get_method(),
+            target,
+            headers,
             core.header_names,
             core.caller_service,
             core.table is not None and core.table.customers.has_customers,
@@ -310,166 +462,95 @@
             raise RequestRejected(404, "no route")
         core.admission.identify(table, request.route, head)
 
-    def _find_route(self, request: PipelinedRequest) -> bool:
-        """Find the route of a complete request; reject it if there is none."""
-        table, head = self._core.table, request.head
-        assert table is not None and head is not None
-        request.route = table.find(head.host, head.path)
-        request.version = table.version
-        if request.route is None:
-            rejection = RequestRejected(404, "no route")
-            self._reject(
-                request, self._core.admission.confirm_rejection(rejection, table, table.version)
-            )
-        return request.route is not None
-
-    def _passes_check(self, request: PipelinedRequest) -> bool:
-        """Check a complete request, which may have to wait for earlier ones; else reject it."""
-        admission, table = self._core.admission, self._core.table
-        assert table is not None and request.head is not None
-        if (
-            request.version != table.version
-            and admission.needs_proof(table)
-            and not self._find_route(request)
-        ):
-            return False
-        assert request.route is not None
-        try:
-            admission.check(table, request.route, request.head)
-        except RequestRejected as rejection:
-            self._reject(request, rejection)
-            return False
-        return True
-
-    def _reject(self, request: PipelinedRequest, rejection: RequestRejected) -> None:
-        """Send an error response to a request that is not routed, in the order of the requests."""
-        core = self._core
-        request.route = None
-        self._release_body(request)
-        request_id = request.head.request_id if request.head else ""
-        retry_after_s = rejection.retry_after_s
-        if retry_after_s is None and rejection.status == 503:
-            retry_after_s = NO_CONFIGURATION_RETRY_AFTER_S
-        core.record_rejection(request_id, rejection.status, rejection.reason)
-        request.write_response(
-            encode_local_response(
-                rejection.status,
-                rejection.reason,
-                request_id.encode("latin-1"),
-                core.header_names.request_id,
-                retry_after_s,
-                request.decide_close(),
-            ),
-            is_last=True,
-        )
-
-    def _start(self, request: PipelinedRequest) -> None:
-        """Start a call; one that isn't idempotent waits for the responses to all earlier ones."""
-        assert request.route is not None
-        if request.is_started or (
-            not request.route.is_idempotent and self._requests[0] is not request
-        ):
-            return
-        request.is_started = True
-        caller = self._admit(request)
-        if caller is None:
-            return
-        decision = self._core.admission.acquire(
-            caller, partial(self._handle_late_quota_decision, request, caller)
-        )
-        if decision is not None:
-            self._handle_quota_decision(request, caller, decision)
-
-    def _admit(self, request: PipelinedRequest) -> Caller | None:
-        """Return the sender of a request that may start now, or reject it and return None."""
-        core = self._core
-        assert request.head is not None and request.route is not None and core.table is not None
-        try:
-            return core.admission.admit(core.table, request.route, request.head)
-        except RequestRejected as rejection:
-            self._reject(request, rejection)
-            return None
-
-    def _handle_late_quota_decision(
-        self, request: PipelinedRequest, caller: Caller, decision: QuotaDecision
-    ) -> None:
-        """Start or refuse a request after a wait, unless its sender has left or lost its key."""
-        if isinstance(decision, QuotaRefused):
-            if not self._is_stopped:
-                self._handle_quota_decision(request, caller, decision)
-            return
-        current = None if self._is_stopped else self._admit(request)
-        if (
-            current is None
-            or current.customer is None
-            or current.customer.name
-            != (caller.customer.name if caller.customer is not None else "")
-        ):
-            self._core.admission.release(caller, decision.permit)
-        else:
-            self._handle_quota_decision(request, current, decision)
-
-    def _handle_quota_decision(
-        self, request: PipelinedRequest, caller: Caller, decision: QuotaDecision
-    ) -> None:
-        if isinstance(decision, QuotaRefused):
-            rejection = RequestRejected(decision.status, decision.reason, decision.retry_after_s)
-            self._reject(request, rejection)
-            return
-        assert request.head is not None and request.route is not None
-        self._core.admission.record_start(caller)
-        body = b"".join(request.body_chunks)
-        request.call = ForwardedCall(
-            self._core, request, request.head, request.route, caller, decision.permit
-        )
-        request.call.start(body)
-        self._release_body(request)
-
     def _start_next(self) -> None:
         if (
             self._requests
+            and not self._is_writing_paused
             and self._requests[0].is_request_complete
             and self._requests[0].route is not None
         ):
-            self._start(self._requests[0])
-
-    def _release_body(self, request: PipelinedRequest) -> None:
-        self._core.buffered_body_bytes -= request.body_bytes
-        request.body_bytes = 0
-        request.body_chunks.clear()
+            start_call(self._core, self._requests[0])
 
     def _reject_current(self, status: int, reason: str) -> None:
         """Reject the request that is being read, in the order of the requests, and stop parsing."""
-        request = self._current_request or PipelinedRequest(self, self._core.now())
-        self._current_request = None
-        self._is_reading_head = False
-        self._has_read_last_request = True
+        request = self._current_request or PipelinedRequest(
+            self, self._intake.budget, self._core.now()
+        )
+        if self._is_reading_head:
+            request.release()
+        self._stop_reading(keeps_request=True)
         if request.is_response_complete:
             return
         request.keep_alive = False
         if request not in self._requests:
             self._requests.append(request)
-        self._reject(request, RequestRejected(status, reason))
+        reject(self._core, request, RequestRejected(status, reason))
+
+    def _stop_reading(self, keeps_request: bool = False) -> None:
+        """Parse nothing more, and drop what has been read of an incomplete request."""
+        request, self._current_request = self._current_request, None
+        if request is not None and not keeps_request:
+            request.release()
+        self._is_reading_head = False
+        self._parser = None
+        self._forget_partial()
+        self._drop_input()
+
+    def _drop_input(self) -> None:
+        self._target = b""
+        self._headers.clear()
+        self._body.clear()
+
+    def _forget_partial(self) -> None:
+        if self._is_partial:
+            self._is_partial = False
+            self._intake.budget.forget(self)
 
     def _drop_requests(self) -> None:
         requests, self._requests = list(self._requests), deque()
         for request in requests:
             self._stop_waiting(request)
-            self._release_body(request)
             if request.call is not None and not request.is_response_complete:
                 request.call.cancel()
+            request.release()
 
-    def _pause_reading(self) -> None:
-        if not self._is_paused and self._transport is not None and not self._transport.is_closing():
-            self._is_paused = True
-            self._transport.pause_reading()
+    def _become_idle(self) -> None:
+        self._expires_at = self._core.now() + self._core.idle_timeout_s
+        self._intake.idle[self] = None
 
-    def _resume_reading(self) -> None:
-        if self._is_paused and not self._is_stopped and self._transport is not None:
-            if len(self._requests) >= MAX_PIPELINED_REQUESTS or self._transport.is_closing():
-                return
-            self._is_paused = False
-            self._transport.resume_reading()
+    def _defer(self, spent_s: float) -> None:
+        """Read on when it is the turn of this connection."""
+        if not self._is_deferred and self._transport is not None:
+            self._is_deferred = True
+            self._update_reading()
+            self._intake.turns.defer(self, spent_s)
+
+    def _update_reading(self) -> None:
+        """Pause or resume reading."""
+        transport = self._transport
+        must_pause = self._is_deferred or (
+            not self.is_stopped
+            and (self._is_writing_paused or len(self._requests) >= MAX_PIPELINED_REQUESTS)
+        )
+        if must_pause is self._is_paused or transport is None or transport.is_closing():
+            return
+        self._is_paused = must_pause
+        if must_pause:
+            transport.pause_reading()
+        else:
+            transport.resume_reading()
+
+    def _check_unread_output(self, size_bytes: int, now: float) -> None:
+        """Close the connection of a caller that has not read for too long."""
+        if size_bytes < self._unread_bytes:
+            self._unread_bytes, self._unread_since = size_bytes, now
+        elif now > self._unread_since + self._core.idle_timeout_s:
+            self._record_limit("unread responses")
+            self.abort()
+
+    def _record_limit(self, reason: str) -> None:
+        address = self._transport.get_extra_info("peername") if self._transport else None
+        self._intake.limit_log.record(reason, str(address[0]) if address else "")
 
     def _report_output_taken(self, request: PipelinedRequest) -> None:
         """Report the response's bytes written so far, unless the caller reads too slowly."""
@@ -479,7 +560,8 @@
 
     def _start_lingering_close(self) -> None:
         """Close the sending side and discard input, so that the caller can read the response."""
-        self._is_stopped = True
+        self.is_stopped = True
+        self._stop_reading()
         self._drop_requests()
         transport = self._transport
         if transport is None or transport.is_closing():
@@ -488,7 +570,5 @@
             transport.close()
             return
         transport.write_eof()
-        if self._is_paused:
-            self._is_paused = False
-            transport.resume_reading()
+        self._update_reading()
         self._expires_at = self._core.now() + LINGERING_CLOSE_S
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
@@ -1,11 +1,22 @@
 """Limits of the relay: durations in seconds, sizes in bytes."""
 
-MAX_HEADERS = 100
 MAX_PIPELINED_REQUESTS = 64
 """Requests in progress per caller connection; beyond that, reading is paused."""
 
-MAX_BUFFERED_BODY_BYTES = 48 * 1024 * 1024
-"""Total size of the request bodies that a daemon buffers; requests beyond it are rejected."""
+READ_BYTES = 8 * 1024
+"""Input of callers is read and parsed in parts of this size; limits take effect between them."""
+
+RAW_HEAD_RATIO = 5
+"""Largest ratio of a head's size on the wire to the counted size, which omits punctuation."""
+
+HEADER_MEMORY_BYTES = 160
+"""Memory that a header takes while its head is incomplete, in addition to its text."""
+
+REQUEST_MEMORY_BYTES = 3 * 1024
+"""Memory that a request takes in addition to its head and body."""
+
+LONG_PARSE_S = 0.002
+"""A connection whose input takes longer to parse than this has to wait for a turn."""
 
 MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024
 """Responses up to this size are buffered until complete; longer ones are streamed."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/metrics.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/metrics.py
@@ -24,6 +24,15 @@
     yield _build_counter(
         "godwitpass_relay_runs_total", "Calls run here, by outcome.", runner.call_log.counts
     )
+    yield Metric(
+        "godwitpass_relay_limited_total",
+        "Requests refused and connections closed at a limit for clients, by reason.",
+        MetricKind.COUNTER,
+        tuple(
+            Sample(count, (Label("reason", reason.replace(" ", "-")),))
+            for reason, count in sorted(core.intake.limit_log.counts.items())
+        ),
+    )
     yield build_summary_metric(
         "godwitpass_relay_call_seconds",
         "Time from a request's head to its answer.",
@@ -39,7 +48,8 @@
         "runs_waiting": len(runner.scheduler.waiting),
         "caller_connections": len(core.caller_connections),
         "peer_connections": core.open_link_count,
-        "held_body_bytes": core.buffered_body_bytes,
+        "held_request_bytes": core.intake.budget.held_bytes,
+        "inputs_waiting_for_a_turn": core.intake.turns.waiting_count,
         "inbound_backlog_seconds": runner.flow_control.backlog_s,
         "outbound_backlog_seconds": runner.response_sender.flow_control.backlog_s,
         "upstream_connections_opened": runner.pool.opened_count,
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -52,6 +52,7 @@
     build_record,
 )
 from godwitpass_daemon.relay.upstream_runner import UpstreamRunner
+from godwitpass_daemon.resources import DEFAULT_RESOURCES, Resources
 from godwitpass_daemon.services.distribution import DistributionService
 from godwitpass_daemon.services.freshness import FreshnessService
 from godwitpass_daemon.services.membership import MembershipService
@@ -138,8 +139,10 @@
         quotas: QuotaService | None = None,
         store: Store | None = None,
         collect_listener_metrics: Callable[[], Iterable[Metric]] = tuple,
+        resources: Resources = DEFAULT_RESOURCES,
     ) -> None:
         self._collect_listener_metrics = collect_listener_metrics
+        self._resources = resources
         self._crash_guard = crash_guard
         self._rollouts = rollouts
         self._freshness = freshness
@@ -222,6 +225,7 @@
             self._count_daemons,
             self._emit,
             settings.extra_request_share,
+            self._resources,
         )
         core.caller_service = settings.service.encode()
         core.admission.quota_gate = self._quotas
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/resources.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/resources.py
@@ -53,3 +53,6 @@
 
     def _share_descriptors(self, share: float) -> int:
         return int((self.descriptors - RESERVED_DESCRIPTORS) * share)
+
+
+DEFAULT_RESOURCES = Resources()
--- a/packages/godwitpass-daemon/tests/relay/test_callers.py
+++ b/packages/godwitpass-daemon/tests/relay/test_callers.py
@@ -12,8 +12,12 @@
 from godwitpass_daemon.relay.core import RelayCore
 from godwitpass_daemon.relay.headers import parse_request_head
 from godwitpass_daemon.relay.ingress import CallerConnection
+from godwitpass_daemon.relay.intake import Intake, LimitLog
 from godwitpass_daemon.relay.links import PeerLink, PeerObserver, StreamHandler
 from godwitpass_daemon.relay.pipelining import PipelinedRequest
+from godwitpass_daemon.relay.request_budget import RequestBudget
+from godwitpass_daemon.resources import Resources
+from godwitpass_testkit.load_model.virtual_loop import VirtualLoop
 from godwitpass_testkit.relay import HEADER_NAMES
 
 
@@ -24,6 +28,9 @@
         "caller_service": b"desk",
         "header_names": HEADER_NAMES,
         "idle_timeout_s": 20.0,
+        "intake": Intake(
+            cast(Any, VirtualLoop()), Resources(), LimitLog(lambda: 0.0, lambda *_: None)
+        ),
         "is_refusing": False,
         "is_stopping": False,
         "limits": CallerLimits(),
@@ -40,13 +47,13 @@
 
         connection = CallerConnection(build_core(table=FailingTable()))
         with pytest.raises(httptools.HttpParserCallbackError):
-            connection.data_received(b"GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n")
+            connection.receive(b"GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n")
 
     def test_a_request_whose_connection_has_dropped_all_requests_closes_it_while_stopping(
         self,
     ) -> None:
         connection = CallerConnection(build_core(is_stopping=True))
-        request = PipelinedRequest(connection, 0.0)
+        request = PipelinedRequest(connection, RequestBudget(1), 0.0)
         request.is_request_complete = True
         assert request.decide_close()
 
--- a/packages/godwitpass/src/godwitpass/internal/relay/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/events.py
@@ -120,3 +120,8 @@
     "relay.upstream-identity-checked",
     "After a start of this daemon, a health check asked which upstream is at the address.",
 )
+CLIENT_LIMITED = EventKind(
+    449,
+    "relay.client-limited",
+    "A client met a limit on memory, time or connections; logged once a minute for each address.",
+)
