Bound what one client can make the listener for other daemons hold

Connections are bounded by Resources.inbound_connections; beyond it one without calls is closed, or else the new one. Calls and incomplete frames are counted in a budget, half of Resources.buffer_bytes; beyond it incomplete bodies without progress for longest are refused with NO_ROOM before anything reached the upstream, and links without calls are closed. More body than announced closes the link. At most 256 frames of a link are handled in a turn. While a daemon doesn't read and all unread replies exceed a quarter of buffer_bytes, its link is not read either, and pings get no reply that would be queued behind them. Received bodies are kept in one bytearray. The stand-in runner of the settlement tests gets the budget that the connection uses; its checks stay. Cost: one addition and comparison a forwarded call.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -95,8 +95,9 @@
         self.selector = UpstreamSelector(own_instance, zone, rng)
         self.caller_connections: set[CallerConnection] = set()
         self.requests_awaiting_configuration: dict[PipelinedRequest, CallerConnection] = {}
-        self.inbound_links = InboundLinks(own_instance, loop.time)
-        self.intake = Intake(loop, resources, LimitLog(loop.time, emit))
+        limit_log = LimitLog(loop.time, emit)
+        self.intake = Intake(loop, resources, limit_log)
+        self.inbound_links = InboundLinks(own_instance, loop.time, resources, limit_log)
         self.calls_in_progress = 0
         self.is_stopping = False
         self.is_refusing = False
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/crash_guard.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/crash_guard.py
@@ -48,7 +48,7 @@
 
 
 def describe_request(
-    service: ServiceName, route: RouteName, head: bytes, body_chunks: Iterable[bytes]
+    service: ServiceName, route: RouteName, head: bytes, body_chunks: Iterable[bytes | bytearray]
 ) -> RequestDescriptor:
     """Describe a request by its encoded head and the beginning of its body."""
     method, target = split_request_line(head)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
@@ -15,6 +15,12 @@
 REQUEST_MEMORY_BYTES = 3 * 1024
 """Memory that a request takes in addition to its head and body."""
 
+MAX_FRAMES_PER_TURN = 256
+"""Frames of one link that are handled before other connections are read."""
+
+MEMORY_RETRY_AFTER_S = 0.2
+"""Retry-after time of a forwarded call that is refused for lack of memory."""
+
 LONG_PARSE_S = 0.002
 """A connection whose input takes longer to parse than this has to wait for a turn."""
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/metrics.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/metrics.py
@@ -49,6 +49,7 @@
         "caller_connections": len(core.caller_connections),
         "peer_connections": core.open_link_count,
         "held_request_bytes": core.intake.budget.held_bytes,
+        "held_forwarded_bytes": runner.budget.held_bytes,
         "inputs_waiting_for_a_turn": core.intake.turns.waiting_count,
         "inbound_backlog_seconds": runner.flow_control.backlog_s,
         "outbound_backlog_seconds": runner.response_sender.flow_control.backlog_s,
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -212,6 +212,7 @@
             settings.drain_s,
             settings.bytes_per_s,
             self._crash_guard,
+            self._resources,
         )
         core = RelayCore(
             loop,
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_calls.py
@@ -26,7 +26,11 @@
 from godwitpass_daemon.edge.guards import RequestDescriptor
 from godwitpass_daemon.relay.crash_guard import describe_request
 from godwitpass_daemon.relay.headers import ResponseHead, encode_request_head
-from godwitpass_daemon.relay.limits import MAX_BUFFERED_RESPONSE_BYTES, RESPONSE_WINDOW_BYTES
+from godwitpass_daemon.relay.limits import (
+    MAX_BUFFERED_RESPONSE_BYTES,
+    MEMORY_RETRY_AFTER_S,
+    RESPONSE_WINDOW_BYTES,
+)
 from godwitpass_daemon.relay.upstream_connections import UpstreamConnection
 
 if TYPE_CHECKING:
@@ -79,6 +83,7 @@
         "call_id",
         "deadline",
         "has_ended",
+        "held_bytes",
         "remaining_body_bytes",
         "reply_channel",
         "request",
@@ -110,9 +115,10 @@
             now,
         )
         self.has_ended = False
+        self.held_bytes = 0
         self._runner = runner
         self.reply_channel = reply_channel
-        self._body_chunks = [request.body] if request.body else []
+        self._body_chunks: list[bytes | bytearray] = [request.body] if request.body else []
         self.remaining_body_bytes = request.body_bytes - len(request.body)
         self._connect_task: asyncio.Task[None] | None = None
         self._connection: UpstreamConnection | None = None
@@ -144,8 +150,13 @@
 
     def receive_body(self, data: bytes) -> None:
         """Store a part of the request body, and admit the call once the body is complete."""
-        self._body_chunks.append(data)
+        if self._body_chunks and isinstance(self._body_chunks[-1], bytearray):
+            self._body_chunks[-1] += data
+        else:
+            self._body_chunks.append(bytearray(data))
         self.remaining_body_bytes -= len(data)
+        if not self.is_body_complete:
+            self._runner.budget.record_progress(self)
         self._runner.send_window_updates(
             self._runner.flow_control.record_chunk(self.call_id, len(data), self._runner.now())
         )
@@ -180,6 +191,10 @@
         self._drop_connection()
         self._finish()
 
+    def make_room(self) -> None:
+        """Refuse the call, whose body is incomplete, for lack of memory."""
+        self.refuse(Refusal.NO_ROOM, MEMORY_RETRY_AFTER_S)
+
     def withdraw(self) -> None:
         """Take the call back at its sender's request, unless the upstream may run it already."""
         if not self.was_sent:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
@@ -21,15 +21,25 @@
 from godwitpass_daemon.relay.crash_detector import CrashDetector
 from godwitpass_daemon.relay.crash_guard import CrashGuard, split_request_line
 from godwitpass_daemon.relay.headers import HeaderNames, ResponseHead
-from godwitpass_daemon.relay.limits import CANCELLATION_GRACE_S, HEARTBEAT_TIMEOUT_S
+from godwitpass_daemon.relay.limits import (
+    CANCELLATION_GRACE_S,
+    HEARTBEAT_TIMEOUT_S,
+    MEMORY_RETRY_AFTER_S,
+    REQUEST_MEMORY_BYTES,
+)
+from godwitpass_daemon.relay.request_budget import RequestBudget
 from godwitpass_daemon.relay.response_sender import ResponseSender
 from godwitpass_daemon.relay.upstream_calls import ReplyChannel, UpstreamCall
 from godwitpass_daemon.relay.upstream_connections import UpstreamConnectionPool
 from godwitpass_daemon.relay.version_gate import VersionGate
+from godwitpass_daemon.resources import DEFAULT_RESOURCES, Resources
 
 RESPONSE_BYTES_WEIGHT = 0.05
 """Weight of the newest response in the moving average of its route's size."""
 
+FORWARDED_BUFFER_SHARE = 0.5
+"""Share of the memory for clients that calls of other daemons may take."""
+
 MISDIRECTED_STATUS = 421
 """Status with which an upstream refuses a request that is meant for another one."""
 
@@ -45,7 +55,9 @@
         drain_s: float,
         bytes_per_s: float,
         crash_guard: CrashGuard | None = None,
+        resources: Resources = DEFAULT_RESOURCES,
     ) -> None:
+        self.budget = RequestBudget(int(resources.buffer_bytes * FORWARDED_BUFFER_SHARE))
         self.header_names = header_names
         self.now = now
         self.registration = Registration()
@@ -149,6 +161,9 @@
         call = UpstreamCall(self, reply_channel, request, self._last_call_id)
         self._calls[call.call_id] = call
         self._active_request_ids[request.request_id] += 1
+        if not self._hold_memory(call):
+            call.refuse(Refusal.NO_ROOM, MEMORY_RETRY_AFTER_S)
+            return call
         if call.is_body_complete:
             self.admit(call)
             return call
@@ -162,6 +177,7 @@
         elif self.scheduler.is_too_late(call.scheduled, self.now() + self._estimate_rate_delay_s()):
             call.refuse(Refusal.NO_ROOM, self._estimate_rate_delay_s())
         else:
+            self.budget.record_progress(call)
             self.send_window_updates(
                 self.flow_control.open(call.call_id, call.remaining_body_bytes)
             )
@@ -185,6 +201,7 @@
 
     def admit(self, call: UpstreamCall) -> None:
         """Run, queue or refuse a call whose request body is complete."""
+        self.budget.forget(call)
         reason = self._check_refusal(call.request)
         if reason is None and self._is_crash_suspect(call):
             reason = Refusal.CRASH_SUSPECT
@@ -201,6 +218,9 @@
     def finish_call(self, call: UpstreamCall, is_completed: bool, response_bytes: int) -> Load:
         """Free the resources of a call, start the next ones, and return the remaining load."""
         self._calls.pop(call.call_id, None)
+        self.budget.forget(call)
+        self.budget.held_bytes -= call.held_bytes
+        call.held_bytes = 0
         self.send_window_updates(self.flow_control.close(call.call_id))
         request_id = call.request.request_id
         self._active_request_ids[request_id] -= 1
@@ -259,6 +279,18 @@
             return True
         return self.now() - registration.last_heartbeat_at > HEARTBEAT_TIMEOUT_S
 
+    def _hold_memory(self, call: UpstreamCall) -> bool:
+        """Take what a call needs of the budget; return False if there is no room.
+
+        A call from the daemon's own caller shares the body that is counted there.
+        """
+        if not call.reply_channel.is_flow_controlled:
+            return True
+        request = call.request
+        call.held_bytes = REQUEST_MEMORY_BYTES + len(request.head) + max(0, request.body_bytes)
+        self.budget.held_bytes += call.held_bytes
+        return self.budget.has_room(call.held_bytes)
+
     def _refuse_by_nested_calls(self, call: UpstreamCall) -> bool:
         """Refuse a call whose nested calls can't be served now; return whether it was."""
         request = call.request
--- a/packages/godwitpass-daemon/tests/relay/test_settlement.py
+++ b/packages/godwitpass-daemon/tests/relay/test_settlement.py
@@ -27,6 +27,7 @@
     is_same_process,
 )
 from godwitpass_daemon.relay.inbound_peers import InboundLinks, InboundPeerConnection
+from godwitpass_daemon.relay.request_budget import RequestBudget
 from godwitpass_daemon.relay.upstream_runner import UpstreamRunner
 
 LOAD = Load(0, 0, 1, 0, 1)
@@ -80,6 +81,7 @@
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
         self.is_stopping = False
+        self.budget = RequestBudget(1_000_000)
         self.now = lambda: 0.0
         self.response_sender = SimpleNamespace(drop_channel=lambda channel: None)
         self.calls: list[Call] = []
--- a/packages/godwitpass/src/godwitpass/internal/relay/frames.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/frames.py
@@ -252,6 +252,11 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the part of a frame that has arrived."""
+        return len(self._buffer)
+
     def decode(self, data: bytes) -> list[Frame]:
         """Return the frames that `data` completes; raise `InvalidFrame` for bytes that are none."""
         buffer = self._buffer
