Read long heads of many lines in turns, on new connections too

With 100 clients that sent requests of 2,000 short lines, each on a connection of its own, ordinary calls took 322 ms in the median and the daemon a whole core (trial): a request was read in one part, and its cost was known only afterwards. The time so spent was also owed without bound, so that the turns of other connections came late: 100 kB in chunks of 1 byte from 100 clients got 9% of a core. The first part of a request is now read with 2 KB, and a head with more than 64 lines that is still incomplete waits for a turn. What is owed is bounded by 50 ms.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
@@ -17,6 +17,7 @@
     HEADER_MEMORY_BYTES,
     LINGERING_CLOSE_S,
     LONG_PARSE_S,
+    MANY_HEADERS,
     MAX_PIPELINED_REQUESTS,
     RAW_HEAD_RATIO,
     READ_BYTES,
@@ -207,7 +208,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer of all connections, which is parsed before the next read."""
-        return self._intake.read_buffer
+        return self._intake.read_buffer if self._current_request else self._intake.head_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse what has been read."""
@@ -239,8 +240,14 @@
         if len(self._requests) >= MAX_PIPELINED_REQUESTS:
             self._update_reading()
         spent_s = time.perf_counter() - started_at
-        is_costly = request is previous and 2 * (len(self._body) - body_bytes) < len(data)
-        if (is_costly and request is not None) or spent_s > LONG_PARSE_S:
+        if spent_s > LONG_PARSE_S or (
+            self._current_request is not None
+            and (
+                len(self._headers) > MANY_HEADERS
+                if self._is_reading_head
+                else request is previous and 2 * (len(self._body) - body_bytes) < len(data)
+            )
+        ):
             self._defer(spent_s)
 
     def eof_received(self) -> bool:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/input_turns.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/input_turns.py
@@ -11,6 +11,9 @@
 COSTLY_INPUT_BURST_S = 1.0
 """Time that the parsing of costly input may take beyond its share at first."""
 
+MAX_DEBT_S = 0.05
+"""Time beyond the share that is made up for; input that is read without a turn may exceed it."""
+
 TURN_S = 0.00025
 """Time that one turn is expected to take."""
 
@@ -47,7 +50,7 @@
 
     def defer(self, reader: Reader, spent_s: float) -> None:
         """Let `reader`, whose last part took `spent_s`, wait for a turn."""
-        self._level_s -= max(0.0, spent_s - TURN_S)
+        self._level_s = max(-MAX_DEBT_S, self._level_s - max(0.0, spent_s - TURN_S))
         self._waiting.append(reader)
         if not self._is_scheduled:
             self._is_scheduled = True
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/intake.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/intake.py
@@ -9,7 +9,7 @@
 from godwitpass.internal.relay import events as kinds
 from godwitpass_daemon.relay.call_log import Emit
 from godwitpass_daemon.relay.input_turns import InputTurns
-from godwitpass_daemon.relay.limits import READ_BYTES
+from godwitpass_daemon.relay.limits import HEAD_READ_BYTES, READ_BYTES
 from godwitpass_daemon.relay.request_budget import RequestBudget
 from godwitpass_daemon.resources import Resources
 
@@ -56,7 +56,8 @@
 class Intake:
     """Admits the connections of callers; `idle` holds the idle ones, the longest idle first.
 
-    All connections read into `read_buffer`, whose content is parsed before the next read.
+    All connections read into `read_buffer`, or its start `head_buffer`. What they have read is
+    parsed before the next read.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         self.max_connections = resources.caller_connections
         self.idle: dict[IdleConnection, None] = {}
         self.read_buffer = memoryview(bytearray(READ_BYTES))
+        self.head_buffer = self.read_buffer[:HEAD_READ_BYTES]
 
     def close_longest_idle(self) -> bool:
         """Close the connection that has been idle longest; return False if none is idle."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/limits.py
@@ -6,6 +6,12 @@
 READ_BYTES = 8 * 1024
 """Input of callers is read and parsed in parts of this size; limits take effect between them."""
 
+HEAD_READ_BYTES = 2 * 1024
+"""The same for the first part of a request; most heads fit."""
+
+MANY_HEADERS = 64
+"""Incomplete heads with more lines than this are read in turns."""
+
 RAW_HEAD_RATIO = 5
 """Largest ratio of a head's size on the wire to the counted size, which omits punctuation."""
 
--- a/packages/godwitpass-daemon/tests/relay/test_misbehaving_callers.py
+++ b/packages/godwitpass-daemon/tests/relay/test_misbehaving_callers.py
@@ -13,7 +13,7 @@
 from godwitpass_daemon.relay.ingress import CallerConnection
 from godwitpass_daemon.relay.input_turns import COSTLY_INPUT_BURST_S, InputTurns
 from godwitpass_daemon.relay.intake import MAX_LOGGED_CLIENTS, LimitLog
-from godwitpass_daemon.relay.limits import MAX_PIPELINED_REQUESTS, READ_BYTES
+from godwitpass_daemon.relay.limits import HEAD_READ_BYTES, MAX_PIPELINED_REQUESTS, READ_BYTES
 from godwitpass_daemon.relay.request_budget import RequestBudget
 from godwitpass_daemon.relay.upstream_runner import UpstreamRunner
 from godwitpass_daemon.resources import MIN_DESCRIPTORS, MIN_MEMORY_MB, Resources
@@ -81,8 +81,8 @@
                 self.loop.run_until(self.loop.time() + 0.001)
                 if self.transport.is_paused:
                     break
-            part = data[position : position + part_bytes]
             buffer = self.connection.get_buffer(-1)
+            part = data[position : position + min(part_bytes, len(buffer))]
             buffer[: len(part)] = part
             self.connection.buffer_updated(len(part))
             position += len(part)
@@ -323,6 +323,23 @@
         assert max(counts) - min(counts) <= 1
         assert start < COSTLY_INPUT_BURST_S
 
+    def test_a_head_of_many_lines_waits_for_turns_on_new_connections_too(self) -> None:
+        core = build_core()
+        client = Client(core)
+        client.connection.receive((POST + b"a:\r\n" * 500)[:HEAD_READ_BYTES])
+        assert (client.transport.is_paused, core.intake.turns.waiting_count) == (True, 1)
+        client.send(b"a:\r\n" * 500 + b"\r\n")
+        assert len(list_requests(core)) == 1
+
+    def test_time_spent_without_turns_is_not_made_up_for_without_bound(self) -> None:
+        loop = VirtualLoop()
+        turns = InputTurns(cast(Any, loop), loop.time)
+        reader = Client(build_core()).connection
+        for _ in range(1_000):
+            turns.defer(reader, 0.1)
+        loop.run_until(1.0)
+        assert turns.waiting_count < 1_000
+
     def test_a_body_in_large_parts_needs_no_turns(self) -> None:
         core = build_core()
         client = Client(core)
