Spend less processor time on requests that arrive whole

The head's timeout starts only if a part of the input doesn't end the head, a body's bound is looked up only if there is a body, and reading is resumed only if it is paused.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
@@ -108,7 +108,8 @@
             self._start_next()
         if not self._is_reading_head:
             self._become_idle()
-        self._update_reading()
+        if self._is_paused:
+            self._update_reading()
 
     def abort(self) -> None:
         """Close the connection at once."""
@@ -265,15 +266,14 @@
     # Called by the parser.
 
     def on_message_begin(self) -> None:
-        """Start a request and its head timeout."""
+        """Start a request; its head timeout starts if this part of the input doesn't end it."""
         if self._parser is None:
             return
-        now = self._core.now()
-        self._current_request = PipelinedRequest(self, self._intake.budget, now)
+        self._current_request = PipelinedRequest(self, self._intake.budget, self._core.now())
         self._intake.idle.pop(self, None)
         self._is_reading_head = True
         self._stalled_bytes = self._head_bytes = self._measured_headers = 0
-        self._expires_at = now + self._core.limits.head_timeout_ms / 1000
+        self._expires_at = math.inf
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target."""
@@ -324,7 +324,8 @@
         if request is None or self._parser is None or self.is_stopped:
             return
         core, budget = self._core, self._intake.budget
-        if len(self._body) > core.limits.body_bytes and request.rejection is None:
+        body_bytes = len(self._body)
+        if body_bytes and request.rejection is None and body_bytes > core.limits.body_bytes:
             self._reject_current(413, "the body is too large")
             return
         self._current_request = None
@@ -343,9 +344,9 @@
                 core.admission.confirm_rejection(request.rejection, core.table, request.version),
             )
             return
-        if self._body:
+        if body_bytes:
             request.body = bytes(self._body)
-            request.hold_body(len(request.body))
+            request.hold_body(body_bytes)
             self._body.clear()
         if budget.held_bytes > budget.large_limit_bytes and not budget.has_room(request.held_bytes):
             self._record_limit("memory")
@@ -370,6 +371,7 @@
         """Reject input that exceeds a limit or brings no request forward."""
         limits, budget = self._core.limits, self._intake.budget
         if self._is_reading_head and request is not None:
+            self._expires_at = request.arrived_at + limits.head_timeout_ms / 1000
             new_headers = self._headers[self._measured_headers :]
             self._measured_headers += len(new_headers)
             self._head_bytes += sum(len(name) + len(value) for name, value in new_headers)
