Give no turns to connections that are closed

Callers with costly input waited longer for a turn if others had disconnected while they waited: a closed connection used up a turn of 0.25 ms that nobody read in. A turn now counts only if it is read in; the test fails without this. process_head moves to a module of its own, since ingress.py was long.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
@@ -9,10 +9,9 @@
 import httptools
 
 from godwitpass.internal.relay.configuration_wait import compute_configuration_wait_s
-from godwitpass.internal.relay.routes import RelayTable
 from godwitpass_daemon.edge.heads import Header
 from godwitpass_daemon.relay.call_start import find_route, passes_check, reject, start_call
-from godwitpass_daemon.relay.headers import RequestRejected, parse_request_head
+from godwitpass_daemon.relay.headers import RequestRejected
 from godwitpass_daemon.relay.limits import (
     HEADER_MEMORY_BYTES,
     LINGERING_CLOSE_S,
@@ -25,6 +24,7 @@
     WRITE_BUFFER_BYTES,
 )
 from godwitpass_daemon.relay.pipelining import PipelinedRequest
+from godwitpass_daemon.relay.request_heads import process_head
 
 if TYPE_CHECKING:
     from godwitpass_daemon.relay.core import RelayCore
@@ -173,10 +173,11 @@
         self._is_partial = True
         budget.has_room(0)
 
-    def take_turn(self) -> None:
-        """Read the next part of the input."""
+    def take_turn(self) -> bool:
+        """Read the next part of the input; return False if there is nothing to read."""
         self._is_deferred = False
         self._update_reading()
+        return not self._is_paused and self in self._core.caller_connections
 
     # Called by asyncio.
 
@@ -297,7 +298,7 @@
         target, self._target = self._target, b""
         headers, self._headers = self._headers, []
         try:
-            self._process_head(request, parser, target, headers)
+            process_head(self._core, request, parser, target, headers, self._stalled_bytes)
         except RequestRejected as rejection:
             if rejection.status in (401, 404, 503):
                 # Reject after the body has been read, so that the connection stays usable.
@@ -433,44 +434,6 @@
             request.wait_timer = None
             self._core.requests_awaiting_configuration.pop(request, None)
 
-    def _process_head(
-        self,
-        request: PipelinedRequest,
-        parser: httptools.HttpRequestParser,
-        target: bytes,
-        headers: list[Header],
-    ) -> None:
-        if parser.should_upgrade():
-            raise RequestRejected(400, "upgrades are not supported")
-        if parser.get_http_version() != "1.1":
-            raise RequestRejected(505, "only HTTP/1.1 is supported")
-        core = self._core
-        head_limit_bytes = core.limits.head_bytes
-        # A head that fits with all that was read since its start needs no exact check.
-        if self._stalled_bytes + READ_BYTES > head_limit_bytes:
-            head_bytes = len(target) + sum([len(name) + len(value) for name, value in headers])
-            if head_bytes > head_limit_bytes:
-                raise RequestRejected(431, "the head is too large")
-        head = parse_request_head(
-            parser.get_method(),
-            target,
-            headers,
-            core.header_names,
-            core.caller_service,
-            core.table is not None and core.table.customers.has_customers,
-        )
-        request.head = head
-        if core.is_refusing:
-            raise RequestRejected(503, "this daemon stops")
-        table: RelayTable | None = core.table
-        if table is None:
-            return
-        request.route = table.find(head.host, head.path)
-        request.version = table.version
-        if request.route is None:
-            raise RequestRejected(404, "no route")
-        core.admission.identify(table, request.route, head)
-
     def _start_next(self) -> None:
         if (
             self._requests
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/input_turns.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/input_turns.py
@@ -24,8 +24,8 @@
 class Reader(Protocol):
     """A connection whose reading can be deferred."""
 
-    def take_turn(self) -> None:
-        """Read the next part of the input."""
+    def take_turn(self) -> bool:
+        """Read the next part of the input; return False if there is nothing to read."""
         ...
 
 
@@ -64,9 +64,9 @@
         self._level_s = min(COSTLY_INPUT_BURST_S, self._level_s + refill_s)
         turns = 0
         while self._waiting and self._level_s > 0 and turns < MAX_TURNS:
-            turns += 1
-            self._level_s -= TURN_S
-            self._waiting.popleft().take_turn()
+            if self._waiting.popleft().take_turn():
+                turns += 1
+                self._level_s -= TURN_S
         if self._waiting and not self._is_scheduled:
             self._is_scheduled = True
             if self._level_s > 0:
--- a/packages/godwitpass-daemon/tests/relay/test_misbehaving_callers.py
+++ b/packages/godwitpass-daemon/tests/relay/test_misbehaving_callers.py
@@ -11,7 +11,7 @@
 from godwitpass.internal.relay.retry_budget import RetryBudgetSettings
 from godwitpass_daemon.relay.core import RelayCore
 from godwitpass_daemon.relay.ingress import CallerConnection
-from godwitpass_daemon.relay.input_turns import COSTLY_INPUT_BURST_S, InputTurns
+from godwitpass_daemon.relay.input_turns import COSTLY_INPUT_BURST_S, TURN_S, InputTurns
 from godwitpass_daemon.relay.intake import MAX_LOGGED_CLIENTS, LimitLog
 from godwitpass_daemon.relay.limits import HEAD_READ_BYTES, MAX_PIPELINED_REQUESTS, READ_BYTES
 from godwitpass_daemon.relay.request_budget import RequestBudget
@@ -308,9 +308,10 @@
             def __init__(self, number: int) -> None:
                 self.number = number
 
-            def take_turn(self) -> None:
+            def take_turn(self) -> bool:
                 counts[self.number] += 1
                 turns.defer(self, 0.001)
+                return True
 
         for number in range(len(counts)):
             turns.defer(CostlyReader(number), 0.001)
@@ -340,6 +341,18 @@
         loop.run_until(1.0)
         assert turns.waiting_count < 1_000
 
+    def test_connections_that_are_closed_use_up_no_turns(self) -> None:
+        core = build_core()
+        for number in range(200):
+            client = Client(core)
+            client.connection.receive((POST + b"a:\r\n" * 500)[:HEAD_READ_BYTES])
+            assert client.transport.is_paused
+            if number < 199:
+                client.connection.connection_lost(None)
+        core.intake.turns._level_s = 2 * TURN_S
+        client.loop.run_until(0.000_001)
+        assert (client.transport.is_paused, core.intake.turns.waiting_count) == (False, 0)
+
     def test_a_body_in_large_parts_needs_no_turns(self) -> None:
         core = build_core()
         client = Client(core)
