Serve one request that is larger than the share of memory for callers

With memory_mb 300, the budget of callers let bodies of 40 MB pass at most, and the list of chunks before it 48 MB; the document's limits allow 64 MB. A single request inside the limits has to be served in calm.

One request of up to a quarter of the memory doesn't count in the budget, at the caller's daemon and at the next one; a second one has to fit into the share or is refused as not run. Cost: one more large request may be held than before.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
@@ -349,7 +349,9 @@
             request.body = bytes(self._body)
             request.hold_body(body_bytes)
             self._body.clear()
-        if budget.held_bytes > budget.large_limit_bytes and not budget.has_room(request.held_bytes):
+        if budget.held_bytes > budget.large_limit_bytes and not budget.has_room(
+            request.held_bytes, request
+        ):
             self._record_limit("memory")
             reject(core, request, RequestRejected(503, "too many requests are held"))
         elif request.route is None:
@@ -391,7 +393,7 @@
             budget.record_progress(self)
             self._is_partial = True
             if budget.held_bytes > budget.large_limit_bytes:
-                budget.has_room(request.held_bytes)
+                budget.has_room(request.held_bytes, request)
 
     def _check_body(self, request: PipelinedRequest | None) -> bool:
         """Hold the part of the body that has arrived; return False if the input is rejected."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/intake.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/intake.py
@@ -63,7 +63,9 @@
     def __init__(
         self, loop: asyncio.AbstractEventLoop, resources: Resources, limit_log: LimitLog
     ) -> None:
-        self.budget = RequestBudget(int(resources.buffer_bytes * CALLER_BUFFER_SHARE))
+        self.budget = RequestBudget(
+            int(resources.buffer_bytes * CALLER_BUFFER_SHARE), resources.single_request_bytes
+        )
         self.turns = InputTurns(loop, time.perf_counter)
         self.limit_log = limit_log
         self.max_connections = resources.caller_connections
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/request_budget.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/request_budget.py
@@ -17,16 +17,26 @@
         ...
 
 
+class HeldRequest(Protocol):
+    """A request that holds `held_bytes` of the budget, 0 once it has ended."""
+
+    held_bytes: int
+
+
 class RequestBudget:
     """Counts the bytes held for requests; `limit_bytes` is their bound.
 
-    Requests larger than `SMALL_REQUEST_BYTES` have to stay within `large_limit_bytes`.
+    Requests larger than `SMALL_REQUEST_BYTES` have to stay within `large_limit_bytes`. One request
+    that can't, of up to `max_single_bytes`, doesn't count, so that a body within the document's
+    limits is served.
     If the bound is exceeded, the incomplete requests without progress for the longest time are
     refused first, because they would keep their memory while complete ones soon release it.
     """
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(self, limit_bytes: int, max_single_bytes: int = 0) -> None:
         self.limit_bytes = limit_bytes
+        self._max_single_bytes = max_single_bytes
+        self._single: HeldRequest | None = None
         self.large_limit_bytes = int(limit_bytes * (1 - SMALL_REQUEST_RESERVE))
         self.held_bytes = 0
         self._incomplete: dict[Holder, None] = {}
@@ -40,12 +50,26 @@
         """Note that `holder` has no incomplete request."""
         self._incomplete.pop(holder, None)
 
-    def has_room(self, request_bytes: int) -> bool:
+    def has_room(self, request_bytes: int, request: HeldRequest | None = None) -> bool:
         """Make room for a request that holds `request_bytes` already; return whether it fits."""
         is_small = request_bytes <= SMALL_REQUEST_BYTES
         limit_bytes = self.limit_bytes if is_small else self.large_limit_bytes
-        while self.held_bytes > limit_bytes and self._incomplete:
+        if request is not None and request_bytes > self.large_limit_bytes:
+            self._exempt(request)
+        while self._count_bytes() > limit_bytes and self._incomplete:
             holder = next(iter(self._incomplete))
             del self._incomplete[holder]
             holder.make_room()
-        return self.held_bytes <= limit_bytes
+        return self._count_bytes() <= limit_bytes
+
+    def _count_bytes(self) -> int:
+        """Return the bytes that count, without those of the single exempt request."""
+        single = self._single
+        if single is None or single.held_bytes > self._max_single_bytes:
+            return self.held_bytes
+        return self.held_bytes - single.held_bytes
+
+    def _exempt(self, request: HeldRequest) -> None:
+        """Let `request` not count, unless another one doesn't already."""
+        if self._single is None or not self._single.held_bytes:
+            self._single = request
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
@@ -57,7 +57,9 @@
         crash_guard: CrashGuard | None = None,
         resources: Resources = DEFAULT_RESOURCES,
     ) -> None:
-        self.budget = RequestBudget(int(resources.buffer_bytes * FORWARDED_BUFFER_SHARE))
+        self.budget = RequestBudget(
+            int(resources.buffer_bytes * FORWARDED_BUFFER_SHARE), resources.single_request_bytes
+        )
         self.header_names = header_names
         self.now = now
         self.registration = Registration()
@@ -289,7 +291,7 @@
         request = call.request
         call.held_bytes = REQUEST_MEMORY_BYTES + len(request.head) + max(0, request.body_bytes)
         self.budget.held_bytes += call.held_bytes
-        return self.budget.has_room(call.held_bytes)
+        return self.budget.has_room(call.held_bytes, call)
 
     def _refuse_by_nested_calls(self, call: UpstreamCall) -> bool:
         """Refuse a call whose nested calls can't be served now; return whether it was."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/resources.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/resources.py
@@ -19,6 +19,9 @@
 BUFFER_SHARE = 0.25
 """Share of the memory that the requests of clients may take, over all listeners."""
 
+SINGLE_REQUEST_SHARE = 0.25
+"""Share of the memory that one large request may take beside them."""
+
 
 class Resources(msgspec.Struct, frozen=True):
     """What the process may use; `memory_mb` is a bound of its resident memory."""
@@ -31,6 +34,11 @@
         """Return how many bytes the requests of clients may take."""
         return int(self.memory_mb * BYTES_PER_MB * BUFFER_SHARE)
 
+    @property
+    def single_request_bytes(self) -> int:
+        """Return the size of a request that is served though others fill their share."""
+        return int(self.memory_mb * BYTES_PER_MB * SINGLE_REQUEST_SHARE)
+
     @property
     def caller_connections(self) -> int:
         """Return how many connections of callers may be open."""
