Let forwarded calls that wait for their bytes keep their place

A daemon whose budget for forwarded calls is full refused the oldest calls that waited for a grant in favour of new ones, although they were in good order: without a grant a body can't make progress. A call now counts as without progress only from its first grant, and makes room only after a second without bytes; else the new call is refused, which the other daemon sends elsewhere. A link without calls whose incomplete frame finds no room is closed itself.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/inbound_peers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/inbound_peers.py
@@ -237,7 +237,8 @@
         self._held_bytes = size_bytes
         if size_bytes:
             budget.record_progress(self)
-            budget.has_room(size_bytes)
+            if not budget.has_room(size_bytes):
+                self.make_room()
         else:
             budget.forget(self)
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/request_budget.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/request_budget.py
@@ -1,5 +1,6 @@
 """Memory that the requests of callers take together, and which of them make room for others."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 SMALL_REQUEST_BYTES = 64 * 1024
@@ -30,21 +31,30 @@
     that can't, of up to `max_single_bytes`, doesn't count, so that a body within the document's
     limits is served.
     If the bound is exceeded, the incomplete requests without progress for the longest time are
-    refused first, because they would keep their memory while complete ones soon release it.
+    refused first, because they would keep their memory while complete ones soon release it. Those
+    with progress in the last `min_stall_s` on the clock `now` are spared.
     """
 
-    def __init__(self, limit_bytes: int, max_single_bytes: int = 0) -> None:
+    def __init__(
+        self,
+        limit_bytes: int,
+        max_single_bytes: int = 0,
+        now: Callable[[], float] = lambda: 0.0,
+        min_stall_s: float = 0.0,
+    ) -> None:
         self.limit_bytes = limit_bytes
         self._max_single_bytes = max_single_bytes
         self._single: HeldRequest | None = None
         self.large_limit_bytes = int(limit_bytes * (1 - SMALL_REQUEST_RESERVE))
         self.held_bytes = 0
-        self._incomplete: dict[Holder, None] = {}
+        self._now = now
+        self._min_stall_s = min_stall_s
+        self._incomplete: dict[Holder, float] = {}
 
     def record_progress(self, holder: Holder) -> None:
         """Note that the incomplete request of `holder` has grown."""
         self._incomplete.pop(holder, None)
-        self._incomplete[holder] = None
+        self._incomplete[holder] = self._now()
 
     def forget(self, holder: Holder) -> None:
         """Note that `holder` has no incomplete request."""
@@ -57,7 +67,9 @@
         if request is not None and request_bytes > self.large_limit_bytes:
             self._exempt(request)
         while self._count_bytes() > limit_bytes and self._incomplete:
-            holder = next(iter(self._incomplete))
+            holder, progress_at = next(iter(self._incomplete.items()))
+            if self._now() - progress_at < self._min_stall_s:
+                break
             del self._incomplete[holder]
             holder.make_room()
         return self._count_bytes() <= limit_bytes
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_runner.py
@@ -40,6 +40,9 @@
 FORWARDED_BUFFER_SHARE = 0.5
 """Share of the memory for clients that calls of other daemons may take."""
 
+MIN_STALL_S = 1.0
+"""A body that has been granted bytes and brings none for this long makes room for other calls."""
+
 MISDIRECTED_STATUS = 421
 """Status with which an upstream refuses a request that is meant for another one."""
 
@@ -58,7 +61,10 @@
         resources: Resources = DEFAULT_RESOURCES,
     ) -> None:
         self.budget = RequestBudget(
-            int(resources.buffer_bytes * FORWARDED_BUFFER_SHARE), resources.single_request_bytes
+            int(resources.buffer_bytes * FORWARDED_BUFFER_SHARE),
+            resources.single_request_bytes,
+            now,
+            MIN_STALL_S,
         )
         self.header_names = header_names
         self.now = now
@@ -179,7 +185,6 @@
         elif self.scheduler.is_too_late(call.scheduled, self.now() + self._estimate_rate_delay_s()):
             call.refuse(Refusal.NO_ROOM, self._estimate_rate_delay_s())
         else:
-            self.budget.record_progress(call)
             self.send_window_updates(
                 self.flow_control.open(call.call_id, call.remaining_body_bytes)
             )
@@ -199,6 +204,7 @@
         for grant in grants:
             call = self._calls.get(grant.call_id)
             if call is not None:
+                self.budget.record_progress(call)
                 call.grant_window(grant.size_bytes)
 
     def admit(self, call: UpstreamCall) -> None:
