--- a/testkit/src/godwitpass_testkit/deployment.py
+++ b/testkit/src/godwitpass_testkit/deployment.py
@@ -14,6 +14,7 @@
 
 from godwitpass.errors import GodwitpassError
 from godwitpass.ids import Address, InstanceId, RegionId, ServiceName, ZoneId
+from godwitpass_daemon.resources import Resources
 from godwitpass_daemon.settings import ListenSettings, Settings, UpstreamSettings
 from godwitpass_testkit.ports import AddressAllocator
 
@@ -23,6 +24,7 @@
 STOP_TIMEOUT_S = 20.0
 REQUEST_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.05
+DEFAULT_RESOURCES = Resources()
 
 
 class ExperimentError(GodwitpassError):
@@ -50,7 +52,13 @@
         self.wait_until("the store listens", lambda: _is_listening(self.store))
 
     def add_node(
-        self, instance: str, zone: str, region: str, service: str, has_upstream: bool = True
+        self,
+        instance: str,
+        zone: str,
+        region: str,
+        service: str,
+        has_upstream: bool = True,
+        resources: Resources = DEFAULT_RESOURCES,
     ) -> Settings:
         """Start a daemon with its upstream of `service`, and return the daemon's settings."""
         upstream = None
@@ -60,14 +68,14 @@
             module = "godwitpass_testkit.upstream"
             self._spawn(f"upstream-{instance}", module, port, "--host", host)
             upstream = UpstreamSettings(ServiceName(service), address)
-        settings = self._build_settings(instance, zone, region, upstream)
+        settings = self._build_settings(instance, zone, region, upstream, resources)
         self.nodes[settings.instance] = settings
         self.start_daemon(settings.instance)
         return settings
 
     def write_settings(self, instance: str, zone: str, region: str) -> Path:
         """Write settings without an upstream, for a daemon that the experiment starts itself."""
-        settings = self._build_settings(instance, zone, region, None)
+        settings = self._build_settings(instance, zone, region, None, DEFAULT_RESOURCES)
         path = self.folder / f"{instance}.json"
         path.write_bytes(msgspec.json.encode(settings))
         return path
@@ -89,6 +97,10 @@
         """Return the process id of a process of this deployment."""
         return self._processes[name].pid
 
+    def is_running(self, name: str) -> bool:
+        """Return whether a process of this deployment has not ended."""
+        return self._processes[name].poll() is None
+
     def wait_until(self, expectation: str, condition: Callable[[], bool]) -> None:
         """Wait until `condition` holds.
 
@@ -117,7 +129,12 @@
             store.wait()
 
     def _build_settings(
-        self, instance: str, zone: str, region: str, upstream: UpstreamSettings | None
+        self,
+        instance: str,
+        zone: str,
+        region: str,
+        upstream: UpstreamSettings | None,
+        resources: Resources,
     ) -> Settings:
         return Settings(
             instance=InstanceId(instance),
@@ -128,6 +145,8 @@
             admin_token=ADMIN_TOKEN,
             peer_key=PEER_KEY,
             upstream=upstream,
+            memory_mb=resources.memory_mb,
+            max_descriptors=resources.descriptors,
         )
 
     def _spawn(self, name: str, module: str, *arguments: str) -> None:
