Bound the connections of callers by the daemon's descriptors

What clients saw: 500 idle connections to the outer or inner port took 526 and 527 descriptors of 400. A daemon out of descriptors accepts nobody.

Cause: each listener took 1,000 connections, whatever the setting says. A request whose head was complete and whose body never began had no timeout, so that its connection stayed for ever.

Change: outer and inner together take Resources.caller_connections. One above that closes the connection without a call that made no progress for longest, idle ones first; if all have calls, it is refused as not run. The backlog of a listener is no larger than the bound, as the event loop accepts all of it at once.

Cost: one look at all connections for each connection above the bound.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -86,6 +86,7 @@
             settings.listen.outer,
             settings.listen.inner,
             DaemonLocation(settings.instance, settings.zone, settings.region),
+            resources=settings.resources,
         ),
     )
     kernel.register(
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/callers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/callers.py
@@ -33,6 +33,7 @@
     UNREAD_RESPONSES_TIMEOUT_S,
 )
 from godwitpass_daemon.edge.refusals import encode_refusal
+from godwitpass_daemon.edge.stopped_clients import StopReason
 
 if TYPE_CHECKING:
     from godwitpass_daemon.edge.calls import Call
@@ -85,6 +86,12 @@
         self._is_rejected = False
         self._is_stopped = False
         self._expires_at = math.inf
+        self.progress_at = edge.now()
+
+    @property
+    def is_unused(self) -> bool:
+        """Whether no call is in progress."""
+        return self._call is None
 
     @property
     def is_idle(self) -> bool:
@@ -122,19 +129,24 @@
         else:
             self._set_paused(False)
 
+    def record_stop(self, reason: StopReason) -> None:
+        """Record that the caller is stopped to keep within the daemon's resources."""
+        self._edge.stopped_clients.record(self._caller, reason, self._edge.now())
+
     def finish_call(self) -> None:
         """Remove the call whose response was written, then serve the next request."""
         self._call = None
+        self.progress_at = now = self._edge.now()
         current = self._queue.popleft()
         if not current.body.is_complete or not current.keep_alive or self._edge.is_draining:
             self._start_lingering_close()
             return
         if self._is_writing_paused:
-            self._expires_at = self._edge.now() + UNREAD_RESPONSES_TIMEOUT_S
+            self._expires_at = now + UNREAD_RESPONSES_TIMEOUT_S
         elif self._queue:
             self._serve_queue()
         elif not self._is_reading_head:
-            self._expires_at = self._edge.now() + KEEP_ALIVE_TIMEOUT_S
+            self._expires_at = now + KEEP_ALIVE_TIMEOUT_S
         self.resume_reading()
 
     def abort(self) -> None:
@@ -158,6 +170,8 @@
             self._expires_at = now + HEAD_TIMEOUT_S
             return
         self._expires_at = math.inf
+        if self._is_writing_paused:
+            self.record_stop(StopReason.UNREAD)
         if self._is_stopped or self._is_writing_paused or not self._is_reading_head:
             self._transport.abort()
             return
@@ -249,11 +263,12 @@
 
     def on_message_begin(self) -> None:
         """Start to collect a request head."""
-        if self._is_stopped or self._is_rejected:
+        if self._must_discard():
             return
         self._incoming = _PendingRequest()
         self._is_reading_head = True
-        self._expires_at = self._edge.now() + HEAD_TIMEOUT_S
+        self.progress_at = self._edge.now()
+        self._expires_at = self.progress_at + HEAD_TIMEOUT_S
 
     def on_url(self, url: bytes) -> None:
         """Collect a part of the request target."""
@@ -287,17 +302,20 @@
     def on_body(self, chunk: bytes) -> None:
         """Collect a part of the body."""
         self._bytes_since_progress = 0
-        if self._incoming is not None and not self._is_stopped and not self._is_rejected:
+        if self._incoming is not None and not self._must_discard():
             self._body_bytes_left = max(0, self._body_bytes_left - len(chunk))
             self._incoming.body.push(chunk)
 
     def on_message_complete(self) -> None:
         """Complete the request body."""
         self._bytes_since_progress = 0
-        if self._incoming is not None and not self._is_stopped and not self._is_rejected:
+        if self._incoming is not None and not self._must_discard():
             self._incoming.body.finish()
             self._serve_if_next()
 
+    def _must_discard(self) -> bool:
+        return self._is_stopped or self._is_rejected
+
     def _must_wait(self) -> bool:
         incoming = self._incoming
         return (
@@ -320,7 +338,8 @@
             self._refuse_invalid(Reason.UNSUPPORTED)
         except httptools.HttpParserError:
             self._refuse_invalid(Reason.MALFORMED)
-        if self._bytes_since_progress > MAX_HEAD_BYTES and not self._is_stopped:
+        if self._bytes_since_progress > MAX_HEAD_BYTES and not self._must_discard():
+            self.record_stop(StopReason.NO_PROGRESS)
             self._refuse_invalid(Reason.HEAD_TOO_LARGE)
         incoming = self._incoming
         if incoming is not None and not self._is_stopped:
@@ -409,7 +428,7 @@
 
         Nothing that follows is parsed or kept.
         """
-        if self._is_stopped or self._is_rejected:
+        if self._must_discard():
             return
         incoming = self._incoming
         is_in_body = not self._is_reading_head and incoming is not None and incoming in self._queue
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/core.py
@@ -49,7 +49,9 @@
     TIMEOUT_CHECK_INTERVAL_S,
 )
 from godwitpass_daemon.edge.statistics import EdgeStatistics
+from godwitpass_daemon.edge.stopped_clients import StoppedClients, StopReason
 from godwitpass_daemon.edge.upstreams import ConnectionPool
+from godwitpass_daemon.resources import Resources
 
 ListUpstreams = Callable[[ServiceName], tuple[Upstream, ...]]
 CountDaemons = Callable[[], int]
@@ -76,6 +78,7 @@
         list_upstreams: ListUpstreams,
         count_daemons: CountDaemons,
         emit: EmitEvent,
+        resources: Resources,
     ) -> None:
         self.loop = loop
         self.now = time.monotonic  # the event loop's clock has a resolution of 1 ms
@@ -86,6 +89,8 @@
         self.is_draining = False
         self.receive_buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
         self.emit = emit
+        self.stopped_clients = StoppedClients(self._report_stop)
+        self._max_connections = resources.caller_connections
         self._location = location
         self._rng = rng
         self._list_upstreams = list_upstreams
@@ -233,9 +238,23 @@
             attempt.call.refuse_attempt(attempt, action.reason, action.retry_after_s)
 
     def add_connection(self, connection: CallerConnection, listener: Listener) -> bool:
-        """Add a caller's connection; return False when the listener has too many."""
-        self._connections[listener].add(connection)
-        return len(self._connections[listener]) <= 1000
+        """Add a caller's connection; return False if there are too many to add one.
+
+        Beyond the bound, the connection without a call that made no progress for longest is closed.
+        """
+        connections = self._connections
+        if sum(len(others) for others in connections.values()) >= self._max_connections:
+            unused = [other for other in self.connections if other.is_unused]
+            if not unused:
+                connection.record_stop(StopReason.CONNECTIONS)
+                return False
+            longest_unused = min(unused, key=lambda other: (not other.is_idle, other.progress_at))
+            longest_unused.record_stop(StopReason.IDLE)
+            longest_unused.abort()
+            for others in connections.values():
+                others.discard(longest_unused)
+        connections[listener].add(connection)
+        return True
 
     def remove_connection(self, connection: CallerConnection, listener: Listener) -> None:
         """Remove a caller's connection."""
@@ -260,6 +279,9 @@
             connection.check_timeouts(now)
         self.pool.close_expired(now)
 
+    def _report_stop(self, caller: CallerKey, reason: StopReason) -> None:
+        self.emit(events.CLIENT_STOPPED, {"caller": str(caller), "reason": reason.value})
+
     def count(self, outcome: str) -> None:
         """Count a call or a hedge under the label `outcome`."""
         self.statistics.counts[outcome] += 1
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/limits.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/limits.py
@@ -53,6 +53,3 @@
 TIMEOUT_CHECK_INTERVAL_S = 0.25
 UPLOAD_STALL_S = 0.5
 """An upload without progress for this long no longer counts as a call in flight."""
-
-MAX_CALLER_CONNECTIONS = 1_000
-"""Open connections of callers on each listener."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/service.py
@@ -21,12 +21,14 @@
 from godwitpass_daemon.edge.guards import ClaimGuard, CrashGuard
 from godwitpass_daemon.edge.limits import TIMEOUT_CHECK_INTERVAL_S
 from godwitpass_daemon.kernel import Kernel
+from godwitpass_daemon.resources import Resources
 
 DEFAULT_GRACE_S = 30.0
 MEMBERSHIP_BATCH_DELAY_S = 0.05
 """Membership changes within this time are processed together."""
 
-LISTEN_BACKLOG = 512
+MAX_LISTEN_BACKLOG = 512
+DEFAULT_RESOURCES = Resources()
 GC_THRESHOLDS = (20_000, 20, 50)
 """Thresholds of each generation for `gc.set_threshold`; the defaults collect every few calls."""
 
@@ -83,11 +85,13 @@
         inner: Address,
         location: DaemonLocation,
         grace_s: float = DEFAULT_GRACE_S,
+        resources: Resources = DEFAULT_RESOURCES,
     ) -> None:
         self._kernel = kernel
         self._addresses = {Listener.OUTER: outer, Listener.INNER: inner}
         self._location = location
         self._grace_s = grace_s
+        self._resources = resources
         self._servers: list[asyncio.Server] = []
         self._core: EdgeCore | None = None
         self._membership_changed = anyio.Event()
@@ -117,6 +121,7 @@
             list_upstreams=lambda service: tuple(membership.upstreams(service)),
             count_daemons=lambda: max(1, len(membership.members())),
             emit=lambda kind, fields: events.emit(kind, **fields),
+            resources=self._resources,
         )
         self._core = core
         core.claim_guard = self._find_claim_guard()
@@ -155,9 +160,9 @@
             def accept(listener: Listener = listener) -> CallerConnection:
                 return CallerConnection(core, listener)
 
-            server = await loop.create_server(
-                accept, host.strip("[]"), int(port), backlog=LISTEN_BACKLOG
-            )
+            # The event loop accepts the whole backlog before one above the bound is closed.
+            backlog = min(MAX_LISTEN_BACKLOG, self._resources.caller_connections)
+            server = await loop.create_server(accept, host.strip("[]"), int(port), backlog=backlog)
             self._servers.append(server)
             core.emit(call_events.LISTENING, {"listener": listener.value, "address": address})
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/metrics.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/metrics.py
@@ -6,6 +6,7 @@
 from godwitpass.mesh import UpstreamState
 from godwitpass_daemon.admin.metrics import Label, Metric, MetricKind, Sample, build_summary_metric
 from godwitpass_daemon.edge.service import EdgeService
+from godwitpass_daemon.edge.stopped_clients import StopReason
 from godwitpass_daemon.kernel import Kernel
 from godwitpass_daemon.peers import PeerTransport
 from godwitpass_daemon.services.claims import ClaimsService
@@ -116,6 +117,15 @@
         MetricKind.GAUGE,
         (Sample(edge.core.calls_in_progress),),
     )
+    yield Metric(
+        "godwitpass_clients_stopped_total",
+        "Callers that were stopped to keep within the daemon's resources, by reason.",
+        MetricKind.COUNTER,
+        tuple(
+            Sample(edge.core.stopped_clients.counts[reason], (Label("reason", reason.value),))
+            for reason in StopReason
+        ),
+    )
     yield build_summary_metric(
         "godwitpass_call_seconds",
         "Time from a request's head to the end of its answer.",
--- a/packages/godwitpass-daemon/tests/edge/test_caller_connections.py
+++ b/packages/godwitpass-daemon/tests/edge/test_caller_connections.py
@@ -20,6 +20,7 @@
     PARSED_SLICE_BYTES,
     RECEIVE_BUFFER_BYTES,
 )
+from godwitpass_daemon.edge.stopped_clients import StoppedClients, StopReason
 
 GET = b"GET /books HTTP/1.1\r\nhost: h\r\n\r\n"
 CHUNKED = b"POST /books HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
@@ -65,7 +66,9 @@
         core.create_call.side_effect = lambda _, caller, head, body, route: RecordedCall(
             self, head, body
         )
+        core.stopped_clients = StoppedClients(MagicMock())
         core.receive_buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
+        self.stopped_clients = core.stopped_clients
         self.connection = CallerConnection(core, Listener.OUTER)
         self.transport = MagicMock(spec=asyncio.Transport)
         self.transport.is_closing.return_value = False
@@ -202,3 +205,4 @@
         edge.receive(GET)
         edge.connection.check_timeouts(1e6)
         edge.transport.abort.assert_called_once()
+        assert edge.stopped_clients.counts == {StopReason.UNREAD: 1}
--- a/packages/godwitpass/src/godwitpass/internal/calls/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/calls/events.py
@@ -28,6 +28,13 @@
 UPSTREAMS_CHANGED = EventKind(
     408, "calls.upstreams-changed", "The upstreams that this daemon uses changed.", Level.DEBUG
 )
+CLIENT_STOPPED = EventKind(
+    411,
+    "calls.client-stopped",
+    "Bytes of a caller were not read further, or its connection was closed, to keep within the "
+    "daemon's resources; `reason` tells why. At most one event per caller and minute.",
+    Level.WARNING,
+)
 CALL_BROKEN_OFF = EventKind(
     409,
     "calls.broken-off",
--- a/testkit/src/godwitpass_testkit/edge.py
+++ b/testkit/src/godwitpass_testkit/edge.py
@@ -26,9 +26,10 @@
 from godwitpass.internal.calls.events import UPSTREAMS_CHANGED
 from godwitpass.mesh import Member, MemberState, Upstream, UpstreamState
 from godwitpass.snapshot import Snapshot
-from godwitpass_daemon.edge.service import EdgeService
+from godwitpass_daemon.edge.service import DEFAULT_RESOURCES, EdgeService
 from godwitpass_daemon.kernel import Kernel
 from godwitpass_daemon.kernel import Service as KernelService
+from godwitpass_daemon.resources import Resources
 from godwitpass_testkit.caller import Answer, request
 from godwitpass_testkit.upstream import StandInUpstream, UpstreamOptions
 
@@ -149,6 +150,7 @@
     options: UpstreamOptions | None = None,
     extra_services: dict[str, KernelService] | None = None,
     is_configured: bool = True,
+    resources: Resources = DEFAULT_RESOURCES,
 ) -> AsyncIterator[Mesh]:
     """Run an edge and `upstream_count` stand-in upstreams while the block runs.
 
@@ -167,7 +169,14 @@
     for name, service in (extra_services or {}).items():
         _register(kernel, name, service)
     listen_address = Address("127.0.0.1:0")
-    edge = EdgeService(kernel, listen_address, listen_address, LOCATION, grace_s=STOP_GRACE_S)
+    edge = EdgeService(
+        kernel,
+        listen_address,
+        listen_address,
+        LOCATION,
+        grace_s=STOP_GRACE_S,
+        resources=resources,
+    )
     async with anyio.create_task_group() as tasks:
         await edge.start(tasks)
         try:
