Bound the memory of all callers together, and let the slowest give way

What clients saw: each connection was bounded alone, so that many unfinished bodies, heads and unread responses took connections times their bound, above the memory of the instance.

Change: connections count what they hold (unparsed bytes, an incomplete head, queued requests, the unsent part of a body and of responses) against Resources.buffer_bytes. A connection that holds up to 8 KiB isn't counted, so that small requests find room. When the budget is used up, requests that wait for their caller give way, those without progress for longest first, until an eighth is free: as not run if nothing was sent to an upstream, else as unknown; a response in progress is broken off. Calls whose body is complete are left alone.

Evidence: test_resources.py sends 24 unfinished bodies of 60 kB to an edge with 256 kB: those beyond it are refused as not run, a GET is served, and nothing stays counted once the connections are closed. A plain GET is looked at but not counted.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/attempts.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/attempts.py
@@ -86,6 +86,11 @@
             return False
         return connection.idle_s >= MIN_STALE_IDLE_S
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Size of what waits to be sent to the upstream."""
+        return self._connection.unsent_bytes if self._connection is not None else 0
+
     def start(self, upstream: Upstream) -> None:
         """Send the request to `upstream`; only a first attempt reuses a pooled connection."""
         self.is_started = True
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/callers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/callers.py
@@ -14,6 +14,7 @@
 from godwitpass.internal.calls.outcomes import Outcome, Reason
 from godwitpass.internal.routing.table import Listener
 from godwitpass_daemon.edge.bodies import RequestBody
+from godwitpass_daemon.edge.buffer_budget import round_held_bytes
 from godwitpass_daemon.edge.heads import (
     Header,
     RefusedRequest,
@@ -29,6 +30,7 @@
     MAX_HEAD_BYTES,
     MAX_PIPELINED_REQUESTS,
     PARSED_SLICE_BYTES,
+    REQUEST_OBJECTS_BYTES,
     RESPONSE_BUFFER_BYTES,
     UNREAD_RESPONSES_TIMEOUT_S,
 )
@@ -46,9 +48,10 @@
 class _PendingRequest:
     """A received request; `head` is set once it is parsed, or else `refusal_reason` is set."""
 
-    __slots__ = ("body", "head", "keep_alive", "refusal_reason")
+    __slots__ = ("body", "head", "head_bytes", "keep_alive", "refusal_reason")
 
     def __init__(self) -> None:
+        self.head_bytes = 0
         self.head: RequestHead | None = None
         self.body = RequestBody()
         self.refusal_reason: Reason | None = None
@@ -86,7 +89,18 @@
         self._is_rejected = False
         self._is_stopped = False
         self._expires_at = math.inf
-        self.progress_at = edge.now()
+        self._progress_at = edge.now()
+        self.held_bytes = 0
+
+    @property
+    def progress_at(self) -> float:
+        """When the current call, or else the connection, last made progress."""
+        return self._progress_at if self._call is None else self._call.progress_at
+
+    @property
+    def is_reclaimable(self) -> bool:
+        """Whether what is held waits for the caller, to send or to read."""
+        return self._call is None or self._call.waits_for_caller
 
     @property
     def is_unused(self) -> bool:
@@ -120,8 +134,21 @@
         queue_size = fcntl.ioctl(socket.fileno(), termios.TIOCOUTQ, bytes(SOCKET_QUEUE_SIZE_BYTES))
         return self._transport.get_write_buffer_size() + int.from_bytes(queue_size, sys.byteorder)
 
+    def reclaim(self) -> None:
+        """Refuse the current request to free its memory, and close."""
+        self.record_stop(StopReason.MEMORY)
+        if self._call is not None:
+            self._call.reclaim()
+        elif self._is_writing_paused or self._is_stopped:
+            self.abort()
+        else:
+            self._refuse_invalid(Reason.OVERLOADED)
+        self._count_held_bytes()
+
     def resume_reading(self) -> None:
         """Parse and read further, unless there is a reason to wait."""
+        if self.held_bytes:
+            self._count_held_bytes()
         if self._is_parsing or self._is_stopped or self._must_wait():
             return
         if self._unparsed:
@@ -136,7 +163,7 @@
     def finish_call(self) -> None:
         """Remove the call whose response was written, then serve the next request."""
         self._call = None
-        self.progress_at = now = self._edge.now()
+        self._progress_at = now = self._edge.now()
         current = self._queue.popleft()
         if not current.body.is_complete or not current.keep_alive or self._edge.is_draining:
             self._start_lingering_close()
@@ -221,6 +248,8 @@
             self._serve_if_next()
         if not self._is_stopped:
             self._set_paused(bool(self._unparsed) or self._must_wait())
+        if self.held_bytes or self._unparsed or self._is_reading_head or self._queue:
+            self._count_held_bytes()
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as closed."""
@@ -229,6 +258,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the call in progress."""
         self._is_stopped = True
+        self._release_memory()
         self._edge.remove_connection(self, self._listener)
         if self._call is not None:
             self._call.cancel()
@@ -237,6 +267,7 @@
     def pause_writing(self) -> None:
         """Propagate the caller's back-pressure to the upstream, and serve no further request."""
         self._is_writing_paused = True
+        self._count_held_bytes()
         if self._call is not None:
             self._call.pause_response()
         else:
@@ -267,8 +298,8 @@
             return
         self._incoming = _PendingRequest()
         self._is_reading_head = True
-        self.progress_at = self._edge.now()
-        self._expires_at = self.progress_at + HEAD_TIMEOUT_S
+        self._progress_at = self._edge.now()
+        self._expires_at = self._progress_at + HEAD_TIMEOUT_S
 
     def on_url(self, url: bytes) -> None:
         """Collect a part of the request target."""
@@ -288,6 +319,7 @@
         if incoming is None or not self._is_reading_head:
             return
         self._is_reading_head = False
+        incoming.head_bytes = self._bytes_since_progress + REQUEST_OBJECTS_BYTES
         self._bytes_since_progress = 0
         self._expires_at = math.inf
         incoming.keep_alive = self._parser.should_keep_alive()
@@ -373,6 +405,31 @@
         if self._discarded_bytes > LINGERING_BYTES:
             self._set_paused(True)
 
+    def _count_held_bytes(self) -> None:
+        """Tell the budget of all callers what is held for this one now."""
+        held_bytes = len(self._unparsed)
+        if self._is_reading_head:
+            held_bytes += self._bytes_since_progress
+        for request in self._queue:
+            held_bytes += request.head_bytes + request.body.buffered_bytes
+        if self._call is not None and not self._call.body.is_complete:
+            held_bytes += self._call.unsent_bytes
+        if self._is_writing_paused and self._transport is not None:
+            held_bytes += self._transport.get_write_buffer_size()
+        counted_bytes = round_held_bytes(held_bytes)
+        if counted_bytes != self.held_bytes:
+            difference_bytes = counted_bytes - self.held_bytes
+            self.held_bytes = counted_bytes
+            self._edge.buffers.change(difference_bytes)
+
+    def _release_memory(self) -> None:
+        self._unparsed = b""
+        self._queue.clear()
+        self._clear_head()
+        if self.held_bytes:
+            self._edge.buffers.change(-self.held_bytes)
+            self.held_bytes = 0
+
     def _parse_head(self) -> RequestHead:
         if self._parser.should_upgrade():
             raise RefusedRequest(Reason.UNSUPPORTED)
@@ -415,6 +472,8 @@
             self._call.start()
 
     def _refuse_request(self, current: _PendingRequest, outcome: Outcome, reason: Reason) -> None:
+        if reason is Reason.OVERLOADED:
+            outcome = Outcome.NOT_RUN
         is_malformed = current.head is None
         closes_connection = is_malformed or not current.body.is_complete or self.must_close
         self._edge.count(outcome.value)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
@@ -113,6 +113,25 @@
         self._has_ended = False
         self._claim_task: asyncio.Task[None] | None = None
 
+    @property
+    def progress_at(self) -> float:
+        """When the body or the response last made progress."""
+        if self._responding_attempt is not None:
+            return self._responding_attempt.last_progress_at
+        return max(
+            [self._body_progress_at, *(attempt.last_progress_at for attempt in self._attempts)]
+        )
+
+    @property
+    def waits_for_caller(self) -> bool:
+        """Whether the rest of the body is missing, or a response waits to be read."""
+        return self._responding_attempt is not None or not self.body.is_complete
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Size of the parts of the body that wait to be sent to upstreams."""
+        return sum(attempt.unsent_bytes for attempt in self._attempts)
+
     def start(self) -> None:
         """Start the deadline, and send the first attempt once enough of the body is buffered."""
         timeout_ms = self.head.context.timeout_ms
@@ -143,6 +162,13 @@
         if not self._has_ended and self._responding_attempt is None:
             self._refuse(Reason.DEADLINE)
 
+    def reclaim(self) -> None:
+        """End the call to free its memory."""
+        if self._responding_attempt is not None:
+            self._abort_response("memory")
+        else:
+            self._refuse(Reason.OVERLOADED)
+
     def check_timeouts(self, now: float, late_s: float) -> None:
         """End the call when its upload or its response makes no progress.
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/core.py
@@ -39,6 +39,7 @@
 from godwitpass.snapshot import Snapshot
 from godwitpass_daemon.edge.attempts import Attempt
 from godwitpass_daemon.edge.bodies import RequestBody
+from godwitpass_daemon.edge.buffer_budget import BufferBudget
 from godwitpass_daemon.edge.callers import CallerConnection
 from godwitpass_daemon.edge.calls import Call
 from godwitpass_daemon.edge.guards import ClaimGuard, CrashGuard
@@ -90,6 +91,7 @@
         self.receive_buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
         self.emit = emit
         self.stopped_clients = StoppedClients(self._report_stop)
+        self.buffers = BufferBudget(resources.buffer_bytes, lambda: self.connections)
         self._max_connections = resources.caller_connections
         self._location = location
         self._rng = rng
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/limits.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/limits.py
@@ -12,6 +12,9 @@
 RECEIVE_BUFFER_BYTES = 16 * 1024
 """Bytes that are read at once, and the most that a connection keeps unparsed."""
 
+REQUEST_OBJECTS_BYTES = 1024
+"""Memory of the objects that describe a queued request."""
+
 HEADERS_KEPT_AS_OBJECTS = 64
 """Further header lines of an incomplete head are kept as bytes, which take less memory."""
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/upstreams.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/upstreams.py
@@ -96,6 +96,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Size of what waits to be sent."""
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+
     def pause_reading(self) -> None:
         """Stop reading the response until `resume_reading`."""
         if self.is_open:
--- a/packages/godwitpass-daemon/tests/edge/test_caller_connections.py
+++ b/packages/godwitpass-daemon/tests/edge/test_caller_connections.py
@@ -10,6 +10,7 @@
 
 from godwitpass.internal.routing.table import Listener
 from godwitpass_daemon.edge.bodies import RequestBody
+from godwitpass_daemon.edge.buffer_budget import SMALL_REQUEST_BYTES, BufferBudget
 from godwitpass_daemon.edge.callers import CallerConnection
 from godwitpass_daemon.edge.core import EdgeCore
 from godwitpass_daemon.edge.heads import RequestHead
@@ -29,23 +30,28 @@
 class RecordedCall:
     """Records its request and, if `is_answering`, answers it once its body is complete."""
 
+    unsent_bytes = 0
+
     def __init__(self, edge: "RecordingEdge", head: RequestHead, body: RequestBody) -> None:
         self._edge = edge
         self._head = head
-        self._body = body
+        self.body = body
         self._content = b""
         self._position = 0
 
     def start(self) -> None:
-        self._body.on_change = self._handle_change
+        self.body.on_change = self._handle_change
         self._handle_change()
 
+    def cancel(self) -> None:
+        self.body.on_change = None
+
     def _handle_change(self) -> None:
         if not self._edge.is_answering:
             return
-        chunk, self._position = self._body.take(self._position)
+        chunk, self._position = self.body.take(self._position)
         self._content += chunk
-        if self._body.is_complete:
+        if self.body.is_complete:
             self._edge.requests.append((self._head.method, self._head.target.raw, self._content))
             connection = self._edge.connection
             connection.write(b"response")
@@ -67,6 +73,7 @@
             self, head, body
         )
         core.stopped_clients = StoppedClients(MagicMock())
+        core.buffers = self.buffers = BufferBudget(BODY_BUFFER_BYTES * 4, lambda: ())
         core.receive_buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
         self.stopped_clients = core.stopped_clients
         self.connection = CallerConnection(core, Listener.OUTER)
@@ -188,6 +195,30 @@
         assert len(edge.connection._queue) == 2
 
 
+class TestHeldBytes:
+    def test_a_small_request_is_not_counted(self) -> None:
+        edge = RecordingEdge()
+        edge.is_answering = False
+        edge.receive(GET)
+        assert edge.buffers.taken_bytes == 0
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"GET /books HTTP/1.1\r\nx: " + bytes([97]) * 2 * SMALL_REQUEST_BYTES,
+            CHUNKED + b"2\r\nxy\r\n" * SMALL_REQUEST_BYTES,
+            GET * SMALL_REQUEST_BYTES,
+        ],
+    )
+    def test_what_a_connection_holds_is_counted_until_it_closes(self, data: bytes) -> None:
+        edge = RecordingEdge()
+        edge.is_answering = False
+        edge.receive(data)
+        assert edge.buffers.taken_bytes > SMALL_REQUEST_BYTES
+        edge.connection.connection_lost(None)
+        assert edge.buffers.taken_bytes == 0
+
+
 class TestUnreadResponses:
     def test_no_request_is_answered_while_responses_are_unread(self) -> None:
         edge = RecordingEdge()
--- a/packages/godwitpass-daemon/tests/edge/test_resources.py
+++ b/packages/godwitpass-daemon/tests/edge/test_resources.py
@@ -3,6 +3,7 @@
 import anyio
 
 from godwitpass.internal.calls.messages import CallerKey
+from godwitpass_daemon.edge.buffer_budget import BufferBudget, Holder
 from godwitpass_daemon.edge.stopped_clients import (
     LOG_INTERVAL_S,
     MAX_LOGGED_CALLERS,
@@ -14,6 +15,7 @@
 from godwitpass_testkit.edge import Mesh, run_async, run_mesh
 
 RESOURCES = Resources(descriptors=MIN_DESCRIPTORS)
+SMALL_MEMORY = Resources(memory_mb=1)
 LIMIT = RESOURCES.caller_connections
 
 
@@ -56,6 +58,52 @@
             assert not any(connection.is_closed for connection in connections)
 
 
+class TestMemory:
+    @run_async
+    async def test_unfinished_bodies_beyond_the_memory_are_refused_as_not_run(self) -> None:
+        async with run_mesh(resources=SMALL_MEMORY) as mesh:
+            head = b"POST /books HTTP/1.1\r\nhost: h\r\ncontent-length: 60000\r\n\r\n"
+            callers = [await connect(mesh.inner_address) for _ in range(24)]
+            answers = []
+            for caller in callers:
+                answers.append(caller.send(head + bytes(59_999)))
+                await anyio.sleep(0.01)
+            core = mesh.edge.core
+            assert 0 < core.buffers.taken_bytes <= SMALL_MEMORY.buffer_bytes
+            refused = [answer.result() for answer in answers if answer.done()]
+            assert {(answer.outcome, answer.reason) for answer in refused} == {
+                ("not-run", "overloaded")
+            }
+            assert (await mesh.get("/books")).status == 200
+            for caller in callers:
+                caller.close()
+            await wait_for_connections(mesh, 0)
+            assert core.buffers.taken_bytes == 0
+
+    def test_the_connections_that_are_slowest_give_way_first(self) -> None:
+        reclaimed: list[float] = []
+        holders: list[Holder] = []
+        budget = BufferBudget(100, lambda: holders)
+        for progress_at in (3.0, 1.0, 2.0):
+            holders.append(RecordedHolder(budget, progress_at, reclaimed))
+        budget.change(101)
+        assert reclaimed == [1.0]
+
+
+class RecordedHolder:
+    is_reclaimable = True
+
+    def __init__(self, budget: BufferBudget, progress_at: float, reclaimed: list[float]) -> None:
+        self.progress_at = progress_at
+        self.held_bytes = 30
+        self._budget = budget
+        self._reclaimed = reclaimed
+
+    def reclaim(self) -> None:
+        self._reclaimed.append(self.progress_at)
+        self._budget.change(-self.held_bytes)
+
+
 class TestUploads:
     @run_async
     async def test_a_body_that_never_begins_ends_at_its_stall_timeout(self) -> None:
