Let connections with costly bytes take turns at the edge

What clients saw: bytes that cost much to parse (short header lines, chunks of a few bytes, many pipelined requests) were parsed as fast as they arrived, and ordinary calls waited meanwhile.

Cause: nothing bounded the time of the parser in an iteration of the event loop.

Change: a slice has a cost: one for a header line, 2 for a part of a body, 16 for a request. After a slice of more than 96 its connection is paused until its turn. Nobody is refused for the cost; a single request of many lines or small chunks is parsed in turns at once if nobody else waits. Uploads in ordinary chunks take no turns.

Not measured: how long ordinary calls take beside a crowd, before and after.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/callers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/callers.py
@@ -22,6 +22,7 @@
     parse_request_head,
 )
 from godwitpass_daemon.edge.limits import (
+    BODY_PART_COST,
     HEAD_TIMEOUT_S,
     HEADERS_KEPT_AS_OBJECTS,
     KEEP_ALIVE_TIMEOUT_S,
@@ -29,7 +30,9 @@
     LINGERING_CLOSE_S,
     MAX_HEAD_BYTES,
     MAX_PIPELINED_REQUESTS,
+    MAX_SLICE_COST,
     PARSED_SLICE_BYTES,
+    REQUEST_COST,
     REQUEST_OBJECTS_BYTES,
     RESPONSE_BUFFER_BYTES,
     UNREAD_RESPONSES_TIMEOUT_S,
@@ -81,6 +84,7 @@
         self._discarded_bytes = 0
         self._is_parsing = False
         self._is_continuing = False
+        self._slice_cost = 0
         self._incoming: _PendingRequest | None = None
         self._queue: deque[_PendingRequest] = deque()
         self._call: Call | None = None
@@ -234,20 +238,35 @@
             self._discard(len(data))
             return
         position = 0
-        self._is_parsing = True
-        while position < len(data) and not self._must_wait():
-            end = position + self._choose_slice_bytes()
-            self._parse_slice(data[position:end])
-            position = end
-        self._is_parsing = False
+        if self._slice_cost <= MAX_SLICE_COST:
+            position = self._parse(data)
         if self._is_stopped:
             self._unparsed = b""
             return
         self._unparsed = bytes(data[position:])
         if not self._unparsed:
             self._serve_if_next()
+        self._finish_reading()
+
+    def _parse(self, data: memoryview) -> int:
+        """Parse slices of `data` until one is costly or there is a reason to wait."""
+        position = 0
+        self._is_parsing = True
+        while position < len(data) and not self._must_wait():
+            end = position + self._choose_slice_bytes()
+            self._parse_slice(data[position:end])
+            position = min(end, len(data))
+            if self._slice_cost > MAX_SLICE_COST:
+                break
+        self._is_parsing = False
+        return position
+
+    def _finish_reading(self) -> None:
         if not self._is_stopped:
-            self._set_paused(bool(self._unparsed) or self._must_wait())
+            must_wait = self._must_wait()
+            if self._unparsed and not must_wait:
+                self._continue_later()
+            self._set_paused(bool(self._unparsed) or must_wait)
         if self.held_bytes or self._unparsed or self._is_reading_head or self._queue:
             self._count_held_bytes()
 
@@ -309,6 +328,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers are dropped."""
         if self._is_reading_head:
+            self._slice_cost += 1
             self._headers.append((name, value))
             if len(self._headers) >= HEADERS_KEPT_AS_OBJECTS:
                 _fold_headers(self._headers, self._folded_headers)
@@ -335,6 +355,7 @@
         """Collect a part of the body."""
         self._bytes_since_progress = 0
         if self._incoming is not None and not self._must_discard():
+            self._slice_cost += BODY_PART_COST
             self._body_bytes_left = max(0, self._body_bytes_left - len(chunk))
             self._incoming.body.push(chunk)
 
@@ -342,6 +363,7 @@
         """Complete the request body."""
         self._bytes_since_progress = 0
         if self._incoming is not None and not self._must_discard():
+            self._slice_cost += REQUEST_COST
             self._incoming.body.finish()
             self._serve_if_next()
 
@@ -364,6 +386,7 @@
 
     def _parse_slice(self, data: memoryview) -> None:
         self._bytes_since_progress += len(data)
+        self._slice_cost = 0
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -380,14 +403,15 @@
             incoming.body.announce()
 
     def _continue_later(self) -> None:
-        """Parse the kept bytes in the next iteration of the event loop."""
+        """Parse the kept bytes at the turn of this connection."""
         if not self._is_continuing:
             self._is_continuing = True
-            self._edge.loop.call_soon(self._continue)
+            self._edge.turns.add(self._continue)
 
     def _continue(self) -> None:
         self._is_continuing = False
         if not self._is_stopped and not self._must_wait():
+            self._slice_cost = 0
             self.receive(memoryview(self._unparsed))
 
     def _set_paused(self, is_paused: bool) -> None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/core.py
@@ -49,6 +49,7 @@
     RECEIVE_BUFFER_BYTES,
     TIMEOUT_CHECK_INTERVAL_S,
 )
+from godwitpass_daemon.edge.parsing_turns import ParsingTurns
 from godwitpass_daemon.edge.statistics import EdgeStatistics
 from godwitpass_daemon.edge.stopped_clients import StoppedClients, StopReason
 from godwitpass_daemon.edge.upstreams import ConnectionPool
@@ -91,6 +92,7 @@
         self.receive_buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
         self.emit = emit
         self.stopped_clients = StoppedClients(self._report_stop)
+        self.turns = ParsingTurns(loop, self.now)
         self.buffers = BufferBudget(resources.buffer_bytes, lambda: self.connections)
         self._max_connections = resources.caller_connections
         self._location = location
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/limits.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/limits.py
@@ -9,6 +9,13 @@
 PARSED_SLICE_BYTES = 1024
 """Bytes that are parsed at once; the state of the connection is checked after each slice."""
 
+MAX_SLICE_COST = 96
+"""Cost of a slice, in header lines, above which its connection waits for a turn."""
+
+BODY_PART_COST = 2
+REQUEST_COST = 16
+"""Costs of a part of a body and of a request, in header lines."""
+
 RECEIVE_BUFFER_BYTES = 16 * 1024
 """Bytes that are read at once, and the most that a connection keeps unparsed."""
 
--- a/packages/godwitpass-daemon/tests/edge/test_caller_connections.py
+++ b/packages/godwitpass-daemon/tests/edge/test_caller_connections.py
@@ -21,6 +21,7 @@
     PARSED_SLICE_BYTES,
     RECEIVE_BUFFER_BYTES,
 )
+from godwitpass_daemon.edge.parsing_turns import MAX_LOOP_SHARE, TURN_S, ParsingTurns
 from godwitpass_daemon.edge.stopped_clients import StoppedClients, StopReason
 
 GET = b"GET /books HTTP/1.1\r\nhost: h\r\n\r\n"
@@ -65,10 +66,9 @@
         self.requests: list[tuple[str, bytes, bytes]] = []
         self.is_answering = True
         self._callbacks: list[Any] = []
-        core = MagicMock(spec=EdgeCore, is_draining=False)
+        core = MagicMock(spec=EdgeCore, is_draining=False, turns=MagicMock(spec=ParsingTurns))
         core.now = lambda: 0.0
-        core.loop = MagicMock()
-        core.loop.call_soon = self._callbacks.append
+        core.turns.add = self._callbacks.append
         core.create_call.side_effect = lambda _, caller, head, body, route: RecordedCall(
             self, head, body
         )
@@ -163,6 +163,49 @@
         body = edge.connection._queue[0].body
         assert BODY_BUFFER_BYTES < body.buffered_bytes <= BODY_BUFFER_BYTES + PARSED_SLICE_BYTES
 
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"GET /books HTTP/1.1\r\n" + b"a:\r\n" * 2000,
+            CHUNKED + b"2\r\nxy\r\n" * 2000,
+            GET * 50,
+        ],
+    )
+    def test_costly_bytes_wait_for_a_turn_after_each_slice(self, data: bytes) -> None:
+        edge = RecordingEdge()
+        edge.connection.receive(memoryview(data))
+        assert edge.is_paused
+        assert len(edge.connection._unparsed) == max(0, len(data) - PARSED_SLICE_BYTES)
+
+    def test_an_ordinary_upload_takes_no_turns(self) -> None:
+        edge = RecordingEdge()
+        edge.connection.receive(memoryview(encode_chunked(bytes(12_000), 4000, b"")))
+        assert len(edge.requests) == 1
+
+
+class TestTurns:
+    def test_turns_take_a_bounded_share_of_the_time(self) -> None:
+        now = 0.0
+        delays_s: list[float] = []
+        loop = MagicMock(spec=asyncio.AbstractEventLoop)
+        loop.call_later.side_effect = lambda delay_s, run: delays_s.append(delay_s)
+        turns = ParsingTurns(loop, lambda: now)
+        parsed = 0
+
+        def parse() -> None:
+            nonlocal now, parsed
+            parsed += 1
+            now += TURN_S / 2
+            turns.add(parse)
+
+        for _ in range(10):
+            turns.add(parse)
+        run = loop.call_soon.call_args.args[0]
+        for _ in range(20):
+            run()
+            now += delays_s[-1]
+        assert parsed * TURN_S / 2 <= MAX_LOOP_SHARE * now * 1.001
+
 
 class TestProgress:
     @pytest.mark.parametrize(
