Bound what clients of the peer port may take

What clients saw: 500 idle connections to the peer port took 526 descriptors of 400, and streams with many headers 111.5 MB of 128.

Cause: the gRPC server had no option but the size of a message and 32 calls at once, which together allow 64 MB of messages. Datagrams of up to 64 KiB were verified, though daemons send none above 1,264 bytes.

Change: options of the server bound connections (Resources.peer_connections), streams and calls (as many messages of 2 MiB as a sixteenth of the memory holds, 32 at most), metadata (8 KiB), pings (2 strikes), the window of a stream (64 KiB, which no longer grows with the rate) and the time of a handshake, of an idle connection and of any connection (5, 30 and 60 s). Larger datagrams are dropped before their tag is verified.

Cost: a connection that sends large messages is replaced after 60 s. While strangers hold all connections, large messages of daemons are lost and repaired by digests. gRPC's resource quota takes a pointer and can't be set from Python, so the bytes that its connections buffer are bounded by the options above only.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -32,6 +32,7 @@
             services.find("events", EventLog).emit,
             _load_tls_identity(settings.peer_tls),
             advertised=settings.listen.reachable_peer,
+            resources=settings.resources,
         ),
     )
     kernel.register(
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/peers/grpc_transport.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/peers/grpc_transport.py
@@ -8,12 +8,27 @@
 import msgspec
 
 from godwitpass.ids import Address
+from godwitpass_daemon.resources import Resources
 
 SERVICE = "godwitpass.Peers"
 METHOD = "Deliver"
 MAX_MESSAGE_BYTES = 2 * 1024 * 1024
 MAX_CONNECTIONS = 16
 MAX_CONCURRENT_INCOMING_CALLS = 32
+"""Incoming calls at once; fewer where the memory has no room for as many messages."""
+
+MAX_METADATA_BYTES = 8 * 1024
+MAX_PING_STRIKES = 2
+STREAM_WINDOW_BYTES = 64 * 1024
+HANDSHAKE_TIMEOUT_S = 5.0
+MAX_INCOMING_IDLE_S = 30.0
+"""More than `IDLE_CONNECTION_S`, so that the sender closes its connection first."""
+
+MAX_INCOMING_AGE_S = 60.0
+INCOMING_AGE_GRACE_S = 5.0
+"""After its age a connection takes no new call, and after the grace it is closed."""
+
+MS_PER_SECOND = 1000
 MAX_BYTES_IN_FLIGHT = 8 * 1024 * 1024
 IDLE_CONNECTION_S = 20.0
 CALL_TIMEOUT_S = 5.0
@@ -59,10 +74,12 @@
         on_frame: Callable[[bytes], None],
         tls: TlsIdentity | None,
         on_failure: Callable[[str], None],
+        resources: Resources,
     ) -> None:
         self._on_frame = on_frame
         self._tls = tls
         self._on_failure = on_failure
+        self._resources = resources
         self._server: grpc.aio.Server | None = None
         self._connections: dict[Address, _Connection] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -70,8 +87,10 @@
 
     async def open(self, address: Address) -> None:
         """Listen on `address`."""
+        concurrent_calls = _count_concurrent_calls(self._resources)
         server = grpc.aio.server(
-            maximum_concurrent_rpcs=MAX_CONCURRENT_INCOMING_CALLS, options=_OPTIONS
+            maximum_concurrent_rpcs=concurrent_calls,
+            options=_build_server_options(self._resources, concurrent_calls),
         )
         handler = grpc.unary_unary_rpc_method_handler(self._deliver)
         server.add_generic_rpc_handlers(
@@ -162,6 +181,32 @@
             self._bytes_in_flight -= len(data)
 
 
+def _count_concurrent_calls(resources: Resources) -> int:
+    messages = resources.peer_message_bytes // MAX_MESSAGE_BYTES
+    return max(1, min(MAX_CONCURRENT_INCOMING_CALLS, messages))
+
+
+def _build_server_options(
+    resources: Resources, concurrent_calls: int
+) -> tuple[tuple[str, int], ...]:
+    """Build the options that bound what clients of the listener may take."""
+    return (
+        *_OPTIONS,
+        ("grpc.max_allowed_incoming_connections", resources.peer_connections),
+        ("grpc.max_concurrent_streams", concurrent_calls),
+        ("grpc.max_metadata_size", MAX_METADATA_BYTES),
+        ("grpc.absolute_max_metadata_size", MAX_METADATA_BYTES),
+        ("grpc.http2.max_ping_strikes", MAX_PING_STRIKES),
+        ("grpc.http2.lookahead_bytes", STREAM_WINDOW_BYTES),
+        # Otherwise the windows grow with the rate of the sender.
+        ("grpc.http2.bdp_probe", 0),
+        ("grpc.server_handshake_timeout_ms", int(HANDSHAKE_TIMEOUT_S * MS_PER_SECOND)),
+        ("grpc.max_connection_idle_ms", int(MAX_INCOMING_IDLE_S * MS_PER_SECOND)),
+        ("grpc.max_connection_age_ms", int(MAX_INCOMING_AGE_S * MS_PER_SECOND)),
+        ("grpc.max_connection_age_grace_ms", int(INCOMING_AGE_GRACE_S * MS_PER_SECOND)),
+    )
+
+
 def _build_server_credentials(tls: TlsIdentity) -> grpc.ServerCredentials:
     return grpc.ssl_server_credentials(
         [(tls.private_key, tls.certificate)], tls.authority, require_client_auth=True
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/peers/transport.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/peers/transport.py
@@ -23,12 +23,17 @@
 )
 from godwitpass_daemon.peers.grpc_transport import MAX_MESSAGE_BYTES, GrpcTransport, TlsIdentity
 from godwitpass_daemon.peers.replay import ReplayGuard
+from godwitpass_daemon.resources import Resources
 
 MAX_DATAGRAM_PAYLOAD_BYTES = 1200
 """Larger payloads go by gRPC; a frame of this size fits an unfragmented Ethernet packet."""
 
-MAX_PAYLOAD_BYTES = MAX_MESSAGE_BYTES - 64
-"""Leaves room for the header and tag of the frame."""
+MAX_FRAME_OVERHEAD_BYTES = 64
+"""Room for the header and tag of a frame."""
+
+MAX_PAYLOAD_BYTES = MAX_MESSAGE_BYTES - MAX_FRAME_OVERHEAD_BYTES
+MAX_DATAGRAM_BYTES = MAX_DATAGRAM_PAYLOAD_BYTES + MAX_FRAME_OVERHEAD_BYTES
+DEFAULT_RESOURCES = Resources()
 
 IDLE_CHECK_INTERVAL_S = 5.0
 
@@ -61,6 +66,7 @@
         tls: TlsIdentity | None = None,
         now_us: Callable[[], int] = _read_clock_us,
         advertised: Address | None = None,
+        resources: Resources = DEFAULT_RESOURCES,
     ) -> None:
         # Raises ValueError unless `listen` is an IP address with a port.
         pack_address(listen)
@@ -75,8 +81,10 @@
         self._last_sent_us = 0
         self._replay_guard = ReplayGuard()
         self._handlers: dict[Channel, Handler] = {}
-        self._datagrams = DatagramSocket(self._handle_incoming)
-        self._grpc = GrpcTransport(self._handle_incoming, tls, self.dropped_outgoing.count)
+        self._datagrams = DatagramSocket(self._handle_datagram)
+        self._grpc = GrpcTransport(
+            self._handle_incoming, tls, self.dropped_outgoing.count, resources
+        )
 
     async def start(self, tasks: TaskGroup) -> None:
         """Listen on the same port number for datagrams and for gRPC."""
@@ -124,6 +132,13 @@
         self._last_sent_us = max(self._now_us(), self._last_sent_us + 1)
         return self._last_sent_us
 
+    def _handle_datagram(self, data: bytes) -> None:
+        # Daemons send none of this size, and its tag would take long to verify.
+        if len(data) > MAX_DATAGRAM_BYTES:
+            self.dropped_incoming.count(DropReason.OVERSIZE.value)
+        else:
+            self._handle_incoming(data)
+
     def _handle_incoming(self, data: bytes) -> None:
         drop_reason = self._process_frame(data)
         if drop_reason is not None:
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
@@ -74,6 +74,7 @@
             settings.peer_keys,
             services.find("events", EventLog).emit,
             advertised=settings.listen.reachable_peer,
+            resources=settings.resources,
         ),
     )
     kernel.register(
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/resources.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/resources.py
@@ -16,6 +16,9 @@
 SERVICE_SHARE = 0.03
 """Share of each further HTTP listener: readiness, control, metrics and administration."""
 
+PEER_MESSAGE_SHARE = 0.0625
+"""Share of the memory that messages of other daemons may take while they arrive."""
+
 BUFFER_SHARE = 0.25
 """Share of the memory that the requests of clients may take, over all listeners."""
 
@@ -31,6 +34,11 @@
         """Return how many bytes the requests of clients may take."""
         return int(self.memory_mb * BYTES_PER_MB * BUFFER_SHARE)
 
+    @property
+    def peer_message_bytes(self) -> int:
+        """Return how many bytes the incoming messages of other daemons may take."""
+        return int(self.memory_mb * BYTES_PER_MB * PEER_MESSAGE_SHARE)
+
     @property
     def caller_connections(self) -> int:
         """Return how many connections of callers may be open."""
--- a/packages/godwitpass-daemon/tests/peers/test_transport.py
+++ b/packages/godwitpass-daemon/tests/peers/test_transport.py
@@ -1,7 +1,7 @@
 import socket
 import time
 from collections.abc import AsyncIterator, Callable, Sequence
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from datetime import UTC, datetime, timedelta
 from functools import partial
 
@@ -18,10 +18,12 @@
 from godwitpass_daemon.peers.events import PEER_MESSAGES_DROPPED
 from godwitpass_daemon.peers.frames import seal_frame
 from godwitpass_daemon.peers.transport import (
+    MAX_DATAGRAM_BYTES,
     MAX_DATAGRAM_PAYLOAD_BYTES,
     MAX_PAYLOAD_BYTES,
     _read_clock_us,
 )
+from godwitpass_daemon.resources import MIN_DESCRIPTORS, Resources
 
 from .conftest import EventRecorder
 
@@ -181,6 +183,44 @@
 
         anyio.run(send_invalid_messages)
 
+    def test_datagrams_that_no_daemon_sends_are_dropped_unread(
+        self, addresses: AddressPair, recorder: EventRecorder
+    ) -> None:
+        receiver = PeerTransport(addresses[1], [KEY], recorder)
+        sent_us = receiver._now_us()
+        payload = bytes(MAX_DATAGRAM_BYTES)
+        frame = seal_frame(KEY, Channel.CLAIMS, addresses[0], addresses[1], sent_us, payload)
+        receiver._handle_datagram(frame)
+        assert receiver.dropped_incoming.totals == {"oversize": 1}
+
+    def test_connections_beyond_the_bound_are_closed(
+        self, addresses: AddressPair, recorder: EventRecorder
+    ) -> None:
+        resources = Resources(descriptors=MIN_DESCRIPTORS)
+        excess = 20
+
+        async def connect_and_count_closed() -> int:
+            receiver = PeerTransport(addresses[0], [KEY], recorder, resources=resources)
+            host, port = addresses[0].rsplit(":", 1)
+            closed: set[int] = set()
+
+            async def watch(number: int) -> None:
+                async with await anyio.connect_tcp(host, int(port)) as stream:
+                    with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                        while True:
+                            await stream.receive()
+                    closed.add(number)
+
+            async with run_transports([receiver]), anyio.create_task_group() as tasks:
+                for number in range(resources.peer_connections + excess):
+                    tasks.start_soon(watch, number)
+                await wait_until(lambda: len(closed) >= excess)
+                count = len(closed)
+                tasks.cancel_scope.cancel()
+            return count
+
+        assert anyio.run(connect_and_count_closed) == excess
+
     def test_sends_to_an_absent_daemon_and_after_the_stop_are_counted_as_dropped(
         self, addresses: AddressPair, recorder: EventRecorder
     ) -> None:
