Take less time for ordinary requests at the edge

What clients saw: nothing; a plain GET took 8 us more of a caller's connection since its bytes are parsed in slices.

Cause: each header line was counted by itself, the reasons to wait were checked three times a request, and each request was measured for the budget.

Change: header lines are counted once a slice, a connection that isn't paused isn't resumed, and a single small request without a body isn't measured. A test shows that a body that pauses when its buffer is exactly full is served.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/callers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/callers.py
@@ -14,7 +14,7 @@
 from godwitpass.internal.calls.outcomes import Outcome, Reason
 from godwitpass.internal.routing.table import Listener
 from godwitpass_daemon.edge.bodies import RequestBody
-from godwitpass_daemon.edge.buffer_budget import round_held_bytes
+from godwitpass_daemon.edge.buffer_budget import SMALL_REQUEST_BYTES, round_held_bytes
 from godwitpass_daemon.edge.heads import (
     Header,
     RefusedRequest,
@@ -153,7 +153,7 @@
         """Parse and read further, unless there is a reason to wait."""
         if self.held_bytes:
             self._count_held_bytes()
-        if self._is_parsing or self._is_stopped or self._must_wait():
+        if not self._is_paused or self._is_parsing or self._is_stopped or self._must_wait():
             return
         if self._unparsed:
             self._continue_later()
@@ -243,9 +243,12 @@
         if self._is_stopped:
             self._unparsed = b""
             return
-        self._unparsed = bytes(data[position:])
-        if not self._unparsed:
-            self._serve_if_next()
+        if position < len(data):
+            self._unparsed = bytes(data[position:])
+        else:
+            self._unparsed = b""
+            if self._call is None:
+                self._serve_if_next()
         self._finish_reading()
 
     def _parse(self, data: memoryview) -> int:
@@ -267,7 +270,7 @@
             if self._unparsed and not must_wait:
                 self._continue_later()
             self._set_paused(bool(self._unparsed) or must_wait)
-        if self.held_bytes or self._unparsed or self._is_reading_head or self._queue:
+        if self.held_bytes or self._unparsed or self._is_reading_head or self._holds_requests():
             self._count_held_bytes()
 
     def eof_received(self) -> bool:
@@ -328,10 +331,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers are dropped."""
         if self._is_reading_head:
-            self._slice_cost += 1
             self._headers.append((name, value))
-            if len(self._headers) >= HEADERS_KEPT_AS_OBJECTS:
-                _fold_headers(self._headers, self._folded_headers)
 
     def on_headers_complete(self) -> None:
         """Parse the head and queue the request."""
@@ -339,6 +339,7 @@
         if incoming is None or not self._is_reading_head:
             return
         self._is_reading_head = False
+        self._slice_cost += len(self._headers)
         incoming.head_bytes = self._bytes_since_progress + REQUEST_OBJECTS_BYTES
         self._bytes_since_progress = 0
         self._expires_at = math.inf
@@ -354,17 +355,19 @@
     def on_body(self, chunk: bytes) -> None:
         """Collect a part of the body."""
         self._bytes_since_progress = 0
-        if self._incoming is not None and not self._must_discard():
+        incoming = self._incoming
+        if incoming is not None and not self._is_stopped and not self._is_rejected:
             self._slice_cost += BODY_PART_COST
             self._body_bytes_left = max(0, self._body_bytes_left - len(chunk))
-            self._incoming.body.push(chunk)
+            incoming.body.push(chunk)
 
     def on_message_complete(self) -> None:
         """Complete the request body."""
         self._bytes_since_progress = 0
-        if self._incoming is not None and not self._must_discard():
+        incoming = self._incoming
+        if incoming is not None and not self._is_stopped and not self._is_rejected:
             self._slice_cost += REQUEST_COST
-            self._incoming.body.finish()
+            incoming.body.finish()
             self._serve_if_next()
 
     def _must_discard(self) -> bool:
@@ -377,7 +380,7 @@
             or self._is_rejected
             or self._is_writing_paused
             or len(self._queue) >= MAX_PIPELINED_REQUESTS
-            or (incoming is not None and incoming.body.is_full and not incoming.body.is_complete)
+            or (incoming is not None and not incoming.body.is_complete and incoming.body.is_full)
         )
 
     def _choose_slice_bytes(self) -> int:
@@ -396,10 +399,13 @@
         if self._bytes_since_progress > MAX_HEAD_BYTES and not self._must_discard():
             self.record_stop(StopReason.NO_PROGRESS)
             self._refuse_invalid(Reason.HEAD_TOO_LARGE)
+        if self._is_reading_head:
+            self._slice_cost += len(self._headers)
+            if len(self._headers) >= HEADERS_KEPT_AS_OBJECTS:
+                _fold_headers(self._headers, self._folded_headers)
         incoming = self._incoming
-        if incoming is not None and not self._is_stopped:
-            if incoming.body.received_bytes:
-                self._serve_if_next()
+        if incoming is not None and incoming.body.received_bytes and not self._is_stopped:
+            self._serve_if_next()
             incoming.body.announce()
 
     def _continue_later(self) -> None:
@@ -429,6 +435,13 @@
         if self._discarded_bytes > LINGERING_BYTES:
             self._set_paused(True)
 
+    def _holds_requests(self) -> bool:
+        """Return whether the queue is more than one small request without a body."""
+        queue = self._queue
+        if len(queue) != 1:
+            return bool(queue)
+        return bool(queue[0].body.received_bytes) or queue[0].head_bytes > SMALL_REQUEST_BYTES
+
     def _count_held_bytes(self) -> None:
         """Tell the budget of all callers what is held for this one now."""
         held_bytes = len(self._unparsed)
--- a/packages/godwitpass-daemon/tests/edge/test_resources.py
+++ b/packages/godwitpass-daemon/tests/edge/test_resources.py
@@ -4,6 +4,7 @@
 
 from godwitpass.internal.calls.messages import CallerKey
 from godwitpass_daemon.edge.buffer_budget import BufferBudget, Holder
+from godwitpass_daemon.edge.limits import BODY_BUFFER_BYTES
 from godwitpass_daemon.edge.stopped_clients import (
     LOG_INTERVAL_S,
     MAX_LOGGED_CALLERS,
@@ -105,6 +106,17 @@
 
 
 class TestUploads:
+    @run_async
+    async def test_a_body_that_pauses_when_its_buffer_is_exactly_full_is_served(self) -> None:
+        async with run_mesh() as mesh:
+            caller = await connect(mesh.outer_address)
+            size = BODY_BUFFER_BYTES + 1
+            head = b"POST /scans HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n" % size
+            answer = caller.send(head + bytes(BODY_BUFFER_BYTES))
+            await anyio.sleep(0.2)
+            caller.write(b"x")
+            assert (await answer).body == b" /scans %d" % size
+
     @run_async
     async def test_a_body_that_never_begins_ends_at_its_stall_timeout(self) -> None:
         async with run_mesh() as mesh:
