Show that headers without end at the peer port exceed the memory of a daemon

Cause: gRPC keeps what CONTINUATION frames bring until the block ends.

The crowds of HTTP/2 clients now run with 16 MB as well. A guard before gRPC that reads the frame headers of each connection and closes it above the bound of metadata would mend it; it isn't done.

--- a/tests/cover/test_misbehaving_edge_clients.py
+++ b/tests/cover/test_misbehaving_edge_clients.py
@@ -26,6 +26,7 @@
 CLIENTS = 24
 IDLE_CLIENTS = 500
 SENT_BYTES = 2 * BYTES_PER_MB
+LONG_SENT_BYTES = 16 * BYTES_PER_MB
 SENDING_S = 4.0
 CALL_ATTEMPTS = 3
 """An ordinary client repeats an idempotent call after a refusal or a closed connection."""
@@ -88,19 +89,21 @@
                 yield encode_frame(DATA, 0, stream, message)
 
 
-def encode_http2_bytes(behaviour: Http2Behaviour) -> bytes:
-    """Return what one client sends: the preface and frames of `SENT_BYTES`."""
+def encode_http2_bytes(behaviour: Http2Behaviour, sent_bytes: int) -> bytes:
+    """Return what one client sends: the preface and frames of `sent_bytes`."""
     data = bytearray(HTTP2_PREFACE + encode_frame(SETTINGS, 0, 0, b""))
     for frame in encode_frames(behaviour):
-        if len(data) + len(frame) > SENT_BYTES:
+        if len(data) + len(frame) > sent_bytes:
             return bytes(data)
         data += frame
     raise AssertionError("frames have no end")
 
 
-async def send_http2_crowd(address: Address, behaviour: Http2Behaviour) -> list[socket.socket]:
+async def send_http2_crowd(
+    address: Address, behaviour: Http2Behaviour, sent_bytes: int
+) -> list[socket.socket]:
     """Let `CLIENTS` send at once; return their sockets, which are still open."""
-    data = encode_http2_bytes(behaviour)
+    data = encode_http2_bytes(behaviour, sent_bytes)
     sockets: list[socket.socket] = []
     async with anyio.create_task_group() as tasks:
         for _ in range(CLIENTS):
@@ -190,6 +193,15 @@
 
 
 class TestCrowds:
+    @staticmethod
+    def check_http2(daemon: Daemon, behaviour: Http2Behaviour, sent_bytes: int) -> None:
+        send = partial(send_http2_crowd, daemon.settings.listen.peer, behaviour, sent_bytes)
+        clients = anyio.run(send, backend_options={"use_uvloop": True})
+        try:
+            daemon.check()
+        finally:
+            close_all(clients)
+
     @staticmethod
     def check(daemon: Daemon, listener: str, crowd: Crowd) -> None:
         target = daemon.list_targets()[listener]
@@ -229,12 +241,13 @@
     def test_http2_clients_of_the_peer_port_leave_room_for_ordinary_calls(
         self, daemon: Daemon, behaviour: Http2Behaviour
     ) -> None:
-        send = partial(send_http2_crowd, daemon.settings.listen.peer, behaviour)
-        clients = anyio.run(send, backend_options={"use_uvloop": True})
-        try:
-            daemon.check()
-        finally:
-            close_all(clients)
+        self.check_http2(daemon, behaviour, SENT_BYTES)
+
+    @pytest.mark.parametrize("behaviour", Http2Behaviour, ids=lambda b: b.name)
+    def test_http2_clients_that_send_more_leave_room_for_ordinary_calls(
+        self, daemon: Daemon, behaviour: Http2Behaviour
+    ) -> None:
+        self.check_http2(daemon, behaviour, LONG_SENT_BYTES)
 
     @pytest.mark.parametrize("first_bytes", [b"\xff", b"\x01\x01"], ids=["garbage", "forged"])
     def test_datagrams_without_end_leave_room_for_ordinary_calls(
