Read the rest of a body while its response is unread

What clients saw: a caller that reads the response only after it has sent its whole body was no longer read once 64 KiB of the response were unsent, until the response ended or stalled.

Cause: unsent responses paused everything that the caller sends, not only its next requests, and the end of the back-pressure did not resume reading while a call was in progress.

Change: the rest of a body is read as long as its buffer has room. The head of the next request waits.

Evidence: TestUnreadResponses, whose new test fails without the change.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/callers.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/callers.py
@@ -300,6 +300,7 @@
         self._is_writing_paused = False
         if self._call is not None:
             self._call.resume_response()
+            self.resume_reading()
             return
         if self._is_stopped:
             return
@@ -374,14 +375,13 @@
         return self._is_stopped or self._is_rejected
 
     def _must_wait(self) -> bool:
+        if self._is_stopped or self._is_rejected or len(self._queue) >= MAX_PIPELINED_REQUESTS:
+            return True
         incoming = self._incoming
-        return (
-            self._is_stopped
-            or self._is_rejected
-            or self._is_writing_paused
-            or len(self._queue) >= MAX_PIPELINED_REQUESTS
-            or (incoming is not None and not incoming.body.is_complete and incoming.body.is_full)
-        )
+        if incoming is None or self._is_reading_head or incoming.body.is_complete:
+            return self._is_writing_paused
+        # The rest of a body is read even so, as its caller may read only after it has sent all.
+        return incoming.body.is_full
 
     def _choose_slice_bytes(self) -> int:
         """Return the size of the next slice; it may hold the known rest of a body."""
--- a/packages/godwitpass-daemon/tests/edge/test_caller_connections.py
+++ b/packages/godwitpass-daemon/tests/edge/test_caller_connections.py
@@ -47,6 +47,12 @@
     def cancel(self) -> None:
         self.body.on_change = None
 
+    def pause_response(self) -> None:
+        pass
+
+    def resume_response(self) -> None:
+        pass
+
     def _handle_change(self) -> None:
         if not self._edge.is_answering:
             return
@@ -273,6 +279,17 @@
         edge.run_callbacks()
         assert len(edge.requests) == 4
 
+    def test_a_body_is_read_while_its_response_is_unread(self) -> None:
+        edge = RecordingEdge()
+        edge.receive(CHUNKED)
+        edge.connection.pause_writing()
+        edge.receive(b"2\r\nxy\r\n")
+        edge.receive(b"0\r\n\r\n" + GET)
+        assert edge.requests == [("POST", b"/books", b"xy")]
+        edge.connection.resume_writing()
+        edge.run_callbacks()
+        assert len(edge.requests) == 2
+
     def test_a_caller_that_reads_nothing_is_disconnected(self) -> None:
         edge = RecordingEdge()
         edge.connection.pause_writing()
