--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/calls.py
@@ -113,6 +113,25 @@
         self._has_ended = False
         self._claim_task: asyncio.Task[None] | None = None
 
+    @property
+    def progress_at(self) -> float:
+        """When the body or the response last made progress."""
+        if self._responding_attempt is not None:
+            return self._responding_attempt.last_progress_at
+        return max(
+            [self._body_progress_at, *(attempt.last_progress_at for attempt in self._attempts)]
+        )
+
+    @property
+    def waits_for_caller(self) -> bool:
+        """Whether the rest of the body is missing, or a response waits to be read."""
+        return self._responding_attempt is not None or not self.body.is_complete
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Size of the parts of the body that wait to be sent to upstreams."""
+        return sum(attempt.unsent_bytes for attempt in self._attempts)
+
     def start(self) -> None:
         """Start the deadline, and send the first attempt once enough of the body is buffered."""
         timeout_ms = self.head.context.timeout_ms
@@ -143,6 +162,13 @@
         if not self._has_ended and self._responding_attempt is None:
             self._refuse(Reason.DEADLINE)
 
+    def reclaim(self) -> None:
+        """End the call to free its memory."""
+        if self._responding_attempt is not None:
+            self._abort_response("memory")
+        else:
+            self._refuse(Reason.OVERLOADED)
+
     def check_timeouts(self, now: float, late_s: float) -> None:
         """End the call when its upload or its response makes no progress.
 
@@ -287,7 +313,10 @@
         body = self.body
         self._body_progress_at = self.edge.now()
         if body.is_aborted:
-            self._refuse(Reason.MALFORMED)
+            if self._responding_attempt is not None:
+                self._abort_response("invalid request")
+            else:
+                self._refuse(Reason.MALFORMED)
             return
         if body.is_complete and self._responding_attempt is None:
             timeout_s = self.route.policy.timeout_ms / 1000
@@ -299,8 +328,6 @@
         else:
             for attempt in self._attempts:
                 attempt.send_buffered_body()
-        if body.is_full:
-            self.connection.pause_reading()
         if body.is_complete and not self._has_ended and self._responding_attempt is None:
             self._timers.start_deadline_timer(self.expire)
 
