--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -9,6 +9,7 @@
 
 from godwitpass.ids import Address
 from godwitpass_platform_soak import draw_plan, run_soak
+from godwitpass_platform_soak.callers import SLOW_READER_PAUSE_S, read_response
 from godwitpass_platform_soak.checker import (
     MAX_CUSTOMER_CALLS,
     Checker,
@@ -21,6 +22,7 @@
 from godwitpass_platform_soak.keys import LASTING_KEY
 from godwitpass_platform_soak.plan import CRASHING_FAULTS, Fault
 from godwitpass_platform_soak.proxy import Link, StreamProxy
+from godwitpass_platform_stand_ins.client import Client
 
 BODY = b"body"
 REQUEST_LINE = "POST /order/1 HTTP/1.1"
@@ -90,6 +92,31 @@
         anyio.run(check, backend_options={"use_uvloop": True})
 
 
+class TestSlowReader:
+    @pytest.mark.parametrize(("closes_after_s", "is_lost"), [(0.0, False), (0.3, True)])
+    def test_a_close_is_timed_by_its_arrival_and_not_by_the_next_read(
+        self, closes_after_s: float, is_lost: bool
+    ) -> None:
+        async def close(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await anyio.sleep(closes_after_s)
+            writer.close()
+
+        async def check() -> None:
+            server = await asyncio.start_server(close, "127.0.0.1", 21903)
+            client = await Client.connect(Address("127.0.0.1:21903"))
+            checker, sent_at = Checker(Disturbances(), SERVICES), anyio.current_time()
+            call = SentCall("r1", 0, "GET /pack/1 HTTP/1.1", hash_body(b""), False, 1.5, sent_at)
+            checker.record_call(call)
+            client.send(b"GET /pack/1 HTTP/1.1\r\n\r\n")
+            await anyio.sleep(SLOW_READER_PAUSE_S)
+            checker.record_response("r1", await read_response(client, call))
+            client.close()
+            server.close()
+            assert list_violated_invariants(checker) == [Invariant.CONNECTION_KEPT] * is_lost
+
+        anyio.run(check, backend_options={"use_uvloop": True})
+
+
 class TestPlan:
     def test_a_seed_always_gives_the_same_faults(self) -> None:
         assert draw_plan(5, 6, 20) == draw_plan(5, 6, 20)
--- a/tests/nightly/test_soak_regressions.py
+++ b/tests/nightly/test_soak_regressions.py
@@ -21,6 +21,9 @@
     (623, 5, 12),
     # SIGHUP before the start of the relay ended the process.
     (1220004, 6, 20),
+    # A caller that read late timed the loss of a call, which crossed the exit of a stopped daemon,
+    # by its reading.
+    (7106, 14, 40),
 ]
 
 PAST_FAILURES_WITH_NEWER_FAULTS = [
