Let a stopping daemon take only what it can finish, and answer what it can't

Operators of similar systems saw requests that come late in the grace period of a planned stop taken, passed on and cut without an answer, also those that may run only once. Here a request was taken for 3 s or half of the grace period, whatever its timeout, and a call that was still running 0.7 s before the end of the grace period was cut without an answer. Requests after that got 503, even if they would have ended in time.

A request is taken until its timeout reaches the end of the grace period less the margin; a longer one only for the former time, and only if it may be repeated. A call in progress at the end is answered 504. A connection that was just opened has 0.1 s to send its request, which is refused as not run; others are closed for sending and read until the caller closes, at most 0.1 s.

Cost: a call that may run only once and might outlast the grace period gets 503 from the start of a stop; a daemon that is called without a pause ends later than 3 s after SIGTERM, but within its grace period; the end takes up to 0.2 s more while callers keep connections open.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -1,6 +1,7 @@
 """State that all calls of one daemon share: routes, links, connections, budgets and counts."""
 
 import asyncio
+import math
 import random
 from collections import Counter
 from collections.abc import Callable, Coroutine, Sequence
@@ -32,7 +33,7 @@
 from godwitpass_daemon.relay.call_admission import CallAdmission
 from godwitpass_daemon.relay.call_log import Emit
 from godwitpass_daemon.relay.forwarded_calls import ANSWERED, CRASH_SUSPECT, ForwardedCall
-from godwitpass_daemon.relay.headers import HeaderNames
+from godwitpass_daemon.relay.headers import HeaderNames, RequestHead
 from godwitpass_daemon.relay.inbound_peers import InboundLinks
 from godwitpass_daemon.relay.ingress import CallerConnection
 from godwitpass_daemon.relay.limits import TIMEOUT_CHECK_INTERVAL_S
@@ -64,7 +65,9 @@
     """Holds the routing table in force, the links to other daemons and the caller connections.
 
     While `is_stopping` is set, caller connections close after their last response. While
-    `is_refusing` is set, new requests are refused and calls are no longer retried.
+    `is_refusing` is set, new requests are refused and calls are no longer retried. Calls must end
+    by `finish_by`; those that might last longer are refused if they may run only once, or if they
+    come after `refuse_long_at`.
     """
 
     def __init__(
@@ -97,6 +100,8 @@
         self.calls_in_progress = 0
         self.is_stopping = False
         self.is_refusing = False
+        self.finish_by = math.inf
+        self.refuse_long_at = math.inf
         self.counts: Counter[str] = Counter()
         self.latency_us = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
         self.extra_requests = ExtraRequests()
@@ -171,6 +176,12 @@
             known_instances.update(upstream.instance for upstream in upstreams)
         self.selector.keep_only(known_instances)
 
+    def can_finish(self, route: RelayRoute, head: RequestHead, arrived_at: float) -> bool:
+        """Tell whether a request may start; a stopping daemon takes only what it can finish."""
+        if arrived_at + route.compute_timeout_s(head.timeout_ms) <= self.finish_by:
+            return True
+        return route.is_idempotent and self.now() < self.refuse_long_at
+
     def choose_priority(self, route: RelayRoute, request_id: str) -> int:
         """Return the priority of a call; lower values run first.
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/forwarded_calls.py
@@ -112,9 +112,7 @@
         self.route = route
         self.arrived_at = request.arrived_at
         policy = route.policy
-        timeout_s = policy.timeout_ms / 1000
-        if head.timeout_ms is not None:
-            timeout_s = min(timeout_s, head.timeout_ms / 1000)
+        timeout_s = route.compute_timeout_s(head.timeout_ms)
         self._deadline = self.arrived_at + timeout_s - DEADLINE_MARGIN_S
         self._objective_at = self.arrived_at + policy.objective_ms / 1000
         self._priority = core.choose_priority(route, head.request_id)
@@ -161,6 +159,23 @@
             self._cancel_attempts()
             self._finish("cancelled", 0)
 
+    def end(self, reason: str) -> None:
+        """Answer the call now, without a response of an upstream if there is none."""
+        if self._has_ended:
+            return
+        if self._streaming is not None:
+            self._cancel_attempts()
+            self._abort_response(reason)
+            return
+        was_forwarded = bool(self._in_flight)
+        self._cancel_attempts()
+        if self._respond_with_server_error():
+            return
+        if was_forwarded or self._uncertain_attempts:
+            self._respond_locally(504, reason, None)
+        else:
+            self._refuse(reason)
+
     # Called by the attempts.
 
     def get_age_s(self, attempt: Attempt) -> float:
@@ -510,20 +525,7 @@
 
     def _expire(self) -> None:
         """End a call at its deadline."""
-        if self._has_ended:
-            return
-        if self._streaming is not None:
-            self._cancel_attempts()
-            self._abort_response("deadline")
-            return
-        was_forwarded = bool(self._in_flight)
-        self._cancel_attempts()
-        if self._respond_with_server_error():
-            return
-        if was_forwarded or self._uncertain_attempts:
-            self._respond_locally(504, "deadline", None)
-        else:
-            self._refuse("deadline")
+        self.end("deadline")
 
     def _respond_locally(self, status: int, reason: str, retry_after_s: float | None) -> None:
         request_id = self.head.request_id.encode("latin-1")
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
@@ -53,8 +53,14 @@
         self._untaken_bytes = 0
         self._has_read_last_request = False
         self._is_stopped = False
+        self._has_begun_request = False
         self._expires_at = math.inf
 
+    @property
+    def is_new(self) -> bool:
+        """Return whether the first request has yet to arrive, as it does just after opening."""
+        return not self._has_begun_request and not self._is_stopped
+
     @property
     def is_idle(self) -> bool:
         """Return whether no request is in progress."""
@@ -101,9 +107,18 @@
         return self._transport is not None and self._transport.get_write_buffer_size() > 0
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is in progress."""
-        if self.is_idle and self._transport is not None:
-            self._transport.close()
+        """Close the connection unless a request is in progress.
+
+        Input is discarded until the caller closes, because unread input would reset the connection.
+        """
+        if self.is_idle and not self._is_stopped:
+            self._start_lingering_close()
+
+    def end_calls(self) -> None:
+        """Answer the calls in progress, whose responses would come too late."""
+        for request in list(self._requests):
+            if request.call is not None and not request.is_response_complete:
+                request.call.end("this daemon stops")
 
     def check_timeouts(self, now: float) -> None:
         """Enforce the timeouts of the head, the body and the idle connection."""
@@ -179,6 +194,7 @@
         self._target = b""
         self._headers = []
         self._is_reading_head = True
+        self._has_begun_request = True
         self._head_bytes = 0
         self._expires_at = now + self._core.limits.head_timeout_ms / 1000
 
@@ -335,6 +351,8 @@
             return False
         assert request.route is not None
         try:
+            if not self._core.can_finish(request.route, request.head, request.arrived_at):
+                raise RequestRejected(503, "this daemon stops before the deadline")
             admission.check(table, request.route, request.head)
         except RequestRejected as rejection:
             self._reject(request, rejection)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -67,16 +67,23 @@
 SHUTDOWN_MARGIN_S = 0.7
 """Calls must end this long before the end of the grace period; closing down takes 0.4 s."""
 
-ACCEPT_CALLERS_WHILE_STOPPING_S = 3.0
-"""Calls accepted later might outlast the grace period; refused callers use other daemons."""
+ACCEPT_LONG_CALLS_S = 3.0
+"""Time in which a stopping daemon takes calls that may be repeated, whatever their deadline is."""
 
-MAX_ACCEPT_CALLERS_SHARE = 0.5
+MAX_ACCEPT_LONG_CALLS_SHARE = 0.5
 """The same as a share of the grace period, for deployments with a short one."""
 
+FIRST_REQUEST_WAIT_S = 0.1
+"""Time for the first request on a connection that was opened just before the listeners closed."""
+
+LAST_CLOSE_S = 0.1
+"""Time in which callers have to close their side of the connections that the daemon closes."""
+
 ACCEPT_PEERS_WHILE_STOPPING_S = 1.0
 """Time in which a stopping daemon still runs calls that other daemons forward."""
 
 DRAIN_POLL_S = 0.05
+LAST_CLOSE_POLL_S = 0.01
 MAX_IDENTIFICATION_WAIT_S = 0.1
 """Time that calls wait for the local upstream after they waited for the first configuration."""
 
@@ -289,17 +296,16 @@
             kinds.RELAY_STOPPING, calls=core.calls_in_progress, jobs=core.runner.calls_in_progress
         )
         grace_s = self._settings.grace_s
-        finish_by = stopping_since + grace_s - SHUTDOWN_MARGIN_S
-        refuse_callers_at = stopping_since + min(
-            ACCEPT_CALLERS_WHILE_STOPPING_S, MAX_ACCEPT_CALLERS_SHARE * grace_s
+        core.finish_by = stopping_since + grace_s - SHUTDOWN_MARGIN_S
+        core.refuse_long_at = stopping_since + min(
+            ACCEPT_LONG_CALLS_S, MAX_ACCEPT_LONG_CALLS_SHARE * grace_s
         )
-        while loop.time() < finish_by:
+        while loop.time() < core.finish_by:
             if (
                 not core.runner.is_stopping
                 and loop.time() - stopping_since > ACCEPT_PEERS_WHILE_STOPPING_S
             ):
                 self._stop_accepting_peer_calls(core)
-            core.is_refusing = loop.time() >= refuse_callers_at
             is_busy = (
                 core.calls_in_progress
                 or core.runner.calls_in_progress
@@ -312,16 +318,17 @@
             await anyio.sleep(DRAIN_POLL_S)
         for server in self._servers:
             server.close()
-        aborted = core.calls_in_progress
+        ended_count = core.calls_in_progress
         core.is_refusing = True
         core.refuse_waiting_requests()
         for caller_connection in list(core.caller_connections):
-            caller_connection.close_if_idle()
+            caller_connection.end_calls()
+        unclosed_count = await _close_caller_connections(core)
         core.close_links()
         for inbound_peer in list(core.inbound_links.connections):
             inbound_peer.close()
         core.runner.pool.close_all()
-        self._events.emit(kinds.RELAY_STOPPED, cut=aborted)
+        self._events.emit(kinds.RELAY_STOPPED, cut=ended_count, unclosed=unclosed_count)
 
     def _stop_accepting_peer_calls(self, core: RelayCore) -> None:
         """Tell other daemons to forward no further calls to this one."""
@@ -543,3 +550,15 @@
     return has_caller_output or any(
         peer.has_unsent_output for peer in core.inbound_links.connections
     )
+
+
+async def _close_caller_connections(core: RelayCore) -> int:
+    """Refuse what still arrives, close the connections, and return how many callers did not."""
+    now = core.now()
+    wait_until, close_until = now + FIRST_REQUEST_WAIT_S, now + FIRST_REQUEST_WAIT_S + LAST_CLOSE_S
+    while core.caller_connections and core.now() < close_until:
+        for connection in list(core.caller_connections):
+            if not connection.is_new or core.now() >= wait_until:
+                connection.close_if_idle()
+        await anyio.sleep(LAST_CLOSE_POLL_S)
+    return len(core.caller_connections)
--- a/packages/godwitpass/src/godwitpass/internal/relay/routes.py
+++ b/packages/godwitpass/src/godwitpass/internal/relay/routes.py
@@ -25,6 +25,11 @@
         """Return whether a call may run more than once."""
         return self.policy.execution is Execution.IDEMPOTENT
 
+    def compute_timeout_s(self, requested_ms: int | None) -> float:
+        """Return the timeout of a call, which its caller may shorten."""
+        timeout_ms = self.policy.timeout_ms
+        return (timeout_ms if requested_ms is None else min(timeout_ms, requested_ms)) / 1000
+
 
 class RelayTable(msgspec.Struct, frozen=True):
     """Immutable routing table of one version; each path prefix ends with a slash."""
