Bound the memory of response heads without end, and end the edge's responses without a body

Operators of similar systems saw a faulty server send bytes that are no response, without end, until the caller's machine had no memory left.

A read has up to 256 KB, and all of it was parsed into header objects before the size of the head was compared with its limit. A closed connection kept them until a collection of garbage, since it and its parser refer to each other. At the edge, chunk sizes, chunk extensions and trailers without end were taken until the deadline, as the relay's were earlier.

Both parse a head in pieces of 4 KB and stop at the limit, and a lost connection drops its headers. The edge ends an attempt after 64 KB in a row that belong to no body.

Cost: a response whose head doesn't end within its first 4 KB is passed to the parser in more calls. At the edge a head of over 32 KB is invalid also if it arrives in one read.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/edge/upstreams.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/edge/upstreams.py
@@ -15,6 +15,13 @@
     MAX_NON_IDEMPOTENT_IDLE_S,
 )
 
+HEAD_PIECE_BYTES = 4 * 1024
+MAX_BYTES_WITHOUT_BODY = 64 * 1024
+"""What an upstream may send in a row that is no part of a body.
+
+Chunk sizes, chunk extensions and trailers have no length of their own.
+"""
+
 
 class ResponseHandler(Protocol):
     """Callbacks from a connection to the attempt that uses it."""
@@ -65,6 +72,7 @@
         self._headers: list[Header] = []
         self._status = 0
         self._head_bytes = 0
+        self._bytes_without_body = 0
         self._is_head_complete = False
         self._is_response_complete = False
         self._is_reusable = False
@@ -84,6 +92,7 @@
         self._is_head_complete = False
         self._is_response_complete = False
         self._head_bytes = 0
+        self._bytes_without_body = 0
 
     def write(self, data: bytes) -> None:
         """Send bytes of the request."""
@@ -137,6 +146,23 @@
             self.close()
             return
         self.has_received = True
+        self._bytes_without_body += len(data)
+        rest = memoryview(data)
+        while rest and not self._is_invalid and not self._has_surplus:
+            # A head is parsed in pieces, because each of its lines takes much more than its bytes.
+            size = len(rest) if self._is_head_complete else HEAD_PIECE_BYTES
+            self._parse(rest[:size])
+            rest = rest[size:]
+        if self._bytes_without_body > MAX_BYTES_WITHOUT_BODY and not self._is_response_complete:
+            self._is_invalid = True
+        if self._is_invalid:
+            self.close()
+            handler.handle_connection_loss(is_invalid=True)
+        elif self._is_response_complete:
+            handler.finish_response()
+        handler.flush()
+
+    def _parse(self, data: memoryview) -> None:
         if not self._is_head_complete:
             self._head_bytes += len(data)
         try:
@@ -146,17 +172,13 @@
             self._has_surplus = True
         if self._head_bytes > MAX_HEAD_BYTES and not self._is_head_complete:
             self._is_invalid = True
-        if self._is_invalid:
-            self.close()
-            handler.handle_connection_loss(is_invalid=True)
-        elif self._is_response_complete:
-            handler.finish_response()
-        handler.flush()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Remove the connection from the pool, and fail the attempt that uses it."""
         handler = self._handler
         self._handler = None
+        # The parser refers to the connection, so that both stay until garbage is collected.
+        self._headers = []
         self._pool.discard(self)
         if handler is not None:
             handler.handle_connection_loss(is_invalid=False)
@@ -199,12 +221,14 @@
             self._is_invalid = True
             return
         self._is_head_complete = True
+        self._bytes_without_body = 0
         handler.receive_head(head)
         if handler.method == "HEAD":
             self._is_response_complete = True
 
     def on_body(self, chunk: bytes) -> None:
         """Forward a part of the response body."""
+        self._bytes_without_body = 0
         if self._is_head_complete and not self._is_response_complete and self._handler is not None:
             self._handler.receive_body(chunk)
 
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_connections.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/upstream_connections.py
@@ -19,6 +19,7 @@
 )
 
 MAX_RESPONSE_HEAD_BYTES = 32 * 1024
+HEAD_PIECE_BYTES = 4 * 1024
 MAX_BYTES_WITHOUT_BODY = 64 * 1024
 """What an upstream may send in a row that is no part of a body.
 
@@ -126,24 +127,18 @@
             self.close()
             return
         self._has_received = True
-        was_reading_head = self._is_reading_head
         self._bytes_without_body += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserCallbackError:
-            # An error of this program: asyncio logs it.
-            self._fail_response()
-            raise
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._is_broken = True
-        if was_reading_head and self._is_reading_head:
-            # The parser reports a header only once it is complete.
-            self._unfinished_head_bytes += len(data)
+        rest = memoryview(data)
+        while rest and not self._is_broken and not self._is_head_too_large():
+            # A head is parsed in pieces, because each of its lines takes much more than its bytes.
+            size = HEAD_PIECE_BYTES if self._head is None else len(rest)
+            self._parse(rest[:size])
+            rest = rest[size:]
         if self._is_response_complete:
             self._finish_response()
         elif (
             self._is_broken
-            or self._unfinished_head_bytes > MAX_RESPONSE_HEAD_BYTES
+            or self._is_head_too_large()
             or self._bytes_without_body > MAX_BYTES_WITHOUT_BODY
         ):
             self._fail_response()
@@ -157,6 +152,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the loss to the pending request."""
+        # The parser refers to the connection, so that both stay until garbage is collected.
+        self._headers = []
         handler, self._handler = self._handler, None
         self._pool.discard(self)
         if handler is not None:
@@ -224,6 +221,23 @@
         elif self._head is not None and self._head.framing is not Framing.UNMARKED:
             self._is_response_complete = True
 
+    def _is_head_too_large(self) -> bool:
+        return self._unfinished_head_bytes > MAX_RESPONSE_HEAD_BYTES
+
+    def _parse(self, data: memoryview) -> None:
+        was_reading_head = self._is_reading_head
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError:
+            # An error of this program: asyncio logs it.
+            self._fail_response()
+            raise
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._is_broken = True
+        if was_reading_head and self._is_reading_head:
+            # The parser reports a header only once it is complete.
+            self._unfinished_head_bytes += len(data)
+
     def _finish_response(self) -> None:
         """Release or close the connection, and report the end of the response."""
         head, handler = self._head, self._handler
--- a/packages/godwitpass-daemon/tests/relay/test_upstream.py
+++ b/packages/godwitpass-daemon/tests/relay/test_upstream.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import tracemalloc
 from typing import Any
 
 import httptools
@@ -38,6 +39,7 @@
 
 BODY_SIZES = [0, 1, MAX_RESPONSE_HEAD_BYTES, 90_000, 256 * 1024, 540_000]
 LARGE_READ_BYTES = 256 * 1024
+MAX_HEAD_MEMORY_BYTES = 1024 * 1024
 READ_SIZES = [1_000, 16 * 1024, 64 * 1024, LARGE_READ_BYTES]
 
 
@@ -147,6 +149,17 @@
         assert handler.outcome == "invalid"
         assert handler.head is None
 
+    def test_a_head_of_short_lines_without_end_takes_little_memory(self) -> None:
+        response = b"HTTP/1.1 200 OK\r\n" + b"a-line: bc\r\n" * (2 * LARGE_READ_BYTES // 12)
+        tracemalloc.start()
+        try:
+            handler = receive(response, LARGE_READ_BYTES)
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert handler.outcome == "invalid"
+        assert peak_bytes < MAX_HEAD_MEMORY_BYTES
+
 
 class TestResponsesWithoutAnId:
     """An earlier refusal that is written once more belongs to no request, but looks like one."""
