Let the soak send crowds of misbehaving clients and responses without end

No soak had clients or servers that misbehave: crowds of clients that send without end and stay open took over ten times the memory of a machine, and only tests of one daemon showed it.

Other seeds keep their plans. The kinds of responses without end move from their test to the stand-ins.

Cost: none for the product.

--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -12,6 +12,8 @@
 from godwitpass_platform_soak.callers import SLOW_READER_PAUSE_S, read_response
 from godwitpass_platform_soak.checker import (
     MAX_CUSTOMER_CALLS,
+    MAX_DESCRIPTORS,
+    MEMORY_MB,
     Checker,
     Disturbances,
     Invariant,
@@ -20,9 +22,17 @@
     hash_body,
 )
 from godwitpass_platform_soak.keys import LASTING_KEY
-from godwitpass_platform_soak.plan import CRASHING_FAULTS, Fault
+from godwitpass_platform_soak.plan import (
+    CRASHING_FAULTS,
+    CROWD_FAULTS,
+    MISBEHAVIOUR,
+    Fault,
+    Plan,
+    Step,
+)
 from godwitpass_platform_soak.proxy import Link, StreamProxy
 from godwitpass_platform_stand_ins.client import Client
+from godwitpass_platform_stand_ins.endless_responses import NO_RESPONSES
 
 BODY = b"body"
 REQUEST_LINE = "POST /order/1 HTTP/1.1"
@@ -55,6 +65,7 @@
 
 
 RESTARTS_SEED = 410001
+MISBEHAVING_SEED = 8013
 
 
 class TestStreamProxy:
@@ -134,6 +145,14 @@
             others = draw_plan(seed, 6, 20, with_newer_faults=True)
             assert Fault.CRASHING_BURST not in {step.fault for step in others.steps}
 
+    def test_misbehaviour_is_drawn_on_request_only(self) -> None:
+        for seed in range(20):
+            crowds = draw_plan(seed, 4, 20, only_crowds=True)
+            assert crowds.has_crowds
+            assert {step.fault for step in crowds.steps} <= set(CROWD_FAULTS)
+            others = draw_plan(seed, 4, 20, with_newer_faults=True)
+            assert not {step.fault for step in others.steps} & set(MISBEHAVIOUR)
+
     def test_a_plan_with_a_single_machine_is_rejected(self) -> None:
         with pytest.raises(ValueError, match="two machines or more"):
             draw_plan(1, 1, 20)
@@ -355,6 +374,15 @@
         checker.record_unrecovered(1, 20.0)
         assert list_violated_invariants(checker) == [Invariant.PROCESS_RUNNING, Invariant.RECOVERED]
 
+    def test_a_daemon_beyond_its_memory_or_descriptors_is_found_once_a_start(self) -> None:
+        checker = Checker(Disturbances(), SERVICES)
+        checker.record_use(0, 1, (MEMORY_MB, MAX_DESCRIPTORS), 20.0)
+        assert not checker.violations
+        for use in ((MEMORY_MB + 0.1, 10), (10.0, MAX_DESCRIPTORS + 1)):
+            checker.record_use(0, 1, use, 20.0)
+        checker.record_use(0, 2, (10.0, MAX_DESCRIPTORS + 1), 20.0)
+        assert list_violated_invariants(checker) == [Invariant.RESOURCES_BOUNDED] * 2
+
     def test_calls_of_a_customer_beyond_its_limit_are_found(self) -> None:
         checker, path = Checker(Disturbances(), SERVICES), "/read/1"
         for number in range(80):
@@ -406,6 +434,23 @@
         outcome = run_soak(plan, tmp_path)
         assert not outcome.violations, outcome.violations
 
+    def test_misbehaving_clients_and_servers_violate_no_invariant(self, tmp_path: Path) -> None:
+        plan = draw_plan(MISBEHAVING_SEED, 3, 8, only_crowds=True)
+        assert {step.fault for step in plan.steps} >= set(MISBEHAVIOUR)
+        outcome = run_soak(plan, tmp_path)
+        assert not outcome.violations, outcome.violations
+
+    def test_servers_that_all_respond_without_end_are_bounded(self, tmp_path: Path) -> None:
+        steps = tuple(
+            Step(3.0 + kind, Fault.ENDLESS_RESPONSES, (0,), 0.9, float(kind))
+            for kind in range(len(NO_RESPONSES))
+        )
+        plan = Plan(1, 4, 3.0 + len(NO_RESPONSES), steps, has_crowds=True)
+        outcome = run_soak(plan, tmp_path)
+        assert not outcome.violations, outcome.violations
+        assert outcome.counts["status 502"] > 100
+        assert outcome.counts["status 200"] > 100
+
     def test_extra_requests_violate_no_invariant_under_faults(self, tmp_path: Path) -> None:
         plan = draw_plan(EXTRA_REQUESTS_SEED, 4, 14, True, extra_request_share=0.2)
         outcome = run_soak(plan, tmp_path)
