--- a/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
@@ -4,6 +4,7 @@
 import random
 
 from godwitpass.document import Favour
+from godwitpass.events import EventKind, FieldValue
 from godwitpass.ids import NO_VERSION, Address, Version
 from godwitpass.internal.actions import MessageReceived, RecordEvent, Send, SetTimer, TimerFired
 from godwitpass.internal.distribution import events
@@ -23,6 +24,7 @@
     Announce,
     Busy,
     Fetch,
+    Handover,
     HoldingsRequest,
     HoldingsResponse,
     Message,
@@ -35,6 +37,7 @@
 from godwitpass.internal.distribution.reader import (
     DocumentSource,
     ReaderAction,
+    ReadingFailed,
     RejectedDocument,
     StoredVersion,
     StoreReader,
@@ -47,12 +50,13 @@
     find_dangling_references,
 )
 from godwitpass.internal.distribution.tuning import (
+    HANDOVER_S,
     MAX_READER_DELAY_S,
     REMOTE_ANNOUNCE_FRACTION,
     Tuning,
     choose_tuning,
 )
-from godwitpass.internal.distribution.view import View, find_parent_position
+from godwitpass.internal.distribution.view import ReaderRanking, View, find_parent_position
 from godwitpass.internal.requests import EntriesRead, EntryRead, RequestFailed
 from godwitpass.snapshot import Snapshot
 
@@ -86,6 +90,9 @@
         self._next_announce_at = math.inf
         self._reader_start_at = math.inf
         self._timer_at = math.inf
+        self._store_reported_at = -math.inf
+        self._reader_ranking: ReaderRanking | None = None
+        self._substitute_until = math.inf
 
     @property
     def current(self) -> Snapshot | None:
@@ -100,6 +107,13 @@
         """Return the known holdings of each availability zone."""
         return self._reporter.zones.list_zones()
 
+    def compute_store_age(self, now: float) -> float:
+        """Return the seconds since an answer of the store to any reader that is known here.
+
+        It is infinite if none is known.
+        """
+        return now - max(self._reader.heard_at, self._store_reported_at)
+
     def handle(self, event: Event, now: float) -> list[Action]:
         """Return the actions that `event` causes."""
         actions = self._dispatch(event, now)
@@ -132,19 +146,19 @@
         if now >= self._reader.deadline:
             actions += self._perform_reader_actions(self._reader.run_due(now), now)
             actions += (
-                []
-                if self._reader.is_store_reachable
-                else self._announce_to_random_peer(to_other_zone=True)
+                [] if self._reader.is_store_reachable else self._announce_to_random_peer(True, now)
             )
         if now >= self._reader_start_at:
             self._reader_start_at = math.inf
             actions += self._perform_reader_actions(self._reader.start(now), now)
+        if now >= self._substitute_until:
+            actions += self._end_substitution()
         if now >= self._next_announce_at:
             self._next_announce_at = now + self._draw_announce_interval()
             self._reporter.zones.remove_expired(now)
             actions += self._pusher.probe_incomplete_children()
             actions += self._announce_to_random_peer(
-                self._random.random() < REMOTE_ANNOUNCE_FRACTION
+                self._random.random() < REMOTE_ANNOUNCE_FRACTION, now
             )
         return actions
 
@@ -156,6 +170,7 @@
             self._next_announce_at,
             self._reader_start_at,
             self._reporter.deadline,
+            self._substitute_until,
         )
         if due_at >= self._timer_at:
             return []
@@ -187,10 +202,15 @@
 
     def _update_reader_role(self, view: View, now: float) -> None:
         """Start reading the store after a random delay, unless this daemon is no reader by then."""
+        self._reader_ranking = view.rank_readers()
+        self._reader.phase = self._reader_ranking.compute_phase(self._own_address)
         if not view.is_reader(self._own_address):
-            self._reader.stop()
             self._reader_start_at = math.inf
-        elif not self._reader.is_running and self._reader_start_at == math.inf:
+            if self._substitute_until == math.inf:
+                self._reader.stop()
+            return
+        self._substitute_until = math.inf
+        if not self._reader.is_running and self._reader_start_at == math.inf:
             self._reader_start_at = now + self._random.random() * MAX_READER_DELAY_S
 
     def _draw_announce_interval(self) -> float:
@@ -201,7 +221,12 @@
         parent = find_parent_position(position) if position else None
         return self._view.ranked_members[parent] if self._view and parent is not None else None
 
-    def _announce_to_random_peer(self, to_other_zone: bool) -> list[Action]:
+    def _build_announce(self, now: float) -> Announce:
+        age_s = self.compute_store_age(now)
+        age_ms = int(age_s * 1000) if age_s < math.inf else None
+        return Announce(self._cache.version, self._cache.digest, store_age_ms=age_ms)
+
+    def _announce_to_random_peer(self, to_other_zone: bool, now: float) -> list[Action]:
         if self._view is None or self.current is None:
             return []
         zones = [addresses for addresses in self._view.remote_members.values() if addresses]
@@ -209,7 +234,7 @@
         peer = self._random.choice(peers) if peers else self._own_address
         if peer == self._own_address:
             return []
-        return [Send(peer, Announce(self._cache.version, self._cache.digest))]
+        return [Send(peer, self._build_announce(now))]
 
     def _perform_reader_actions(
         self, reader_actions: list[ReaderAction], now: float
@@ -218,10 +243,41 @@
         for action in reader_actions:
             if isinstance(action, VersionFound):
                 actions += self._activate(action.snapshot, None, now)
+            elif isinstance(action, ReadingFailed):
+                if self._substitute_until < math.inf:
+                    return [*actions, *self._end_substitution()]
+                actions += self._hand_over(action.attempt)
             else:
                 actions.append(action)
         return actions
 
+    def _hand_over(self, attempt: int) -> list[Action]:
+        """Let another daemon read in place of this one, if this is a reader."""
+        ranking = self._reader_ranking
+        substitute = ranking.choose_substitute(self._own_address, attempt) if ranking else None
+        return [Send(substitute, Handover())] if substitute is not None else []
+
+    def _start_substitution(self, sender: Address, now: float) -> list[Action]:
+        ranking = self._reader_ranking
+        if ranking is None or self._own_address not in ranking.substitutes:
+            return []
+        self._substitute_until = now + HANDOVER_S
+        if self._reader.is_running:
+            return []
+        return [
+            *self._record_substitution(events.SUBSTITUTION_STARTED, {"for": sender}),
+            *self._perform_reader_actions(self._reader.start(now), now),
+        ]
+
+    def _end_substitution(self) -> list[Action]:
+        self._substitute_until = math.inf
+        self._reader.stop()
+        return self._record_substitution(events.SUBSTITUTION_ENDED, {})
+
+    def _record_substitution(self, kind: EventKind, fields: dict[str, FieldValue]) -> list[Action]:
+        """Record the event, unless the last attempt here failed, as all do in an outage."""
+        return [RecordEvent(kind, fields)] if self._reader.is_store_reachable else []
+
     def _activate(
         self,
         snapshot: Snapshot,
@@ -237,11 +293,15 @@
             return [RecordEvent(events.VERSION_NOT_CLOSED, {"refused": snapshot.version})]
         previous = self._cache.version
         reader_fields = self._reader.describe(now)
+        store_age_s = self.compute_store_age(now)
+        if store_age_s < math.inf:
+            reader_fields["store_ms"] = int(store_age_s * 1000)
         self._cache.add(snapshot, update)
         self._fetcher.handle_activation()
         favour = snapshot.document.distribution.favour
         self._tuning = self._fixed_tuning or choose_tuning(favour)
         self._reader.pause_s = self._tuning.push_interval_s
+        self._reader.aligned_at = now
         include_upward = not self._is_above(sender)
         actions: list[Action] = [
             Activate(snapshot),
@@ -273,6 +333,8 @@
             return self._handle_fetch(sender, message, now)
         if isinstance(message, Busy):
             return [*self._fetcher.record_busy(sender, message.retry_s, now)]
+        if isinstance(message, Handover):
+            return self._start_substitution(sender, now)
         if isinstance(message, HoldingsRequest):
             return [Send(sender, HoldingsResponse(self._reporter.zones.list_zones()))]
         if isinstance(message, ZoneHoldings):
@@ -286,12 +348,15 @@
 
     def _handle_announce(self, sender: Address, message: Announce, now: float) -> list[Action]:
         self._pusher.record_contact(sender, message.version)
+        if message.store_age_ms is not None:
+            answered_at = now - message.store_age_ms / 1000
+            self._store_reported_at = max(self._store_reported_at, answered_at)
         if self._contradicts_current(message.version, message.digest):
             return [RecordEvent(events.VERSION_DIFFERS, {"held": message.version, "peer": sender})]
         if message.version > self._cache.version:
             return [*self._fetcher.record_holder(sender, message.version, now)]
         if message.version < self._cache.version:
-            return [Send(sender, Announce(self._cache.version, self._cache.digest))]
+            return [Send(sender, self._build_announce(now))]
         return [Send(sender, self._reporter.summarize())] if message.wants_reply else []
 
     def _handle_update(self, sender: Address, message: Update, now: float) -> list[Action]:
--- a/packages/godwitpass/src/godwitpass/internal/distribution/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/events.py
@@ -72,6 +72,20 @@
     "A new version is used although parts of its document are unknown or have no effect.",
     Level.WARNING,
 )
+CHANGE_MISSED = EventKind(
+    224,
+    "change-missed",
+    "A change arrived that an earlier answer of the store did not list but covered.",
+    Level.WARNING,
+)
+SUBSTITUTION_STARTED = EventKind(
+    225,
+    "substitution-started",
+    "The daemon reads the store in place of a reader that can't reach it.",
+)
+SUBSTITUTION_ENDED = EventKind(
+    226, "substitution-ended", "The daemon no longer reads the store in place of a reader."
+)
 ZONE_CONVERGED = EventKind(
     220, "zone-converged", "All daemons of the availability zone hold the version."
 )
--- a/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
@@ -28,6 +28,7 @@
 from godwitpass.internal.distribution.delta import DocumentCodec, InvalidContent
 from godwitpass.internal.distribution.snapshot_cache import SnapshotCache
 from godwitpass.internal.distribution.tuning import (
+    MIN_WATCH_TIMEOUT_S,
     STORE_RETRY_MAX_S,
     STORE_RETRY_MIN_S,
     WATCH_TIMEOUT_S,
@@ -40,6 +41,7 @@
     RequestFailed,
     Watch,
 )
+from godwitpass.internal.revisions import NamedRevisions
 from godwitpass.snapshot import Snapshot
 from godwitpass.store import Entry
 
@@ -90,19 +92,27 @@
     reason: str
 
 
+class ReadingFailed(msgspec.Struct, frozen=True):
+    """Action, internal to distribution: the store did not answer; `attempt` of several in a row."""
+
+    attempt: int
+
+
 class VersionFound(msgspec.Struct, frozen=True):
     """Action, internal to distribution: the store holds this later version."""
 
     snapshot: Snapshot
 
 
-ReaderAction = Get | Watch | RecordEvent | VersionFound
+ReaderAction = Get | Watch | RecordEvent | VersionFound | ReadingFailed
 
 
 class StoreReader:
     """Watches the root record by one long poll at a time.
 
-    It pauses for `pause_s` after a new version, so that a burst of versions needs few reads.
+    It pauses for `pause_s` after a new version, so that a burst of versions needs few reads. Polls
+    end at `phase`, a share of `WATCH_TIMEOUT_S`, after `aligned_at`, the time of the last version,
+    so that those of several readers do not end together.
     """
 
     def __init__(
@@ -131,10 +141,19 @@
         self._lost_at = 0.0
         self._failures = 0
         self._polls = 0
+        self._empty_polls = 0
+        self._handled_revision = Revision(0)
+        self._listed_revision = Revision(0)
+        self._named = NamedRevisions()
+        self.heard_at = -math.inf
+        self._heard_before = -math.inf
         self.is_store_reachable = True
         self.rejected_document: RejectedDocument | None = None
         self.stored_version: StoredVersion | None = None
         self.pause_s = 0.0
+        self.phase = 0.0
+        self.aligned_at = 0.0
+        self._poll_timeout_s = WATCH_TIMEOUT_S
         self.deadline = math.inf
 
     @property
@@ -143,14 +162,23 @@
         return self._step is not Step.IDLE
 
     def describe(self, now: float) -> dict[str, FieldValue]:
-        """Return log fields: what the reader waits for, since when, and its polls in a row."""
+        """Return log fields: what the reader waits for, since when, and its polls in a row.
+
+        `empty_polls` of these were answered without changes. The last answer came `heard_ms` ago;
+        the one before it, if it came now.
+        """
         if self._step is Step.IDLE:
             return {"reader": "idle"}
-        return {
+        fields: dict[str, FieldValue] = {
             "reader": self._step.name.lower(),
             "reader_ms": int((now - self._step_since) * 1000),
             "polls": self._polls,
+            "empty_polls": self._empty_polls,
         }
+        heard_at = self.heard_at if self.heard_at < now else self._heard_before
+        if heard_at > -math.inf:
+            fields["heard_ms"] = int((now - heard_at) * 1000)
+        return fields
 
     def start(self, now: float) -> list[ReaderAction]:
         """Start reading, unless it is running already."""
@@ -216,20 +244,32 @@
         self._tag += 1
         self._polls += 1
         self._enter(Step.WATCH, now)
-        self.deadline = now + WATCH_TIMEOUT_S + ANSWER_GRACE_S
-        return [Watch(self._tag, self._watched_key, self._revision, WATCH_TIMEOUT_S)]
+        self._poll_timeout_s = timeout_s = self._choose_poll_timeout(now)
+        self.deadline = now + timeout_s + ANSWER_GRACE_S
+        return [Watch(self._tag, self._watched_key, self._choose_start(now), timeout_s)]
+
+    def _choose_poll_timeout(self, now: float) -> float:
+        since_phase_s = now - self.aligned_at - self.phase * WATCH_TIMEOUT_S
+        timeout_s = WATCH_TIMEOUT_S - since_phase_s % WATCH_TIMEOUT_S
+        return timeout_s if timeout_s >= MIN_WATCH_TIMEOUT_S else timeout_s + WATCH_TIMEOUT_S
+
+    def _choose_start(self, now: float) -> Revision:
+        """Return the revision to watch from; what was listed already must not be listed again."""
+        start = self._named.choose_start(now) if self._source is not None else None
+        return self._revision if start is None else max(start, self._listed_revision)
 
     def _pause(self, now: float) -> list[ReaderAction]:
         self._enter(Step.PAUSE, now)
-        self._polls = 0
+        self._polls = self._empty_polls = 0
         self.deadline = now + self.pause_s
         return []
 
     def _handle_failure(self, now: float, reason: str = "") -> list[ReaderAction]:
-        is_poll_unanswered = self._step is Step.WATCH and now - self._step_since >= WATCH_TIMEOUT_S
-        if is_poll_unanswered:
+        if self._step is Step.WATCH and now - self._step_since >= self._poll_timeout_s:
             # The connection is dead, which says nothing about the store: versions may be missing.
             return [*self._record_failure(now, reason, 0.0), *self._read_root(now)]
+        # The history may have ended, or the store gone back to an earlier copy.
+        self._named.clear()
         retry_in_s = self._backoff_s * self._random.uniform(0.5, 1.5)
         self._backoff_s = min(self._backoff_s * 2, STORE_RETRY_MAX_S)
         actions = self._record_failure(now, reason, retry_in_s)
@@ -239,9 +279,10 @@
 
     def _record_failure(self, now: float, reason: str, retry_in_s: float) -> list[ReaderAction]:
         """Count a failure, and report the first of several in a row."""
+        failed = ReadingFailed(self._failures)
         self._failures += 1
         if not self.is_store_reachable:
-            return []
+            return [failed]
         self.is_store_reachable = False
         self._lost_at = now
         fields = {
@@ -250,10 +291,11 @@
             "retry_ms": int(retry_in_s * 1000),
             "revision": self._revision,
         }
-        return [RecordEvent(events.STORE_LOST, fields)]
+        return [RecordEvent(events.STORE_LOST, fields), failed]
 
     def _record_success(self, now: float) -> list[ReaderAction]:
         self._backoff_s = STORE_RETRY_MIN_S
+        self._heard_before, self.heard_at = self.heard_at, now
         if self.is_store_reachable:
             return []
         self.is_store_reachable = True
@@ -267,11 +309,16 @@
     def _handle_changes(self, answer: EntriesRead, now: float) -> list[ReaderAction]:
         entries = [entry for entry in answer.result.entries if entry.key == self._watched_key]
         if answer.result.revision < self._revision:
+            self._named.clear()
             report = self._report_step_back(self._revision, answer.result.revision)
             return [report, *self._read_root(now)]
+        revisions = [entry.revision for entry in answer.result.entries]
+        self._listed_revision = max([self._listed_revision, *revisions])
         if not entries:
+            self._empty_polls += 1
+            self._named.record(answer.result.revision, now)
             if self._source is not None:
-                # Advance, since the revision of an old document soon leaves the store's history.
+                # The revision of an old document soon leaves the store's history.
                 self._revision = answer.result.revision
             return self._watch(now)
         # A watch returns every document that was written in the meantime, in full. On a slow link,
@@ -279,14 +326,30 @@
         # catches up.
         self._is_behind = self._source is not None and len(entries) > 1
         newest = max(entries, key=lambda entry: entry.revision)
-        return self._handle_root(newest, now)
+        return [*self._report_missed(newest, now), *self._handle_root(newest, now)]
+
+    def _report_missed(self, entry: Entry, now: float) -> list[ReaderAction]:
+        """Report a change that an earlier answer should have listed."""
+        handled_revision, self._handled_revision = self._handled_revision, entry.revision
+        if entry.revision <= handled_revision:
+            return []
+        cover = self._named.find_cover(entry.revision)
+        if cover is None:
+            return []
+        fields: dict[str, FieldValue] = {
+            **self.describe(now),
+            "revision": entry.revision,
+            "named": cover.revision,
+            "late_ms": int((now - cover.at) * 1000),
+            "held": self._cache.version,
+        }
+        return [RecordEvent(events.CHANGE_MISSED, fields)]
 
     def _handle_entry(self, entry: Entry, now: float) -> list[ReaderAction]:
-        return (
-            self._handle_root(entry, now)
-            if self._step is Step.ROOT
-            else self._handle_part(entry, now)
-        )
+        if self._step is not Step.ROOT:
+            return self._handle_part(entry, now)
+        self._listed_revision = entry.revision
+        return [*self._report_missed(entry, now), *self._handle_root(entry, now)]
 
     def _report_step_back(self, seen: Revision, revision: Revision) -> RecordEvent:
         return RecordEvent(
@@ -298,6 +361,7 @@
         previous_revision, self._revision = self._revision, entry.revision
         if self._source is not None:
             self._revision = max(entry.revision, entry.store_revision)
+            self._named.record(self._revision, now)
             if entry.store_revision and self._revision < previous_revision:
                 report = self._report_step_back(previous_revision, self._revision)
                 return [report, *self._handle_document(self._source, entry, now)]
--- a/packages/godwitpass/src/godwitpass/internal/distribution/tuning.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/tuning.py
@@ -6,6 +6,16 @@
 
 FAN_OUT = 8
 READERS_PER_ZONE = 2
+SUBSTITUTES_PER_READER = 2
+"""Number of daemons that may read in place of a reader that can't reach the store."""
+
+HANDOVER_S = 3.0
+"""Time for which a substitute reads after a reader told it that it can't reach the store.
+
+A reader that still can't repeats it after each attempt, with another substitute. A substitute that
+can't either stops at once.
+"""
+
 MAX_READER_DELAY_S = 1.0
 """Maximum delay of a new reader, so that daemons that start together discover each other first."""
 
@@ -21,6 +31,9 @@
 A connection may go silent without a reset, and then only the end of the poll shows it.
 """
 
+MIN_WATCH_TIMEOUT_S = 0.1
+"""A poll that would end sooner at the reader's phase lasts until that phase comes again."""
+
 STORE_RETRY_MIN_S = 0.5
 STORE_RETRY_MAX_S = 0.9
 """Bounds how late a reader notices that the store is back; there are two readers per zone."""
