--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/call_start.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/call_start.py
@@ -40,6 +40,8 @@
         return False
     assert request.route is not None
     try:
+        if not core.can_finish(request.route, request.head, request.arrived_at):
+            raise RequestRejected(503, "this daemon stops before the deadline")
         admission.check(table, request.route, request.head)
     except RequestRejected as rejection:
         reject(core, request, rejection)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
@@ -66,8 +66,14 @@
         self._unread_since = 0.0
         self._untaken_bytes = 0
         self.is_stopped = False
+        self._has_begun_request = False
         self._expires_at = math.inf
 
+    @property
+    def is_new(self) -> bool:
+        """Return whether the first request has yet to arrive, as it does just after opening."""
+        return not self._has_begun_request and not self.is_stopped
+
     @property
     def is_idle(self) -> bool:
         """Return whether no request is in progress."""
@@ -126,9 +132,18 @@
         return has_pending or self._transport.get_write_buffer_size() > 0
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is in progress."""
-        if self.is_idle and self._transport is not None:
-            self._transport.close()
+        """Close the connection unless a request is in progress.
+
+        Input is discarded until the caller closes, because unread input would reset the connection.
+        """
+        if self.is_idle and not self.is_stopped:
+            self._start_lingering_close()
+
+    def end_calls(self) -> None:
+        """Answer the calls in progress, whose responses would come too late."""
+        for request in list(self._requests):
+            if request.call is not None and not request.is_response_complete:
+                request.call.end("this daemon stops")
 
     def check_timeouts(self, now: float) -> None:
         """Enforce the timeouts of the head, the body, the idle connection and the responses."""
@@ -273,6 +288,7 @@
         self._current_request = PipelinedRequest(self, self._intake.budget, self._core.now())
         self._intake.idle.pop(self, None)
         self._is_reading_head = True
+        self._has_begun_request = True
         self._stalled_bytes = self._head_bytes = self._measured_headers = 0
         self._expires_at = math.inf
 
