Learn from a store that keeps less history than the overlap of polls

The reader took this for a lost store: back-off, store-lost, a Handover to a substitute and a read of the whole document.

Cause: an ended history was not told from other failures, and the overlap was constant.

HistoryEnded, raised by the platform's client, becomes a field of RequestFailed. The reader and the controller of roll-outs then read again at once, and the overlap is at most half of the age of the revision that was asked from, for 300 s. If the poll after that read ends in the same way, it counts as a failure with a back-off, so a store without any history is not asked in a loop.

The stand-in of the store can discard its history.

Cost: on such a store, a change that is listed late is missed if it is listed later than the shorter overlap.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/store_requests.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/store_requests.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from godwitpass.errors import StoreOutcomeUnknown, StoreUnavailable
+from godwitpass.errors import HistoryEnded, StoreOutcomeUnknown, StoreUnavailable
 from godwitpass.internal.requests import (
     Answer,
     Confirm,
@@ -24,6 +24,8 @@
     """Perform `request` and return its answer, which is `RequestFailed` after a failure."""
     try:
         return await _call_store(store, request)
+    except HistoryEnded as error:
+        return RequestFailed(request.tag, reason=str(error), is_history_ended=True)
     except StoreUnavailable as error:
         return RequestFailed(request.tag, reason=str(error))
     except (StoreOutcomeUnknown, msgspec.MsgspecError) as error:
--- a/packages/godwitpass/src/godwitpass/errors.py
+++ b/packages/godwitpass/src/godwitpass/errors.py
@@ -68,6 +68,10 @@
     """The store rejected the request or could not be reached; the request had no effect."""
 
 
+class HistoryEnded(StoreUnavailable):
+    """The store has discarded the changes after the revision that a watch asked from."""
+
+
 class StoreWentBack(StoreUnavailable):
     """The store contradicts the version that this daemon holds; nothing was accepted.
 
--- a/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
@@ -142,6 +142,8 @@
         self._failures = 0
         self._polls = 0
         self._empty_polls = 0
+        self._asked_revision = Revision(0)
+        self._has_history_ended = False
         self._handled_revision = Revision(0)
         self._listed_revision = Revision(0)
         self._named = NamedRevisions()
@@ -223,8 +225,13 @@
             return self._record_success(now) + self._handle_entry(answer.entry, now)
         if isinstance(answer, EntriesRead):
             return self._record_success(now) + self._handle_changes(answer, now)
-        reason = answer.reason if isinstance(answer, RequestFailed) else ""
-        return self._handle_failure(now, reason)
+        if not isinstance(answer, RequestFailed):
+            return self._handle_failure(now)
+        if answer.is_history_ended and not self._has_history_ended:
+            self._has_history_ended = True
+            self._named.shorten_overlap(self._asked_revision, self._step_since)
+            return self._record_success(now) + self._read_root(now)
+        return self._handle_failure(now, answer.reason)
 
     def _send_get(self, step: Step, key: str, now: float) -> list[ReaderAction]:
         self._tag += 1
@@ -246,7 +253,8 @@
         self._enter(Step.WATCH, now)
         self._poll_timeout_s = timeout_s = self._choose_poll_timeout(now)
         self.deadline = now + timeout_s + ANSWER_GRACE_S
-        return [Watch(self._tag, self._watched_key, self._choose_start(now), timeout_s)]
+        self._asked_revision = self._choose_start(now)
+        return [Watch(self._tag, self._watched_key, self._asked_revision, timeout_s)]
 
     def _choose_poll_timeout(self, now: float) -> float:
         since_phase_s = now - self.aligned_at - self.phase * WATCH_TIMEOUT_S
@@ -307,6 +315,7 @@
         return [RecordEvent(events.STORE_REGAINED, fields)]
 
     def _handle_changes(self, answer: EntriesRead, now: float) -> list[ReaderAction]:
+        self._has_history_ended = False
         entries = [entry for entry in answer.result.entries if entry.key == self._watched_key]
         if answer.result.revision < self._revision:
             self._named.clear()
--- a/packages/godwitpass/src/godwitpass/internal/requests.py
+++ b/packages/godwitpass/src/godwitpass/internal/requests.py
@@ -98,11 +98,16 @@
 
 
 class RequestFailed(msgspec.Struct, frozen=True):
-    """Event: the request failed; a write with `is_outcome_unknown` may have taken effect."""
+    """Event: the request failed; a write with `is_outcome_unknown` may have taken effect.
+
+    `is_history_ended` means that the store answered, but has no history from the revision of a
+    watch.
+    """
 
     tag: int
     is_outcome_unknown: bool = False
     reason: str = ""
+    is_history_ended: bool = False
 
 
 Request = Get | Put | Delete | List | Confirm | Watch
--- a/packages/godwitpass/src/godwitpass/internal/rollouts/controller.py
+++ b/packages/godwitpass/src/godwitpass/internal/rollouts/controller.py
@@ -110,6 +110,8 @@
         self._orders_revision: Revision | None = None
         self._listed_revision = NO_REVISION
         self._named = NamedRevisions()
+        self._asked_revision = NO_REVISION
+        self._has_history_ended = False
         self._store_heard_at = -math.inf
         self._has_lost_store = False
         self._services_by_tag: dict[int, ServiceName] = {}
@@ -172,7 +174,7 @@
         self._order_deadline = now + WATCH_TIMEOUT_S + ANSWER_GRACE_S
         start = self._named.choose_start(now)
         assert start is not None, "a watch follows a listing"
-        after = max(start, self._listed_revision)
+        after = self._asked_revision = max(start, self._listed_revision)
         return [Watch(self._order_tag, self._source.order_prefix, after, WATCH_TIMEOUT_S)]
 
     def _lose_store(self, reason: str, now: float) -> list[ControllerAction]:
@@ -196,8 +198,15 @@
                 self._store_heard_at = now
             return list(control.rollout.handle_answer(answer, now))
         if not isinstance(answer, EntriesRead):
-            reason = answer.reason if isinstance(answer, RequestFailed) else ""
-            return self._lose_store(reason, now)
+            if not isinstance(answer, RequestFailed):
+                return self._lose_store("", now)
+            if answer.is_history_ended and not self._has_history_ended:
+                self._has_history_ended = True
+                self._store_heard_at = now
+                self._named.shorten_overlap(self._asked_revision, now)
+                return self._list_orders(now)
+            return self._lose_store(answer.reason, now)
+        self._has_history_ended &= self._is_listing
         actions: list[ControllerAction] = []
         self._store_heard_at = now
         if self._has_lost_store:
--- a/packages/godwitpass/tests/distribution/test_document_source.py
+++ b/packages/godwitpass/tests/distribution/test_document_source.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from godwitpass.document import Document, Route, Service
 from godwitpass.errors import Finding, InvalidDocument
 from godwitpass.ids import (
@@ -24,6 +26,7 @@
 from godwitpass.internal.distribution.messages import Announce
 from godwitpass.internal.distribution.reader import (
     DocumentSource,
+    ReadingFailed,
     StoredVersion,
     StoreReader,
     VersionFound,
@@ -289,3 +292,47 @@
         announce = Announce(Version(0), b"", store_age_ms=500)
         distributor.handle(MessageReceived(Address("two:1"), announce), 10.0)
         assert distributor.compute_store_age(10.5) == 1.0
+
+
+class TestShortHistory:
+    @pytest.mark.parametrize("history_s", [0.5, 1.5, 2.5, 3.5])
+    def test_polls_do_not_fail_again_and_again_if_the_store_keeps_less_history_than_the_overlap(
+        self, history_s: float
+    ) -> None:
+        reader, _ = build_reader()
+        now, ended = 0.0, 0
+        (get,) = reader.start(now)
+        assert isinstance(get, Get)
+        watch = answer_as_a_healthy_store(reader, get, 1000, now)
+        while now < 60.0:
+            # The store writes 1000 revisions a second and drops those older than `history_s`.
+            if watch.after < 1000 + (now - history_s) * 1000:
+                ended += 1
+                (get,) = reader.handle(
+                    RequestFailed(watch.tag, reason="history", is_history_ended=True), now
+                )
+                assert isinstance(get, Get)
+                assert reader.is_store_reachable
+                read = EntryRead(get.tag, build_entry(0, 1000, int(1000 + now * 1000)))
+                answered = reader.handle(read, now)
+            else:
+                now += watch.timeout_s
+                empty = EntriesRead(watch.tag, EntryList(Revision(int(1000 + now * 1000)), ()))
+                answered = reader.handle(empty, now)
+            assert isinstance(answered[-1], Watch)
+            watch = answered[-1]
+        assert ended <= 1
+
+    def test_a_store_whose_history_ends_after_each_read_is_asked_with_a_back_off(self) -> None:
+        reader, _ = build_reader()
+        (get,) = reader.start(0.0)
+        assert isinstance(get, Get)
+        watch = answer_as_a_healthy_store(reader, get, 1000, 0.0)
+        (get,) = reader.handle(RequestFailed(watch.tag, is_history_ended=True), 1.0)
+        assert isinstance(get, Get)
+        read = EntryRead(get.tag, build_entry(0, 1000, 2000))
+        *_, last = reader.handle(read, 1.0)
+        assert isinstance(last, Watch)
+        actions = reader.handle(RequestFailed(last.tag, is_history_ended=True), 1.0)
+        assert any(isinstance(action, ReadingFailed) for action in actions)
+        assert reader.deadline > 1.0
--- a/packages/godwitpass/tests/rollouts/test_rollouts.py
+++ b/packages/godwitpass/tests/rollouts/test_rollouts.py
@@ -7,13 +7,14 @@
 import pytest
 
 from godwitpass.ids import Address, InstanceId, Revision, RouteName, SoftwareVersion
-from godwitpass.internal.actions import MessageReceived, Send, TimerFired
+from godwitpass.internal.actions import MessageReceived, RecordEvent, Send, TimerFired
 from godwitpass.internal.requests import (
     EntriesRead,
     EntryRead,
     Get,
     List,
     Put,
+    RequestFailed,
     Watch,
     WriteDone,
 )
@@ -244,6 +245,28 @@
         (watch,) = _list_requests(controller.handle(listed, 11.1))
         assert isinstance(watch, Watch) and watch.after == order.revision
 
+    @pytest.mark.parametrize("history_s", [1.5, 2.5])
+    def test_polls_do_not_fail_again_and_again_if_the_store_keeps_less_history_than_the_overlap(
+        self, history_s: float
+    ) -> None:
+        controller = start().machines[0].controller
+        controller.handle(ReaderChanged(False), 9.0)
+        (request,) = _list_requests(controller.handle(ReaderChanged(True), 9.0))
+        now, ended = 9.0, 0
+        while now < 69.0:
+            if isinstance(request, Watch) and request.after < (now - history_s) * 1000:
+                ended += 1
+                actions = controller.handle(
+                    RequestFailed(request.tag, reason="history", is_history_ended=True), now
+                )
+                assert not any(isinstance(action, RecordEvent) for action in actions)
+            else:
+                now += request.timeout_s if isinstance(request, Watch) else 0.0
+                named = EntryList(Revision(int(now * 1000)), ())
+                actions = controller.handle(EntriesRead(request.tag, named), now)
+            (request,) = _list_requests(actions)
+        assert ended <= 1
+
     def test_two_controllers_write_one_history(self) -> None:
         """Guards against two readers that each take themselves for the first."""
         for seed in range(4):
--- a/tests/cover/test_platform_store.py
+++ b/tests/cover/test_platform_store.py
@@ -7,11 +7,13 @@
 import pytest
 
 from godwitpass.document import Execution
-from godwitpass.errors import InvalidDocument, StoreUnavailable
+from godwitpass.errors import HistoryEnded, InvalidDocument, StoreUnavailable
 from godwitpass.ids import Address, Revision
+from godwitpass.internal.requests import RequestFailed, Watch
 from godwitpass.snapshot import Snapshot
 from godwitpass.store import Entry
 from godwitpass_daemon.services.store_connections import MAX_IDLE_CONNECTIONS
+from godwitpass_daemon.services.store_requests import perform_request
 from godwitpass_platform.configuration import CONFIGURATION_KEY, decode_configuration
 from godwitpass_platform.store import PlatformStore, StoreResponse
 from godwitpass_platform_stand_ins import (
@@ -119,6 +121,21 @@
 
         run_check(check)
 
+    def test_a_watch_from_a_discarded_revision_is_told_from_other_failures(
+        self, run_check: RunCheck
+    ) -> None:
+        async def check(deployment: Deployment) -> None:
+            client = PlatformStore(deployment.store_address)
+            await client.get("op/config")
+            deployment.store.history_start = Revision(10_000)
+            with pytest.raises(HistoryEnded):
+                await client.watch("op/config", Revision(9_999), 0.1)
+            answer = await perform_request(client, Watch(7, "op/config", Revision(9_999), 0.1))
+            assert isinstance(answer, RequestFailed) and answer.is_history_ended
+            await client.stop()
+
+        run_check(check)
+
     def test_a_condition_on_a_revision_of_an_earlier_era_is_not_sent(
         self, run_check: RunCheck
     ) -> None:
