Ask again for orders that an answer with another order covered

Seen in a review's trial: an answer that listed another order moved the start of the next watch past an order that it covered without listing it, which was then missed until its next change.

Cause: the start was at least the highest listed revision, of any key.

The controller keeps the listed revision of each key and skips what it handled already, so a watch may ask again from before a listed order. Such a watch ends at once, so the one after an answer with orders waits up to 1 s from the highest listed revision, and the next asks again.

Evidence: test_an_order_that_an_answer_with_another_order_covered_is_still_seen failed before; the existing test that a listed order doesn't end the next watch at once holds unchanged.

Cost: by design, up to two calls a second for 4 s after an order was listed; not measured.

--- a/packages/godwitpass/src/godwitpass/internal/rollouts/controller.py
+++ b/packages/godwitpass/src/godwitpass/internal/rollouts/controller.py
@@ -33,6 +33,9 @@
 from godwitpass.store import Entry
 
 WATCH_TIMEOUT_S = 2.0
+RECHECK_S = 1.0
+"""Duration of a watch after an answer with orders; the next one asks again what it covered."""
+
 ANSWER_GRACE_S = 3.0
 """A request without an answer fails this long after its timeout."""
 
@@ -108,7 +111,8 @@
         self._is_retrying = False
         self._order_deadline = math.inf
         self._orders_revision: Revision | None = None
-        self._listed_revision = NO_REVISION
+        self._listed_revisions: dict[str, Revision] = {}
+        self._has_listed = False
         self._named = NamedRevisions()
         self._asked_revision = NO_REVISION
         self._has_history_ended = False
@@ -171,11 +175,17 @@
     def _watch_orders(self, now: float) -> list[ControllerAction]:
         self._order_tag = self._take_tag()
         self._is_listing, self._is_retrying = False, False
-        self._order_deadline = now + WATCH_TIMEOUT_S + ANSWER_GRACE_S
         start = self._named.choose_start(now)
         assert start is not None, "a watch follows a listing"
-        after = self._asked_revision = max(start, self._listed_revision)
-        return [Watch(self._order_tag, self._source.order_prefix, after, WATCH_TIMEOUT_S)]
+        timeout_s = WATCH_TIMEOUT_S
+        if self._has_listed:
+            # A watch that asks again for changes that were listed ends at once, so not every one
+            # does.
+            start = max(start, *self._listed_revisions.values())
+            timeout_s = RECHECK_S
+        self._asked_revision = start
+        self._order_deadline = now + timeout_s + ANSWER_GRACE_S
+        return [Watch(self._order_tag, self._source.order_prefix, start, timeout_s)]
 
     def _lose_store(self, reason: str, now: float) -> list[ControllerAction]:
         self._order_tag = 0
@@ -230,11 +240,13 @@
                     actions += self._set_order(service, None, now)
         self._orders_revision = result.revision
         self._named.record(result.revision, now)
-        known = [] if self._is_listing else [self._listed_revision]
-        revisions = [entry.revision for entry in result.entries]
-        self._listed_revision = max([*known, *revisions], default=NO_REVISION)
+        self._has_listed = bool(newest)
+        if self._is_listing:
+            self._listed_revisions.clear()
         for entry in newest.values():
-            actions += self._read_order(entry, now)
+            if entry.revision > self._listed_revisions.get(entry.key, NO_REVISION):
+                self._listed_revisions[entry.key] = entry.revision
+                actions += self._read_order(entry, now)
         return [*actions, *self._watch_orders(now)]
 
     def _read_order(self, entry: Entry, now: float) -> list[ControllerAction]:
--- a/packages/godwitpass/tests/rollouts/test_rollouts.py
+++ b/packages/godwitpass/tests/rollouts/test_rollouts.py
@@ -245,6 +245,28 @@
         (watch,) = _list_requests(controller.handle(listed, 11.1))
         assert isinstance(watch, Watch) and watch.after == order.revision
 
+    def test_an_order_that_an_answer_with_another_order_covered_is_still_seen(self) -> None:
+        controller = start().machines[0].controller
+        controller.handle(ReaderChanged(False), 9.0)
+        (listing,) = _list_requests(controller.handle(ReaderChanged(True), 9.0))
+        answer = EntriesRead(listing.tag, EntryList(Revision(900), ()))
+        (watch,) = _list_requests(controller.handle(answer, 9.0))
+        missed = Entry(f"{SOURCE.order_prefix}{SERVICE}", b"broken", Revision(940))
+        other = Entry(f"{SOURCE.order_prefix}another", b"broken", Revision(945))
+        listed = EntriesRead(watch.tag, EntryList(Revision(950), (other,)))
+        (watch,) = _list_requests(controller.handle(listed, 11.0))
+        assert isinstance(watch, Watch) and watch.after == other.revision
+        now = 11.0 + watch.timeout_s
+        empty = EntriesRead(watch.tag, EntryList(Revision(960), ()))
+        (watch,) = _list_requests(controller.handle(empty, now))
+        assert isinstance(watch, Watch) and watch.after < missed.revision
+        both = EntriesRead(watch.tag, EntryList(Revision(960), (missed, other)))
+        actions = controller.handle(both, now)
+        invalid = [action.fields for action in actions if isinstance(action, RecordEvent)]
+        assert [fields["service"] for fields in invalid] == [SERVICE]
+        (watch,) = _list_requests(actions)
+        assert isinstance(watch, Watch) and watch.after == other.revision
+
     @pytest.mark.parametrize("history_s", [1.5, 2.5])
     def test_polls_do_not_fail_again_and_again_if_the_store_keeps_less_history_than_the_overlap(
         self, history_s: float
