Record the start of a substitute that had failed before

Cause: the start is not recorded while the store counts as lost, and a substitute that stops after a failure never learns otherwise.

The start is recorded when the store answers, and lost_ms counts from the start of reading. In an outage, substitutes still record nothing at each attempt.

Evidence: test_a_substitute_that_failed_before_records_its_next_start_once failed before.

Cost: none known.

--- a/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
@@ -93,6 +93,7 @@
         self._store_reported_at = -math.inf
         self._reader_ranking: ReaderRanking | None = None
         self._substitute_until = math.inf
+        self._unrecorded_for: Address | None = None
 
     @property
     def current(self) -> Snapshot | None:
@@ -134,7 +135,9 @@
         if isinstance(event, ReadRequested):
             return self._perform_reader_actions(self._reader.read_now(now), now)
         if isinstance(event, EntryRead | EntriesRead | RequestFailed):
-            return self._perform_reader_actions(self._reader.handle(event, now), now)
+            reader_actions = self._reader.handle(event, now)
+            started = self._record_started_substitution()
+            return [*started, *self._perform_reader_actions(reader_actions, now)]
         return []
 
     def _run_due(self, now: float) -> list[Action]:
@@ -210,6 +213,7 @@
                 self._reader.stop()
             return
         self._substitute_until = math.inf
+        self._unrecorded_for = None
         if not self._reader.is_running and self._reader_start_at == math.inf:
             self._reader_start_at = now + self._random.random() * MAX_READER_DELAY_S
 
@@ -264,13 +268,23 @@
         self._substitute_until = now + HANDOVER_S
         if self._reader.is_running:
             return []
+        self._unrecorded_for = sender
         return [
-            *self._record_substitution(events.SUBSTITUTION_STARTED, {"for": sender}),
+            *self._record_started_substitution(),
             *self._perform_reader_actions(self._reader.start(now), now),
         ]
 
+    def _record_started_substitution(self) -> list[Action]:
+        """Record the start once; after a failed attempt, only when the store answers."""
+        sender = self._unrecorded_for
+        if sender is None or not self._reader.is_store_reachable:
+            return []
+        self._unrecorded_for = None
+        return [RecordEvent(events.SUBSTITUTION_STARTED, {"for": sender})]
+
     def _end_substitution(self) -> list[Action]:
         self._substitute_until = math.inf
+        self._unrecorded_for = None
         self._reader.stop()
         return self._record_substitution(events.SUBSTITUTION_ENDED, {})
 
--- a/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/reader.py
@@ -184,7 +184,10 @@
 
     def start(self, now: float) -> list[ReaderAction]:
         """Start reading, unless it is running already."""
-        return self._read_root(now) if self._step is Step.IDLE else []
+        if self._step is not Step.IDLE:
+            return []
+        self._lost_at = now
+        return self._read_root(now)
 
     def stop(self) -> None:
         """Stop reading; pending answers are ignored."""
--- a/packages/godwitpass/tests/distribution/test_document_source.py
+++ b/packages/godwitpass/tests/distribution/test_document_source.py
@@ -21,9 +21,14 @@
 from godwitpass.internal.codec import encode_canonical, hash_content
 from godwitpass.internal.distribution.delta import DocumentCodec
 from godwitpass.internal.distribution.distributor import Distributor
-from godwitpass.internal.distribution.events import CHANGE_MISSED, DOCUMENT_REJECTED
-from godwitpass.internal.distribution.interface import ViewChanged
-from godwitpass.internal.distribution.messages import Announce
+from godwitpass.internal.distribution.events import (
+    CHANGE_MISSED,
+    DOCUMENT_REJECTED,
+    STORE_REGAINED,
+    SUBSTITUTION_STARTED,
+)
+from godwitpass.internal.distribution.interface import Action, ViewChanged
+from godwitpass.internal.distribution.messages import Announce, Handover, Message
 from godwitpass.internal.distribution.reader import (
     DocumentSource,
     ReadingFailed,
@@ -336,3 +341,73 @@
         actions = reader.handle(RequestFailed(last.tag, is_history_ended=True), 1.0)
         assert any(isinstance(action, ReadingFailed) for action in actions)
         assert reader.deadline > 1.0
+
+
+def build_substitute() -> tuple[Distributor, MessageReceived[Message]]:
+    view = build_view("one", "two", "three", "four")
+    source = DocumentSource(KEY, parse_entry)
+    distributor = Distributor(view.ranked_members[2], random.Random(1), source=source)
+    distributor.handle(ViewChanged(view), 0.0)
+    return distributor, MessageReceived(view.ranked_members[0], Handover())
+
+
+def find_get(actions: list[Action]) -> Get:
+    (get,) = [action for action in actions if isinstance(action, Get)]
+    return get
+
+
+class TestSubstitutes:
+    def test_a_substitute_that_failed_before_records_its_next_start_once(self) -> None:
+        distributor, handover = build_substitute()
+        get = find_get(distributor.handle(handover, 10.0))
+        distributor.handle(RequestFailed(get.tag, reason="503"), 10.1)
+        actions = distributor.handle(handover, 3610.0)
+        read = EntryRead(find_get(actions).tag, build_entry(7, 40, 900))
+        actions += distributor.handle(read, 3610.1)
+        recorded = [action for action in actions if isinstance(action, RecordEvent)]
+        kinds = [action.kind for action in recorded]
+        assert kinds.count(SUBSTITUTION_STARTED) == 1
+        (regained,) = [action for action in recorded if action.kind is STORE_REGAINED]
+        assert regained.fields["lost_ms"] == 99
+
+    def test_a_substitute_that_fails_stops_at_once(self) -> None:
+        distributor, handover = build_substitute()
+        get = find_get(distributor.handle(handover, 10.0))
+        distributor.handle(RequestFailed(get.tag, reason="503"), 10.1)
+        actions = distributor.handle(TimerFired(), 18.0)
+        assert not any(isinstance(action, Get) for action in actions)
+        find_get(distributor.handle(handover, 19.0))
+
+    def test_a_reader_tells_another_substitute_at_each_attempt(self) -> None:
+        ranking = build_view("one", "two", "three", "four", "five", "six").rank_readers()
+        told = [
+            {ranking.choose_substitute(reader, attempt) for attempt in range(8)}
+            for reader in ranking.readers
+        ]
+        assert told == [set(ranking.substitutes)] * len(ranking.readers)
+
+
+class TestForgottenRevisions:
+    def test_a_watch_after_a_failure_starts_at_what_was_read_after_it(self) -> None:
+        reader, _ = build_reader()
+        (get,) = reader.start(0.0)
+        assert isinstance(get, Get)
+        watch = answer_as_a_healthy_store(reader, get, 1000, 0.0)
+        reader.handle(RequestFailed(watch.tag, reason="503"), 0.1)
+        (get,) = reader.run_due(reader.deadline)
+        assert isinstance(get, Get)
+        now = 2.0
+        *_, watch_after = reader.handle(EntryRead(get.tag, build_entry(0, 900, 2000)), now)
+        assert isinstance(watch_after, Watch) and watch_after.after == 2000
+
+    def test_a_store_that_went_back_is_not_reported_for_a_missed_change(self) -> None:
+        reader, _ = build_reader()
+        (get,) = reader.start(0.0)
+        assert isinstance(get, Get)
+        *_, watch = reader.handle(EntryRead(get.tag, build_entry(0, 40, 900)), 0.0)
+        assert isinstance(watch, Watch)
+        actions = reader.handle(EntriesRead(watch.tag, EntryList(Revision(500), ())), 1.0)
+        (get,) = [action for action in actions if isinstance(action, Get)]
+        actions = reader.handle(EntryRead(get.tag, build_entry(0, 450, 500)), 1.1)
+        kinds = [action.kind for action in actions if isinstance(action, RecordEvent)]
+        assert CHANGE_MISSED not in kinds
