--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# Writes record.txt; exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")" || exit 2
 [ -d ../../target/deps/godwitpass_platform ] || exit 2
 exec python3 case.py
--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -23,7 +23,7 @@
 
 
 class Record:
-    """Lines of `record.txt`, with the seconds since the start."""
+    """Lines of a case's record, with the seconds since the start."""
 
     def __init__(self, path: Path) -> None:
         self._file = path.open("w")
@@ -494,9 +494,9 @@
     }
 
 
-def run_case(check: Callable[[Record, bool], Awaitable[int]], folder: Path) -> None:
-    """Run a case with or without its disruption, and exit with its result."""
-    record = Record(folder / "record.txt")
+def run_case(check: Callable[[Record, bool], Awaitable[int]], record_path: Path) -> None:
+    """Run a case with or without its disruption, write its record, and exit with its result."""
+    record = Record(record_path)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
