Wait for the bodies of requests when a daemon stops

Callers saw: 502 or a closed connection, 2.4 to 3.0 s after SIGTERM and within a grace period of 6 s, for uploads that a server was running (LOST).

Cause: the wait of a stopping daemon counted calls, and a request is a call only once its body is whole. An upload whose last byte came within the last 0.2 s was passed on, because only its head was checked, and its link was closed while the server worked. Three more ways led to a call that starts while the process ends: a request behind another one on its connection, a late decision on a rate limit, and, with a grace period under 1.7 s, calls of other daemons.

Evidence: four new tests, each of which failed before: 502 "link lost" in place of 200; no response to an incomplete upload; [504, 504] in place of [504, 503] for two pipelined calls; calls of other daemons still accepted at the end. relay.drained told only the number of calls (cut 0); with the new fields it tells receiving requests and the length of the wait.

Change: one module counts a request in each of its states; the wait ends when nothing is unfinished, and no call starts after it. Bodies count only while their requests can end before the grace period does, so a slow sender can't hold the process longer than a call does.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/call_start.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/call_start.py
@@ -91,6 +91,8 @@
     """Return the sender of a request that may start now, or reject it and return None."""
     assert request.head is not None and request.route is not None and core.table is not None
     try:
+        if core.is_refusing:
+            raise RequestRejected(503, "this daemon stops")
         return core.admission.admit(core.table, request.route, request.head)
     except RequestRejected as rejection:
         reject(core, request, rejection)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/ingress.py
@@ -131,6 +131,15 @@
         has_pending = bool(self._requests) and self._requests[0].has_pending_output
         return has_pending or self._transport.get_write_buffer_size() > 0
 
+    @property
+    def receives_request_in_time(self) -> bool:
+        """Return whether the rest of a request arrives that can end before this daemon does."""
+        request = self._current_request
+        if request is None or request.route is None or request.rejection is not None:
+            return False
+        assert request.head is not None, "the route is found by the head"
+        return self._core.can_finish(request.route, request.head, request.arrived_at)
+
     def evict(self) -> None:
         """Close the idle connection at once, which gives its descriptor to another one."""
         if self._transport is not None:
@@ -150,6 +159,12 @@
             if request.call is not None and not request.is_response_complete:
                 request.call.end("this daemon stops")
 
+    def refuse_incomplete_request(self) -> None:
+        """Refuse a request whose body has not arrived, as this daemon can't run it any more."""
+        request = self._current_request
+        if request is not None and request.head is not None and not self.is_stopped:
+            self._reject_current(503, "this daemon stops")
+
     def check_timeouts(self, now: float) -> None:
         """Enforce the timeouts of the head, the body, the idle connection and the responses."""
         transport = self._transport
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -45,6 +45,7 @@
 from godwitpass_daemon.relay.metrics import build_identity_check_counter, collect_relay_metrics
 from godwitpass_daemon.relay.probe import Health, probe_health
 from godwitpass_daemon.relay.quota_metrics import collect_quota_metrics
+from godwitpass_daemon.relay.shutdown import close_caller_connections, count_unfinished
 from godwitpass_daemon.relay.upstream_records import (
     UpstreamRecord,
     UpstreamRecords,
@@ -75,17 +76,10 @@
 MAX_ACCEPT_LONG_CALLS_SHARE = 0.5
 """The same as a share of the grace period, for deployments with a short one."""
 
-FIRST_REQUEST_WAIT_S = 0.1
-"""Time for the first request on a connection that was opened just before the listeners closed."""
-
-LAST_CLOSE_S = 0.1
-"""Time in which callers have to close their side of the connections that the daemon closes."""
-
 ACCEPT_PEERS_WHILE_STOPPING_S = 1.0
 """Time in which a stopping daemon still runs calls that other daemons forward."""
 
 DRAIN_POLL_S = 0.05
-LAST_CLOSE_POLL_S = 0.01
 MAX_IDENTIFICATION_WAIT_S = 0.1
 """Time that calls wait for the local upstream after they waited for the first configuration."""
 
@@ -303,9 +297,7 @@
         loop = asyncio.get_running_loop()
         stopping_since = loop.time()
         core.is_stopping = True
-        self._events.emit(
-            kinds.RELAY_STOPPING, calls=core.calls_in_progress, jobs=core.runner.calls_in_progress
-        )
+        self._events.emit(kinds.RELAY_STOPPING, **msgspec.structs.asdict(count_unfinished(core)))
         grace_s = self._settings.grace_s
         core.finish_by = stopping_since + grace_s - SHUTDOWN_MARGIN_S
         core.refuse_long_at = stopping_since + min(
@@ -317,29 +309,33 @@
                 and loop.time() - stopping_since > ACCEPT_PEERS_WHILE_STOPPING_S
             ):
                 self._stop_accepting_peer_calls(core)
-            is_busy = (
-                core.calls_in_progress
-                or core.runner.calls_in_progress
-                or core.requests_awaiting_configuration
-                or core.admission.waiting_count
-                or _has_unsent_output(core)
-            )
-            if not is_busy and loop.time() - stopping_since > READINESS_PROPAGATION_S:
+            has_propagated = loop.time() - stopping_since > READINESS_PROPAGATION_S
+            if has_propagated and count_unfinished(core).is_empty:
                 break
             await anyio.sleep(DRAIN_POLL_S)
         for server in self._servers:
             server.close()
-        ended_count = core.calls_in_progress
+        unfinished, waited_s = count_unfinished(core), loop.time() - stopping_since
         core.is_refusing = True
+        if not core.runner.is_stopping:
+            self._stop_accepting_peer_calls(core)
         core.refuse_waiting_requests()
         for caller_connection in list(core.caller_connections):
             caller_connection.end_calls()
-        unclosed_count = await _close_caller_connections(core)
+        unclosed_count = await close_caller_connections(core)
         core.close_links()
         for inbound_peer in list(core.inbound_links.connections):
             inbound_peer.close()
         core.runner.pool.close_all()
-        self._events.emit(kinds.RELAY_STOPPED, cut=ended_count, unclosed=unclosed_count)
+        self._events.emit(
+            kinds.RELAY_STOPPED,
+            cut=unfinished.calls,
+            receiving=unfinished.receiving,
+            waiting=unfinished.waiting,
+            unsent=unfinished.unsent,
+            unclosed=unclosed_count,
+            waited_ms=int(waited_s * 1000),
+        )
 
     def _stop_accepting_peer_calls(self, core: RelayCore) -> None:
         """Tell other daemons to forward no further calls to this one."""
@@ -555,23 +551,3 @@
             if is_silent and not self._is_upstream_silent:
                 self._events.emit(kinds.UPSTREAM_SILENT)
             self._is_upstream_silent = is_silent
-
-
-def _has_unsent_output(core: RelayCore) -> bool:
-    """Tell whether parts of responses would be lost if the process ended now."""
-    has_caller_output = any(caller.has_unsent_output for caller in core.caller_connections)
-    return has_caller_output or any(
-        peer.has_unsent_output for peer in core.inbound_links.connections
-    )
-
-
-async def _close_caller_connections(core: RelayCore) -> int:
-    """Refuse what still arrives, close the connections, and return how many callers did not."""
-    now = core.now()
-    wait_until, close_until = now + FIRST_REQUEST_WAIT_S, now + FIRST_REQUEST_WAIT_S + LAST_CLOSE_S
-    while core.caller_connections and core.now() < close_until:
-        for connection in list(core.caller_connections):
-            if not connection.is_new or core.now() >= wait_until:
-                connection.close_if_idle()
-        await anyio.sleep(LAST_CLOSE_POLL_S)
-    return len(core.caller_connections)
--- a/tests/cover/test_planned_stops.py
+++ b/tests/cover/test_planned_stops.py
@@ -1,17 +1,17 @@
 """Planned stops under calls and slow callers, with daemons in one process."""
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, closing
 
 import anyio
 import msgspec
 
 from godwitpass_daemon.relay.service import (
-    LAST_CLOSE_S,
     MAX_ACCEPT_LONG_CALLS_SHARE,
     READINESS_PROPAGATION_S,
     RelayService,
 )
+from godwitpass_daemon.relay.shutdown import LAST_CLOSE_S
 from godwitpass_platform_stand_ins import Client, Deployment, RunCheck, encode_call, exchange
 
 MARGIN_S = 0.8
@@ -22,11 +22,15 @@
     """A connection whose caller has not taken all of its last response."""
 
     has_unsent_output = True
+    receives_request_in_time = False
     is_new = False
 
     def end_calls(self) -> None:
         """Go on, as no call is in progress."""
 
+    def refuse_incomplete_request(self) -> None:
+        """Refuse nothing, as no request arrives."""
+
     def close_if_idle(self) -> None:
         """Stay open, as the response is still being read."""
 
@@ -35,8 +39,9 @@
 
 
 SHORT_TIMEOUT_MS, LONG_TIMEOUT_MS = 150, 1_500
-GRACE_S, SHORT_GRACE_S = 6.0, 2.1
-"""Grace periods; the short one ends before a long timeout does."""
+WORK_S = 0.3
+GRACE_S, SHORT_GRACE_S, BRIEF_GRACE_S = 6.0, 2.1, 1.5
+"""Grace periods; the short one ends before a long timeout does, the brief one before GoAway."""
 
 
 def find_relay(deployment: Deployment) -> RelayService:
@@ -152,6 +157,91 @@
         run_check(check)
 
 
+class TestUploadsDuringAStop:
+    def test_an_upload_that_arrives_after_the_last_call_is_served(
+        self, run_check: RunCheck
+    ) -> None:
+        # Guards against a stop that waits for calls and not for the bodies of requests, which are
+        # then passed on while the process ends.
+        async def check(deployment: Deployment) -> None:
+            set_grace(deployment, GRACE_S)
+            core = find_relay(deployment).core
+            for server in deployment.vault_servers:
+                server.work_s = WORK_S
+            data = encode_order("upload", LONG_TIMEOUT_MS * 2)
+            with closing(await Client.connect(deployment.outbound_address)) as client:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(deployment.machines[0].stop)
+                    await anyio.sleep(READINESS_PROPAGATION_S - WORK_S)
+                    client.send(data[:-1])
+                    with anyio.move_on_after(WORK_S + MARGIN_S):
+                        while not core.is_refusing:
+                            await anyio.sleep(0.001)
+                    client.send(data[-1:])
+                    response = await client.read_response()
+            assert response.status == 200
+            assert count_runs(deployment, "upload") == 1
+
+        run_check(check)
+
+
+class TestUnfinishedUploads:
+    def test_an_upload_that_does_not_arrive_in_time_is_refused_before_the_end(
+        self, run_check: RunCheck
+    ) -> None:
+        # Guards against connections that end without a response while a request is being sent.
+        async def check(deployment: Deployment) -> None:
+            set_grace(deployment, SHORT_GRACE_S)
+            with closing(await Client.connect(deployment.outbound_address)) as client:
+                client.send(encode_order("upload", LONG_TIMEOUT_MS * 2)[:-1])
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(deployment.machines[0].stop)
+                    with anyio.fail_after(SHORT_GRACE_S):
+                        response = await client.read_response()
+            assert (response.status, response.headers["connection"]) == (503, "close")
+            assert not count_runs(deployment, "upload")
+
+        run_check(check)
+
+
+class TestPipelinedCallsAtTheEnd:
+    def test_a_call_behind_one_that_ends_with_the_grace_period_is_not_started(
+        self, run_check: RunCheck
+    ) -> None:
+        # Guards against calls that are passed on while the process ends.
+        async def check(deployment: Deployment) -> None:
+            set_grace(deployment, SHORT_GRACE_S)
+            for server in deployment.vault_servers:
+                server.work_s = LONG_TIMEOUT_MS / 1000
+            with closing(await Client.connect(deployment.outbound_address)) as client:
+                for name in ("first", "second"):
+                    client.send(encode_order(name, LONG_TIMEOUT_MS * 2))
+                async with anyio.create_task_group() as tasks:
+                    await anyio.sleep(0.05)
+                    tasks.start_soon(deployment.machines[0].stop)
+                    with anyio.fail_after(SHORT_GRACE_S):
+                        statuses = [(await client.read_response()).status for _ in range(2)]
+            assert statuses == [504, 503]
+            assert not count_runs(deployment, "second")
+
+        run_check(check)
+
+
+class TestShortGracePeriods:
+    def test_calls_of_other_daemons_are_refused_before_the_end(self, run_check: RunCheck) -> None:
+        # Guards against calls that a daemon takes from others while its process ends.
+        async def check(deployment: Deployment) -> None:
+            set_grace(deployment, BRIEF_GRACE_S)
+            core = find_relay(deployment).core
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(deployment.machines[0].stop)
+                while not core.is_refusing:
+                    await anyio.sleep(0.001)
+                assert core.runner.is_stopping
+
+        run_check(check)
+
+
 async def expect_end(client: Client) -> None:
     """Wait until the connection ends without a response or a reset."""
     with anyio.move_on_after(LAST_CLOSE_S * 3):
