Record crashes of upstreams in the store

Cause: the counts lived only in the memories of the daemons. A daemon that starts asks others, and after a common end nobody has anything to tell.

Evidence: in a run of the new test on the code before, the first crash after each restart is logged with a count of 1, reports are merged from new processes only, and no trial was admitted; 3, 6 and 9 crashes after the three rounds.

Change: the daemon beside an upstream writes what it knows of the requests that crashed it below crashes/, once for a crash and at most once a second, under a lease that ends with the suspicion. A daemon that starts reads all records with a cached read, and once more 2 s later; until the store answers, it refuses nothing. It reads its own record before it replaces it, and writes it again if the store has gone back. Odd entries are logged and left out.

Price: two cached reads a start, two calls of the store for a crash, nothing for a call.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/composition.py
@@ -78,6 +78,7 @@
             services.find("peers", PeerTransport),
             services.find("membership", MembershipService),
             services.find("events", EventLog),
+            services.find("store", StoreClient),
         ),
     )
     kernel.register(
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/composition.py
@@ -157,6 +157,7 @@
             services.find("peers", PeerTransport),
             services.find("membership", MembershipService),
             services.find("events", EventLog),
+            dependencies.store,
         ),
     )
     has_rollouts = _register_rollouts(kernel, settings, dependencies)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/crashes.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/crashes.py
@@ -24,14 +24,18 @@
     CrashesEvent,
     CrashesNode,
     MembersChanged,
+    ReportsChanged,
     ReportsReceived,
+    ReportsRestored,
     Started,
     Tick,
     UpstreamCrashed,
 )
 from godwitpass.mesh import MemberState
+from godwitpass.store import Store
 from godwitpass_daemon.edge.guards import RequestDescriptor
 from godwitpass_daemon.peers.channels import Channel
+from godwitpass_daemon.services.crash_records import CrashRecords
 from godwitpass_daemon.services.ports import Events, Membership, Peers
 
 START_ID_BYTES = 4
@@ -41,25 +45,33 @@
 class CrashesService:
     """Runs a `CrashesNode` with the system clock and the peer transport."""
 
-    def __init__(self, peers: Peers, membership: Membership, events: Events) -> None:
+    def __init__(self, peers: Peers, membership: Membership, events: Events, store: Store) -> None:
         self._peers = peers
         self._membership = membership
         self._events = events
         self._tasks: TaskGroup | None = None
         self._completed_paths = CompletedPaths()
         self._refresh_members_at = 0.0
-        self._node = CrashesNode(
-            peers.address, random.Random(secrets.randbits(64)), secrets.token_hex(START_ID_BYTES)
+        rng = random.Random(secrets.randbits(64))
+        self._node = CrashesNode(peers.address, rng, secrets.token_hex(START_ID_BYTES))
+        self._records = CrashRecords(
+            store,
+            peers.address,
+            lambda: self._node.list_recorded_reports(time.monotonic()),
+            lambda reports: self._handle(ReportsRestored(reports)),
+            events,
+            rng,
         )
 
     async def start(self, tasks: TaskGroup) -> None:
-        """Subscribe to the messages of other daemons, and ask them for their counts."""
+        """Ask the other daemons and the store for the counts of earlier crashes."""
         self._tasks = tasks
         self._peers.subscribe(Channel.CRASHES, self._receive)
         self._handle(Started())
+        tasks.start_soon(self._records.run)
 
     async def stop(self) -> None:
-        """Do nothing, because other daemons hold the same counts."""
+        """Do nothing, because other daemons and the store hold the same counts."""
 
     @property
     def has_suspects(self) -> bool:
@@ -166,6 +178,8 @@
                     self._tasks.start_soon(self._tick_at, at)
                 case RecordEvent(kind, fields):
                     self._events.emit(kind, **fields, **(context or {}))
+                case ReportsChanged():
+                    self._records.update()
 
     async def _tick_at(self, at: float) -> None:
         await anyio.sleep(max(0.0, at - time.monotonic()))
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/store.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/store.py
@@ -85,6 +85,10 @@
         """Return all existing entries whose key starts with `prefix`."""
         return await self._call(Request(Operation.LIST, prefix), EntryList)
 
+    async def list_cached(self, prefix: str) -> EntryList:
+        """Return the entries below `prefix`; this store has no cheaper read."""
+        return await self.list(prefix)
+
     async def put(
         self, key: str, value: bytes, expected: Revision | None, lease: LeaseId | None = None
     ) -> WriteResult:
--- a/packages/godwitpass-daemon/tests/crashes/test_service.py
+++ b/packages/godwitpass-daemon/tests/crashes/test_service.py
@@ -14,6 +14,8 @@
 from godwitpass_daemon.edge.guards import CrashGuard, RequestDescriptor
 from godwitpass_daemon.peers.channels import Channel, Handler
 from godwitpass_daemon.services.crashes import CrashesService
+from godwitpass_testkit.store.fake import FakeStore
+from godwitpass_testkit.store.state import StoreState
 
 ADDRESSES = tuple(Address(f"10.0.0.{host}:7000") for host in range(3))
 TIMEOUT_S = 10
@@ -48,6 +50,10 @@
         pass
 
 
+def build_store() -> FakeStore:
+    return FakeStore(StoreState(), time.monotonic)
+
+
 async def wait_for_refusals(peers: Sequence[MemoryPeers]) -> None:
     with anyio.fail_after(TIMEOUT_S):
         for own_peers in peers:
@@ -67,7 +73,8 @@
             network: dict[Address, Handler] = {}
             peers = [MemoryPeers(address, network) for address in ADDRESSES]
             services = [
-                CrashesService(own_peers, FixedMembership(), own_peers) for own_peers in peers
+                CrashesService(own_peers, FixedMembership(), own_peers, build_store())
+                for own_peers in peers
             ]
             request = RequestDescriptor(
                 ServiceName("maal"), RouteName("scans"), "POST", b"/scans", "", b"poison", 1.0
@@ -89,7 +96,7 @@
         async def run() -> None:
             network: dict[Address, Handler] = {}
             peers = MemoryPeers(ADDRESSES[0], network)
-            service = CrashesService(peers, FixedMembership(), peers)
+            service = CrashesService(peers, FixedMembership(), peers, build_store())
             search = RequestDescriptor(
                 ServiceName("maal"), RouteName("search"), "GET", b"/search?q=a", "", b"", 1.0
             )
@@ -117,7 +124,8 @@
             network: dict[Address, Handler] = {}
             peers = [MemoryPeers(address, network) for address in ADDRESSES]
             services = [
-                CrashesService(own_peers, FixedMembership(), own_peers) for own_peers in peers
+                CrashesService(own_peers, FixedMembership(), own_peers, build_store())
+                for own_peers in peers
             ]
             service, route = ServiceName("maal"), RouteName("scans")
             request = RequestDescriptor(service, route, "POST", b"/scans", "", b"poison", 1.0)
--- a/packages/godwitpass/src/godwitpass/internal/crashes/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/events.py
@@ -19,4 +19,25 @@
     "crash-request-admitted",
     "A request crashed enough upstreams to be refused, but is admitted for the given reason.",
 )
-ALL_KINDS = (REQUEST_SUSPECTED, REQUEST_REFUSED, REPORT_MERGED, REQUEST_ADMITTED)
+RECORD_FAILED = EventKind(
+    554,
+    "crash-record-failed",
+    "A record of crashes could not be read or written; if it was a call of the store, it is tried "
+    "again.",
+    Level.WARNING,
+)
+RECORD_WRITTEN = EventKind(
+    555, "crash-record-written", "The crashes that this daemon has seen are recorded in the store."
+)
+RECORDS_READ = EventKind(
+    556, "crash-records-read", "The records of crashes in the store were read after the start."
+)
+ALL_KINDS = (
+    REQUEST_SUSPECTED,
+    REQUEST_REFUSED,
+    REPORT_MERGED,
+    REQUEST_ADMITTED,
+    RECORD_FAILED,
+    RECORD_WRITTEN,
+    RECORDS_READ,
+)
--- a/packages/godwitpass/src/godwitpass/internal/crashes/node.py
+++ b/packages/godwitpass/src/godwitpass/internal/crashes/node.py
@@ -18,6 +18,7 @@
     SuspectReports,
     SuspectsRequest,
 )
+from godwitpass.internal.crashes.records import MAX_RECORDED_REPORTS
 from godwitpass.internal.crashes.release import FIRST_TRIAL_S, compute_rank
 from godwitpass.internal.crashes.suspects import Admission, Suspect, Suspects
 
@@ -78,6 +79,12 @@
     message: CrashesMessage
 
 
+class ReportsRestored(msgspec.Struct, frozen=True):
+    """Reports that daemons had recorded in the store were read from there."""
+
+    reports: tuple[SuspectReport, ...]
+
+
 class Started(msgspec.Struct, frozen=True):
     """The daemon has started."""
 
@@ -97,14 +104,21 @@
     | AttemptEnded
     | UpstreamCrashed
     | ReportsReceived
+    | ReportsRestored
     | Started
     | Tick
     | MembersChanged
 )
+
+
+class ReportsChanged(msgspec.Struct, frozen=True):
+    """Action: records in the store what `list_recorded_reports` returns."""
+
+
 ListCompetitors = Callable[[], Sequence[Address]]
 """Lists the peer addresses of the daemons that can try a request."""
 
-CrashesAction = Send[CrashesMessage] | SetTimer | RecordEvent
+CrashesAction = Send[CrashesMessage] | SetTimer | RecordEvent | ReportsChanged
 ReportKey = tuple[Fingerprint, Address]
 
 
@@ -163,13 +177,16 @@
                 return [*self._start_attempt(fingerprint, now)]
             case AttemptEnded(fingerprint, has_succeeded):
                 if self._suspects.end_attempt(fingerprint, now, has_succeeded):
-                    return [*self._queue_report(fingerprint, self._reporter, now)]
+                    queued = self._queue_report(fingerprint, self._reporter, now)
+                    return [*queued, ReportsChanged()]
             case UpstreamCrashed(fingerprint, age_s):
                 return [*self._count_crash(fingerprint, now, now - age_s)]
             case ReportsReceived(sender, SuspectReports() as message):
                 return [*self._merge_reports(sender, message, now)]
             case ReportsReceived(sender, SuspectsRequest()):
                 return [*self._answer(sender, now)]
+            case ReportsRestored(reports):
+                return [*self._restore_reports(reports, now)]
             case Started():
                 self._next_request_at = now + REQUEST_INTERVAL_S
                 return [SetTimer(self._next_request_at)]
@@ -179,6 +196,24 @@
                 self._members = tuple(member for member in members if member != self._own_address)
         return []
 
+    def list_recorded_reports(self, now: float) -> tuple[SuspectReport, ...]:
+        """Return all counts of the requests that crashed the upstream beside this daemon.
+
+        Those that an earlier process of this daemon has seen are among them.
+        """
+        suspects = sorted(
+            self._suspects.list_shared(now),
+            key=lambda item: (item[1].total.crashes, item[1].crashed_at),
+            reverse=True,
+        )
+        reports = [
+            self._build_report(fingerprint, suspect, reporter, now)
+            for fingerprint, suspect in suspects
+            if any(_get_address(reporter) == self._own_address for reporter in suspect.counts)
+            for reporter in suspect.counts
+        ]
+        return tuple(reports[:MAX_RECORDED_REPORTS])
+
     def _find_rank(
         self,
         fingerprint: Fingerprint,
@@ -211,6 +246,7 @@
         yield RecordEvent(events.REQUEST_SUSPECTED, self._describe(fingerprint, now))
         yield from self._report_refusal(fingerprint, now)
         yield from self._queue_report(fingerprint, self._reporter, now)
+        yield ReportsChanged()
 
     def _merge_reports(
         self, sender: Address, message: SuspectReports, now: float
@@ -219,17 +255,36 @@
             self._remaining_requests = 0
         replies: list[SuspectReport] = []
         for report in message.reports:
-            # Counts of this process are not learned from others.
-            if report.reporter != self._reporter and self._suspects.merge(report, now):
-                fields = self._describe(report.fingerprint, now)
-                fields["reporter"], fields["age_ms"] = report.reporter, report.age_ms
-                yield RecordEvent(events.REPORT_MERGED, fields)
+            if self._merge_report(report, now):
+                yield from self._describe_merged(report, now)
                 yield from self._queue_report(report.fingerprint, report.reporter, now)
-                yield from self._report_refusal(report.fingerprint, now)
                 replies += self._list_other_reports(report, sender, now)
         if replies:
             yield Send(sender, SuspectReports(tuple(replies[:MAX_REPORTS])))
 
+    def _restore_reports(
+        self, reports: Sequence[SuspectReport], now: float
+    ) -> Iterable[CrashesAction]:
+        """Merge reports that all daemons can read; they are only sent as others that may be lost.
+
+        Others hold them already, or read them as well.
+        """
+        for report in reports:
+            if self._merge_report(report, now):
+                yield from self._describe_merged(report, now)
+        if self.has_suspects:
+            yield from self._schedule_repeat(now)
+
+    def _merge_report(self, report: SuspectReport, now: float) -> bool:
+        """Merge the counts of another process; those of this one are not learned from others."""
+        return report.reporter != self._reporter and self._suspects.merge(report, now)
+
+    def _describe_merged(self, report: SuspectReport, now: float) -> Iterable[CrashesAction]:
+        fields = self._describe(report.fingerprint, now)
+        fields["reporter"], fields["age_ms"] = report.reporter, report.age_ms
+        yield RecordEvent(events.REPORT_MERGED, fields)
+        yield from self._report_refusal(report.fingerprint, now)
+
     def _list_other_reports(
         self, report: SuspectReport, sender: Address, now: float
     ) -> Iterable[SuspectReport]:
@@ -238,7 +293,7 @@
         The sender may have restarted and lost them.
         """
         suspect = self._suspects.find(report.fingerprint, now)
-        if suspect is None or report.reporter.partition(START_SEPARATOR)[0] != sender:
+        if suspect is None or _get_address(report.reporter) != sender:
             return
         for reporter in suspect.counts:
             if reporter != report.reporter:
@@ -285,6 +340,9 @@
         if self._next_gossip_at is None:
             self._next_gossip_at = now + GOSSIP_INTERVAL_S
             yield SetTimer(self._next_gossip_at)
+        yield from self._schedule_repeat(now)
+
+    def _schedule_repeat(self, now: float) -> Iterable[CrashesAction]:
         if self._next_repeat_at is None:
             self._next_repeat_at = now + REPEAT_INTERVAL_S
             yield SetTimer(self._next_repeat_at)
@@ -378,6 +436,11 @@
         )
 
 
+def _get_address(reporter: Address) -> Address:
+    """Return the address of the daemon that counts under a name."""
+    return Address(reporter.partition(START_SEPARATOR)[0])
+
+
 def _build_reporter(address: Address, start_id: str) -> Address:
     """Return the name under which one process counts; a restarted one counts under another."""
     return Address(f"{address}{START_SEPARATOR}{start_id}") if start_id else address
--- a/packages/godwitpass/src/godwitpass/store.py
+++ b/packages/godwitpass/src/godwitpass/store.py
@@ -58,6 +58,10 @@
         """Return all existing entries whose key starts with `prefix`."""
         ...
 
+    async def list_cached(self, prefix: str) -> EntryList:
+        """Return what `list` returned at most some seconds ago, at a lower price."""
+        ...
+
     async def put(
         self, key: str, value: bytes, expected: Revision | None, lease: LeaseId | None = None
     ) -> WriteResult:
--- a/testkit/src/godwitpass_testkit/store/fake.py
+++ b/testkit/src/godwitpass_testkit/store/fake.py
@@ -30,6 +30,10 @@
         """Return all present entries whose key starts with `prefix`."""
         return self.state.list(prefix, await self._apply_delay())
 
+    async def list_cached(self, prefix: str) -> EntryList:
+        """Return all present entries whose key starts with `prefix`."""
+        return await self.list(prefix)
+
     async def put(
         self, key: str, value: bytes, expected: Revision | None, lease: LeaseId | None = None
     ) -> WriteResult:
--- a/tests/cover/test_crashing_requests.py
+++ b/tests/cover/test_crashing_requests.py
@@ -4,9 +4,10 @@
 from contextlib import asynccontextmanager
 
 import anyio
+from anyio.abc import TaskGroup
 
 from godwitpass_platform_stand_ins import Deployment, RunCheck, encode_call, exchange
-from godwitpass_platform_stand_ins.deployment import Machine
+from godwitpass_platform_stand_ins.deployment import Machine, wait_until
 
 MAX_CRASHES = 3
 MAX_LATER_RUNS = 3
@@ -61,6 +62,51 @@
     return status
 
 
+async def restart_all_daemons(deployment: Deployment, tasks: TaskGroup) -> None:
+    """End all daemons before one of them starts again, so that none can tell another anything."""
+    async with anyio.create_task_group() as stops:
+        for machine in deployment.machines:
+            stops.start_soon(machine.stop)
+    for machine in deployment.machines:
+        await machine.start(tasks, wait_until_ready=False)
+    await restart_ended_servers(deployment)
+    await wait_until(lambda: is_served(deployment))
+
+
+async def is_served(deployment: Deployment) -> bool:
+    call = encode_call("/read/8", "other", 300)
+    return (await exchange(deployment.outbound_address, call)).status == 200
+
+
+class TestRestartsOfAllDaemons:
+    def test_a_request_that_ended_three_servers_is_refused_after_two_restarts_of_all_daemons(
+        self, run_check: RunCheck
+    ) -> None:
+        # Guards against crash counts that live only in the memory of the daemons.
+        async def check(deployment: Deployment) -> None:
+            path, crashes = "/read/crash/restarted", []
+            async with anyio.create_task_group() as tasks:
+                for round_number in range(3):
+                    if round_number:
+                        await restart_all_daemons(deployment, tasks)
+                    for attempt in range(6):
+                        machine = deployment.machines[attempt % len(deployment.machines)]
+                        call = encode_call(path, f"{round_number}-{attempt}", 1_000)
+                        status = (await exchange(machine.outbound_address, call)).status
+                        assert status in (502, 503)
+                        await anyio.sleep(0.3)
+                        await restart_ended_servers(deployment)
+                    crashes.append(sum(server.crash_count for server in deployment.vault_servers))
+                    assert status == 503, crashes
+                for machine in deployment.machines:
+                    await machine.stop()
+                tasks.cancel_scope.cancel()
+            assert crashes[0] >= MAX_CRASHES
+            assert crashes[-1] <= MAX_CRASHES + MAX_LATER_RUNS, crashes
+
+        run_check(check)
+
+
 class TestCrashingRequests:
     def test_a_request_that_ended_three_servers_is_refused_by_all_daemons(
         self, run_check: RunCheck
