Report a write whose response is cut off as one of unknown outcome

Operators saw: "not of the administration API" from godwitctl, and daemons took a write to the platform's store for one without an effect, where the response had no length and its connection ended early while the request was being sent. The write may have had its effect.

Cause: the HTTP library suppresses a failed write and reads what has arrived; the end of the connection is then the end of a response without a length. What couldn't be decoded was an error of the response, not of the outcome.

--- a/packages/godwitpass-cli/src/godwitpass_cli/client.py
+++ b/packages/godwitpass-cli/src/godwitpass_cli/client.py
@@ -93,13 +93,16 @@
             "write": RESPONSE_TIMEOUT_S,
         }
         try:
-            return self._pool.request(
+            response = self._pool.request(
                 request.method,
                 f"http://{address}{request.target}",
                 headers=list(headers.items()),
                 content=request.body,
                 extensions={"timeout": timeout},
             )
+            if not _marks_its_end(response):
+                raise httpcore.RemoteProtocolError("a response without a length")
+            return response
         except (httpcore.UnsupportedProtocol, httpcore.LocalProtocolError, ValueError) as error:
             message = f"daemon address {address!r} or the token is malformed: {error}"
             raise CommandError(ExitCode.USAGE, message, "use the form 10.0.0.1:7003") from error
@@ -124,6 +127,16 @@
     return headers
 
 
+def _marks_its_end(response: httpcore.Response) -> bool:
+    """Tell whether a response that was cut off would have been recognised.
+
+    The pool reads what has arrived even if a write failed, and takes any end of the connection for
+    that of a response without a length.
+    """
+    names = {name.lower() for name, _ in response.headers}
+    return not names.isdisjoint({b"content-length", b"transfer-encoding"})
+
+
 def _choose_reported_failure(
     earlier_failure: ApiError | CommandError | None, later_failure: ApiError | CommandError
 ) -> ApiError | CommandError:
--- a/packages/godwitpass-cli/tests/test_commands.py
+++ b/packages/godwitpass-cli/tests/test_commands.py
@@ -1,6 +1,9 @@
 """Tests of the `godwitctl` commands against fake daemons."""
 
 import json
+import socket
+import struct
+import threading
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -11,7 +14,7 @@
 from godwitpass.administration import ProblemKind
 from godwitpass.errors import AcceptanceUnknown, StoreUnavailable
 from godwitpass.events import Level, TimelineEvent
-from godwitpass.ids import ChangeId, InstanceId, RegionId, Version, ZoneId
+from godwitpass.ids import Address, ChangeId, InstanceId, RegionId, Version, ZoneId
 from godwitpass_cli.exit_codes import EXIT_CODE_MEANINGS, PROBLEM_EXIT_CODES, ExitCode
 from godwitpass_cli.main import run
 from godwitpass_testkit.administration import ADMIN_TOKEN, FakeDaemon, run_admin
@@ -22,6 +25,11 @@
     "services": [{"name": "maal"}],
     "routes": [{"name": "scan", "path_prefix": "/scan", "service": "maal"}],
 }
+READ_BYTES = 64 * 1024
+SERVER_TIMEOUT_S = 5.0
+MANY_ROUTES = 4_000
+"""Routes of a document that doesn't fit the buffers of a connection."""
+
 ADDRESS_ALLOCATOR = AddressAllocator()
 
 
@@ -234,6 +242,46 @@
         assert not cli.first.announced_states and cli.second.announced_states
 
 
+def answer_early(listener: socket.socket, response: bytes, resets: bool) -> None:
+    """Answer one request at its head, and end the connection while the rest is being sent."""
+    connection, _ = listener.accept()
+    with connection:
+        connection.settimeout(SERVER_TIMEOUT_S)
+        connection.recv(1_000)
+        connection.sendall(response)
+        if resets:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        else:
+            connection.shutdown(socket.SHUT_WR)
+            while connection.recv(READ_BYTES):
+                pass
+
+
+class TestCutResponses:
+    @pytest.mark.parametrize("resets", [False, True])
+    @pytest.mark.parametrize("part", [b"", b'{"version"', b'{"version":1,"digest":""}'])
+    def test_a_write_whose_response_has_no_length_may_have_had_an_effect(
+        self, part: bytes, resets: bool, cli: CommandRunner
+    ) -> None:
+        # Guards against a part that is taken for the whole: after a failed write, the end of a
+        # reset connection looks like that of a response without a length.
+        routes = [
+            {"name": f"scan-{number}", "path_prefix": f"/scan/{number}", "service": "maal"}
+            for number in range(MANY_ROUTES)
+        ]
+        document = DOCUMENT | {"routes": routes}
+        path = cli.write_json(document)
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.settimeout(SERVER_TIMEOUT_S)
+            response = b"HTTP/1.1 200 OK\r\n\r\n" + part
+            server = threading.Thread(target=answer_early, args=(listener, response, resets))
+            server.start()
+            cli.addresses = [Address(f"127.0.0.1:{listener.getsockname()[1]}")]
+            code, _, err = cli.run("apply", path, "--change-id", "c1")
+            server.join()
+        assert (code, "no complete response" in err) == (ExitCode.OUTCOME_UNKNOWN, True), err
+
+
 class TestFailureReports:
     @pytest.mark.parametrize(
         ("arguments", "code"),
--- a/tests/cover/test_platform_store.py
+++ b/tests/cover/test_platform_store.py
@@ -1,5 +1,11 @@
 """The operator's configuration and the store as the platform adapter reads them."""
 
+import asyncio
+import socket
+import struct
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from enum import Enum
 from typing import Any
 
 import anyio
@@ -7,7 +13,12 @@
 import pytest
 
 from godwitpass.document import Execution
-from godwitpass.errors import HistoryEnded, InvalidDocument, StoreUnavailable
+from godwitpass.errors import (
+    HistoryEnded,
+    InvalidDocument,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
 from godwitpass.ids import Address, Revision
 from godwitpass.internal.requests import RequestFailed, Watch
 from godwitpass.snapshot import Snapshot
@@ -15,7 +26,7 @@
 from godwitpass_daemon.services.store_connections import MAX_IDLE_CONNECTIONS
 from godwitpass_daemon.services.store_requests import perform_request
 from godwitpass_platform.configuration import CONFIGURATION_KEY, decode_configuration
-from godwitpass_platform.store import PlatformStore, StoreResponse
+from godwitpass_platform.store import CALL_TIMEOUT_S, PlatformStore, StoreResponse
 from godwitpass_platform_stand_ins import (
     Deployment,
     RunCheck,
@@ -180,3 +191,75 @@
             await client.stop()
 
         run_check(check)
+
+
+LARGE_VALUE = bytes(700_000)
+
+
+class End(Enum):
+    """What a store does to the connection after its response."""
+
+    RESET = "reset"
+    CLOSED = "closed"
+    OPEN = "open"
+
+
+@asynccontextmanager
+async def answering(response: bytes, end: End) -> AsyncIterator[PlatformStore]:
+    """Serve a store that answers each request at its head, without reading the rest."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(response)
+        await writer.drain()
+        if end is End.RESET:
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+            return
+        if end is End.CLOSED:
+            writer.write_eof()
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    store = PlatformStore(Address(f"{host}:{port}"))
+    try:
+        yield store
+    finally:
+        await store.stop()
+        server.close()
+
+
+class TestCutResponses:
+    @pytest.mark.parametrize("end", [End.RESET, End.CLOSED])
+    @pytest.mark.parametrize("part", [b"", b"{", b'{"revision":4'])
+    def test_a_write_whose_response_is_cut_off_may_have_had_an_effect(
+        self, part: bytes, end: End
+    ) -> None:
+        # Guards against a write that is reported as having had no effect because its response,
+        # without a length, ends early while the request is being written.
+        async def run() -> None:
+            async with answering(b"HTTP/1.1 200 OK\r\n\r\n" + part, end) as store:
+                with pytest.raises(StoreOutcomeUnknown):
+                    await store.put("a/1", LARGE_VALUE, None)
+                with pytest.raises(StoreUnavailable):
+                    await store.get("a/1")
+
+        for _ in range(5):
+            anyio.run(run, backend_options={"use_uvloop": True})
+
+    @pytest.mark.parametrize("status", ["000", "099", "0", "2000", "abc"])
+    def test_a_response_without_a_valid_status_is_none(self, status: str) -> None:
+        # Guards against an odd status that is taken for an answer, or waited on.
+        async def run() -> None:
+            response = f"HTTP/1.1 {status} X\r\n\r\n".encode()
+            async with answering(response, End.OPEN) as store:
+                with anyio.fail_after(CALL_TIMEOUT_S / 2):
+                    with pytest.raises(StoreOutcomeUnknown):
+                        await store.put("a/1", b"x", None)
+                    with pytest.raises(StoreUnavailable):
+                        await store.get("a/1")
+
+        anyio.run(run, backend_options={"use_uvloop": True})
