Let no heartbeat of a replaced upstream decide the caller's service

Callers' upstreams saw: requests that name a service which is not on their machine any more (UNASKED), after the settings had named the new one.

Cause: settings and heartbeats both set the caller's service, and the last to arrive won. A late heartbeat of the server that the settings had replaced is newer than the registered one, by its sequence number.

Evidence: the new test failed before, with "desk" in place of "vault" for the call after the late heartbeat.

Change: when the settings name another service, the registered start is a former one, whose heartbeats no longer set the caller's service; that of any other start does. Where calls are sent does not change.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -23,6 +23,7 @@
     Deregistration,
     Heartbeat,
     UpdateOutcome,
+    may_be_same_incarnation,
 )
 from godwitpass.internal.relay.retry_budget import RetryBudgetSettings
 from godwitpass.internal.relay.routes import RelayTable
@@ -174,6 +175,7 @@
             )
         )
         self._record: UpstreamRecord | None = None
+        self._former_upstream: Heartbeat | None = None
 
     @property
     def core(self) -> RelayCore:
@@ -360,6 +362,9 @@
             if settings.service != previous.service:
                 # The machine has got an upstream of another service, which has not reported yet.
                 core.caller_service = settings.service.encode()
+                registered = core.runner.registration.current
+                is_former = registered is not None and registered.service != settings.service
+                self._former_upstream = registered if is_former else None
             core.runner.drain_s = settings.drain_s
             core.set_retry_budget(settings.budget)
         requested = msgspec.structs.asdict(settings)
@@ -420,7 +425,9 @@
             return self._drop_heartbeat(heartbeat, outcome)
         self._identifier.finish()
         self._update_record(heartbeat)
-        core.caller_service = heartbeat.service.encode()
+        if not self._is_of_former_upstream(heartbeat):
+            self._former_upstream = None
+            core.caller_service = heartbeat.service.encode()
         core.runner.apply_registration()
         if self._rollouts is not None:
             version = heartbeat.software_version or None
@@ -438,6 +445,11 @@
             )
         return outcome
 
+    def _is_of_former_upstream(self, heartbeat: Heartbeat) -> bool:
+        """Tell whether the settings have named another service since this upstream reported."""
+        former = self._former_upstream
+        return former is not None and may_be_same_incarnation(former, heartbeat)
+
     def _update_record(self, heartbeat: Heartbeat) -> None:
         path = self._find_health_path(heartbeat)
         if self._records is not None and path:
--- a/tests/cover/test_platform.py
+++ b/tests/cover/test_platform.py
@@ -458,6 +458,41 @@
 
         run_check(check)
 
+    def test_a_late_heartbeat_of_the_former_server_does_not_set_the_caller_service_back(
+        self, run_check: RunCheck
+    ) -> None:
+        # Guards against calls that name a service which is not on their machine any more.
+        async def check(deployment: Deployment) -> None:
+            machine = deployment.machines[0]
+            assert machine.kernel is not None
+            relay = machine.kernel.find("relay", RelayService)
+            watcher = SettingsWatcher(
+                machine.settings_path, relay, read_file_stamp(machine.settings_path)
+            )
+            text = machine.settings_path.read_text()
+            machine.settings_path.write_text(text.replace('"desk"', '"vault"'))
+            watcher.reload()
+            assert await machine.server.send_heartbeat(machine.control_address) == 200
+            await exchange(deployment.outbound_address, encode_call("/read/1", "late", 900))
+            successor = StandInServer("i-next", machine.server.address, "vault")
+            successor.started_ms = machine.server.started_ms + 60_000
+            assert await successor.send_heartbeat(machine.control_address) == 200
+            await exchange(deployment.outbound_address, encode_call("/read/1", "next", 900))
+            machine.settings_path.write_text(text)
+            watcher.reload()
+            machine.server.started_ms = successor.started_ms + 60_000
+            await machine.server.send_heartbeat(machine.control_address)
+            await exchange(deployment.outbound_address, encode_call("/read/1", "back", 900))
+            callers = {
+                request.request_id: request.headers["x-godwitpass-caller-service"]
+                for server in deployment.vault_servers
+                for request in server.received_requests
+                if request.request_id in ("late", "next", "back")
+            }
+            assert callers == {"late": "vault", "next": "vault", "back": "desk"}
+
+        run_check(check)
+
 
 class TestConfiguration:
     def test_a_new_version_is_in_force_on_every_machine(self, run_check: RunCheck) -> None:
