--- a/tests/cover/test_platform.py
+++ b/tests/cover/test_platform.py
@@ -30,7 +30,7 @@
     exchange,
     wait_until,
 )
-from godwitpass_platform_stand_ins.deployment import is_ready
+from godwitpass_platform_stand_ins.deployment import Machine, is_ready
 
 SETTINGS = """
 [self]
@@ -428,25 +428,28 @@
         run_check(check)
 
 
+def set_service(machine: Machine, service: str) -> None:
+    """Change the service in the settings file of a machine, and let its daemon read it."""
+    assert machine.kernel is not None
+    path, relay = machine.settings_path, machine.kernel.find("relay", RelayService)
+    watcher = SettingsWatcher(path, relay, read_file_stamp(path))
+    path.write_text(
+        re.sub('^service = ".*"$', f'service = "{service}"', path.read_text(), flags=re.M)
+    )
+    watcher.reload()
+
+
 class TestServiceOfTheMachine:
     def test_changed_settings_change_the_caller_service_before_the_next_heartbeat(
         self, run_check: RunCheck
     ) -> None:
         async def check(deployment: Deployment) -> None:
             machine = deployment.machines[0]
-            assert machine.kernel is not None
-            relay = machine.kernel.find("relay", RelayService)
-            watcher = SettingsWatcher(
-                machine.settings_path, relay, read_file_stamp(machine.settings_path)
-            )
-            text = machine.settings_path.read_text()
-            machine.settings_path.write_text(text.replace('"desk"', '"vault"'))
-            watcher.reload()
+            set_service(machine, "vault")
             response = await exchange(
                 deployment.outbound_address, encode_call("/read/1", "moved", 900)
             )
-            machine.settings_path.write_text(text)
-            watcher.reload()
+            set_service(machine, "desk")
             assert response.status == 200
             callers = [
                 request.headers["x-godwitpass-caller-service"]
@@ -464,22 +467,14 @@
         # Guards against calls that name a service which is not on their machine any more.
         async def check(deployment: Deployment) -> None:
             machine = deployment.machines[0]
-            assert machine.kernel is not None
-            relay = machine.kernel.find("relay", RelayService)
-            watcher = SettingsWatcher(
-                machine.settings_path, relay, read_file_stamp(machine.settings_path)
-            )
-            text = machine.settings_path.read_text()
-            machine.settings_path.write_text(text.replace('"desk"', '"vault"'))
-            watcher.reload()
+            set_service(machine, "vault")
             assert await machine.server.send_heartbeat(machine.control_address) == 200
             await exchange(deployment.outbound_address, encode_call("/read/1", "late", 900))
             successor = StandInServer("i-next", machine.server.address, "vault")
             successor.started_ms = machine.server.started_ms + 60_000
             assert await successor.send_heartbeat(machine.control_address) == 200
             await exchange(deployment.outbound_address, encode_call("/read/1", "next", 900))
-            machine.settings_path.write_text(text)
-            watcher.reload()
+            set_service(machine, "desk")
             machine.server.started_ms = successor.started_ms + 60_000
             await machine.server.send_heartbeat(machine.control_address)
             await exchange(deployment.outbound_address, encode_call("/read/1", "back", 900))
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -28,6 +28,7 @@
     LATE_POLL_FAULTS,
     MISBEHAVIOUR,
     POLL_FAULTS,
+    RETURN_FAULTS,
     Fault,
     Plan,
     Step,
@@ -44,6 +45,8 @@
 EXTRA_REQUESTS_SEED = 41
 CRASHING_SEED = 37
 LATE_POLLS_SEED = 52058
+KILLS_OF_ALL_SEED = 53901
+STOPS_SEED = 53601
 
 
 def build_checker(disturbances: Disturbances | None = None) -> Checker:
@@ -163,6 +166,14 @@
             others = draw_plan(seed, 6, 20, with_newer_faults=True)
             assert not {step.fault for step in others.steps} & set(POLL_FAULTS)
 
+    def test_the_end_of_all_daemons_is_drawn_alone_and_ends_all(self) -> None:
+        plan = draw_plan(9, 5, 50, only_kills_of_all=True)
+        assert {step.fault for step in plan.steps} == set(RETURN_FAULTS)
+        ends = [step for step in plan.steps if step.fault is Fault.KILL_ALL]
+        assert len(ends) >= 2 and all(step.machines == tuple(range(5)) for step in ends)
+        others = draw_plan(9, 5, 300, with_newer_faults=True)
+        assert not {step.fault for step in others.steps} & set(RETURN_FAULTS)
+
     def test_a_plan_with_a_single_machine_is_rejected(self) -> None:
         with pytest.raises(ValueError, match="two machines or more"):
             draw_plan(1, 1, 20)
@@ -277,6 +288,20 @@
         checker.record_response("r1", ObservedResponse(0, 10.25))
         assert list_violated_invariants(checker) == [Invariant.CONNECTION_KEPT]
 
+    def test_an_upload_that_is_cut_counts_as_lost_once_it_was_sent_whole(self) -> None:
+        for is_whole, closed_at, is_lost in (
+            (False, 11.1, False),
+            (True, 11.1, False),
+            (True, 11.3, True),
+        ):
+            checker = Checker(Disturbances(), SERVICES)
+            call = SentCall("r1", 0, REQUEST_LINE, hash_body(BODY), True, 1.5, 10.0)
+            call.sending_s, call.is_whole = 1.0, is_whole
+            checker.record_call(call)
+            checker.record_response("r1", ObservedResponse(0, closed_at))
+            expected = [Invariant.CONNECTION_KEPT] if is_lost else []
+            assert list_violated_invariants(checker) == expected
+
     def test_a_response_that_is_cut_at_the_deadline_is_no_lost_connection(self) -> None:
         checker = build_checker()
         record_run_of_call(checker)
@@ -470,6 +495,18 @@
         logs = b"".join(path.read_bytes() for path in tmp_path.glob("side-*.log"))
         assert b"change-missed" in logs, "the plan writes versions that polls miss"
 
+    def test_a_crashing_request_is_bounded_while_all_daemons_end_again_and_again(
+        self, tmp_path: Path
+    ) -> None:
+        outcome = run_soak(draw_plan(KILLS_OF_ALL_SEED, 4, 40, only_kills_of_all=True), tmp_path)
+        assert not outcome.violations, outcome
+        assert outcome.counts["status 200"] > 100
+
+    def test_slow_uploads_are_answered_during_planned_stops(self, tmp_path: Path) -> None:
+        outcome = run_soak(draw_plan(STOPS_SEED, 3, 10, only_stops=True), tmp_path)
+        assert not outcome.violations, outcome
+        assert outcome.counts["status 200"] > 100
+
     def test_extra_requests_violate_no_invariant_under_faults(self, tmp_path: Path) -> None:
         plan = draw_plan(EXTRA_REQUESTS_SEED, 4, 14, True, extra_request_share=0.2)
         outcome = run_soak(plan, tmp_path)
