Name the role of crash records in the capacity page

The role and what it costs the store stand beside those of the other records; the counts of a stopping daemon say more plainly where a request is counted. No behaviour changes and nothing was measured.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/shutdown.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/shutdown.py
@@ -20,10 +20,10 @@
 class Unfinished(msgspec.Struct, frozen=True):
     """Numbers of requests that end without a complete response if the process ends now.
 
-    A request is counted where it is: `receiving` while its body arrives, `waiting` until it is
-    admitted, in `calls` from then on. `jobs` are the calls at the local upstream, of which other
-    daemons and this one count theirs as `calls` too. `unsent` are the connections whose other side
-    has yet to take parts of responses.
+    A request of a local caller is `receiving` while its body arrives, `waiting` until a
+    configuration or a rate limit admits it, and in `calls` from then on. `jobs` are the calls at
+    the local upstream, whichever daemon has taken them from their callers. `unsent` counts the
+    connections whose other side has yet to take parts of responses.
     """
 
     receiving: int
--- a/testkit/src/godwitpass_testkit/bench/roles.py
+++ b/testkit/src/godwitpass_testkit/bench/roles.py
@@ -65,6 +65,13 @@
         "one cached read at its start, one write for each new start of its upstream",
         "last write wins; a hint that a health check confirms",
     ),
+    Role(
+        "crash record",
+        "the daemon beside an upstream that crashed",
+        "one record in the store, under a lease of 540 s",
+        "two cached reads at the start of each daemon, one write and one lease call for a crash",
+        "last write wins; counts are merged by maximum",
+    ),
     Role(
         "edge",
         "every daemon",
