--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from pathlib import Path
+from typing import Any, cast
 
 import anyio
 import pytest
@@ -21,6 +22,7 @@
     SentCall,
     hash_body,
 )
+from godwitpass_platform_soak.faults import FaultInjector
 from godwitpass_platform_soak.keys import LASTING_KEY
 from godwitpass_platform_soak.plan import (
     CRASHING_FAULTS,
@@ -179,6 +181,38 @@
             draw_plan(1, 1, 20)
 
 
+class FakeMachine:
+    """A machine without processes, which counts the ends of its server."""
+
+    def __init__(self, number: int, service: str, is_crashed: bool = False) -> None:
+        self.number, self.service, self.is_crashed = number, service, is_crashed
+        self.is_leaving = False
+        self.server = self
+        self.ends = 0
+
+    async def stop(self) -> None:
+        self.ends += 1
+        raise InterruptedError("the server has ended")
+
+
+class TestReusedAddresses:
+    @pytest.mark.parametrize("fault", [Fault.REUSE, Fault.REUSE_AND_KILL])
+    @pytest.mark.parametrize(("is_other_crashed", "ends"), [(False, 1), (True, 0)])
+    def test_the_last_running_server_of_a_service_keeps_its_address(
+        self, fault: Fault, is_other_crashed: bool, ends: int
+    ) -> None:
+        # Guards against runs in which nothing can be served, as no server of the service is left.
+        machines = [FakeMachine(0, "vault"), FakeMachine(1, "vault", is_other_crashed)]
+
+        async def inject() -> None:
+            injector = FaultInjector(machines, *[cast(Any, None)] * 4)  # type: ignore[arg-type]
+            with contextlib.suppress(InterruptedError, ExceptionGroup):
+                await injector.inject(Step(0.0, fault, (0,), 0.1, 0.1))
+
+        anyio.run(inject)
+        assert machines[0].ends == ends
+
+
 class TestChecker:
     def test_a_call_with_one_run_and_a_genuine_response_violates_nothing(self) -> None:
         checker = build_checker()
--- a/tests/nightly/test_soak_regressions.py
+++ b/tests/nightly/test_soak_regressions.py
@@ -47,6 +47,11 @@
     (340308, 8, 20),
 ]
 
+PAST_FAILURES_WITH_RESTARTS = [
+    # The soak gave the addresses of both servers of a service to another one.
+    (54306, 4, 14),
+]
+
 
 class TestRegressions:
     @pytest.mark.parametrize(("seed", "machines", "seconds"), PAST_FAILURES)
@@ -71,3 +76,11 @@
         plan = draw_plan(seed, machines, seconds, only_crashing_faults=True)
         outcome = run_soak(plan, tmp_path)
         assert not outcome.violations, outcome
+
+    @pytest.mark.parametrize(("seed", "machines", "seconds"), PAST_FAILURES_WITH_RESTARTS)
+    def test_a_seed_with_restarts_that_failed_before_violates_no_invariant(
+        self, seed: int, machines: int, seconds: int, tmp_path: Path
+    ) -> None:
+        plan = draw_plan(seed, machines, seconds, only_restart_faults=True)
+        outcome = run_soak(plan, tmp_path)
+        assert not outcome.violations, outcome
