Allow the trial of a request with one burst of crashes in its test

Cause: the check, not the daemons. All crashes of the first round are one burst, after which one daemon tries the request again 6 s later; the log says "trial after a single burst". On a calm machine the round ends before that.

Change: in each later round all calls but one are refused, in place of the last one; the bound on crashes over all rounds stays.

--- a/tests/cover/test_crashing_requests.py
+++ b/tests/cover/test_crashing_requests.py
@@ -89,15 +89,18 @@
                 for round_number in range(3):
                     if round_number:
                         await restart_all_daemons(deployment, tasks)
+                    statuses = []
                     for attempt in range(6):
                         machine = deployment.machines[attempt % len(deployment.machines)]
                         call = encode_call(path, f"{round_number}-{attempt}", 1_000)
-                        status = (await exchange(machine.outbound_address, call)).status
-                        assert status in (502, 503)
+                        statuses.append((await exchange(machine.outbound_address, call)).status)
                         await anyio.sleep(0.3)
                         await restart_ended_servers(deployment)
                     crashes.append(sum(server.crash_count for server in deployment.vault_servers))
-                    assert status == 503, crashes
+                    assert set(statuses) <= {502, 503}, statuses
+                    # A request with a single burst of crashes is tried once more, after 6 s.
+                    admitted = 3 if round_number == 0 else 1
+                    assert statuses.count(503) >= len(statuses) - admitted, (statuses, crashes)
                 for machine in deployment.machines:
                     await machine.stop()
                 tasks.cancel_scope.cancel()
