--- a/packages/godwitpass-daemon/src/godwitpass_daemon/metrics.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/metrics.py
@@ -22,7 +22,9 @@
     yield from _collect_members(kernel.find("membership", MembershipService))
     yield from _collect_peers(kernel.find("peers", PeerTransport))
     yield from _collect_store(kernel.find("store", StoreClient))
-    yield _build_store_age(kernel.find("distribution", DistributionService))
+    distribution = kernel.find("distribution", DistributionService)
+    yield _build_store_age(distribution)
+    yield _build_version_lag(distribution)
     yield from _collect_edge(kernel.find("edge", EdgeService))
     yield from _collect_claims(kernel.find("claims", ClaimsService))
 
@@ -111,6 +113,15 @@
     )
 
 
+def _build_version_lag(distribution: DistributionService) -> Metric:
+    return Metric(
+        "godwitpass_version_lag_seconds",
+        "Time for which other daemons are known to hold a later version; 0 if none does.",
+        MetricKind.GAUGE,
+        (Sample(distribution.compute_version_lag()),),
+    )
+
+
 def _collect_edge(edge: EdgeService) -> Iterator[Metric]:
     statistics = edge.core.statistics
     yield Metric(
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/peers/events.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/peers/events.py
@@ -19,6 +19,14 @@
     Level.WARNING,
 )
 
+PEER_SEND_FAILED = EventKind(
+    752,
+    "peer-send-failed",
+    "A large message to `peer` was not answered within `waited_ms`, on a connection that last "
+    "answered `silent_ms` ago; -1 if it never has.",
+    Level.WARNING,
+)
+
 
 class Emit(Protocol):
     """Adds an event to the log and the timeline."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/peers/grpc_transport.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/peers/grpc_transport.py
@@ -1,6 +1,7 @@
 """gRPC side of the peer transport, for large payloads: one unary call per message."""
 
 import asyncio
+import time
 from collections.abc import Callable
 
 import grpc
@@ -55,25 +56,39 @@
     name: str
 
 
+class SendFailure(msgspec.Struct, frozen=True):
+    """A frame that was not delivered to `peer`: lower-case status code and times in seconds.
+
+    The connection last answered `silent_s` ago; it is None if it never has.
+    """
+
+    peer: Address
+    reason: str
+    waited_s: float
+    silent_s: float | None
+
+
 class _Connection(msgspec.Struct):
     """A client connection to one daemon."""
 
+    address: Address
     channel: grpc.aio.Channel
     last_used_at: float
+    answered_at: float | None = None
     calls_in_flight: int = 0
 
 
 class GrpcTransport:
     """Sends frames by unary calls, and passes received ones to `on_frame`.
 
-    `on_failure` is called with the lower-case status code of each failed call.
+    `on_failure` is called with each frame that was not delivered.
     """
 
     def __init__(
         self,
         on_frame: Callable[[bytes], None],
         tls: TlsIdentity | None,
-        on_failure: Callable[[str], None],
+        on_failure: Callable[[SendFailure], None],
         resources: Resources,
     ) -> None:
         self._on_frame = on_frame
@@ -147,7 +162,7 @@
         if connection is None:
             if len(self._connections) >= MAX_CONNECTIONS and not self._evict_idle_connection():
                 return None
-            connection = _Connection(self._build_channel(to), now)
+            connection = _Connection(to, self._build_channel(to), now)
             self._connections[to] = connection
         connection.last_used_at = now
         return connection
@@ -171,11 +186,17 @@
 
     async def _call(self, connection: _Connection, data: bytes) -> None:
         connection.calls_in_flight += 1
+        sent_at = time.monotonic()
         call = connection.channel.unary_unary(f"/{SERVICE}/{METHOD}")
         try:
             await call(data, timeout=CALL_TIMEOUT_S)
+            connection.answered_at = time.monotonic()
         except grpc.aio.AioRpcError as error:
-            self._on_failure(error.code().name.lower())
+            now = time.monotonic()
+            answered_at = connection.answered_at
+            silent_s = None if answered_at is None else now - answered_at
+            reason = error.code().name.lower()
+            self._on_failure(SendFailure(connection.address, reason, now - sent_at, silent_s))
         finally:
             connection.calls_in_flight -= 1
             self._bytes_in_flight -= len(data)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/peers/transport.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/peers/transport.py
@@ -13,7 +13,12 @@
 from godwitpass_daemon.peers.channels import Channel, Handler
 from godwitpass_daemon.peers.counters import DropCounter, TrafficCounter, build_traffic_counters
 from godwitpass_daemon.peers.datagrams import DatagramSocket
-from godwitpass_daemon.peers.events import PEER_MESSAGES_DROPPED, PEER_SENDS_DROPPED, Emit
+from godwitpass_daemon.peers.events import (
+    PEER_MESSAGES_DROPPED,
+    PEER_SEND_FAILED,
+    PEER_SENDS_DROPPED,
+    Emit,
+)
 from godwitpass_daemon.peers.frames import (
     DropReason,
     open_frame,
@@ -21,7 +26,13 @@
     seal_frame,
     validate_keys,
 )
-from godwitpass_daemon.peers.grpc_transport import MAX_MESSAGE_BYTES, GrpcTransport, TlsIdentity
+from godwitpass_daemon.peers.grpc_transport import (
+    MAX_MESSAGE_BYTES,
+    MS_PER_SECOND,
+    GrpcTransport,
+    SendFailure,
+    TlsIdentity,
+)
 from godwitpass_daemon.peers.replay import ReplayGuard
 from godwitpass_daemon.resources import Resources
 
@@ -82,9 +93,8 @@
         self._replay_guard = ReplayGuard()
         self._handlers: dict[Channel, Handler] = {}
         self._datagrams = DatagramSocket(self._handle_datagram)
-        self._grpc = GrpcTransport(
-            self._handle_incoming, tls, self.dropped_outgoing.count, resources
-        )
+        self._emit = emit
+        self._grpc = GrpcTransport(self._handle_incoming, tls, self._report_failure, resources)
 
     async def start(self, tasks: TaskGroup) -> None:
         """Listen on the same port number for datagrams and for gRPC."""
@@ -127,6 +137,17 @@
         else:
             self.dropped_outgoing.count("backlog")
 
+    def _report_failure(self, failure: SendFailure) -> None:
+        self.dropped_outgoing.count(failure.reason)
+        silent_s = failure.silent_s
+        self._emit(
+            PEER_SEND_FAILED,
+            peer=failure.peer,
+            reason=failure.reason,
+            waited_ms=int(failure.waited_s * MS_PER_SECOND),
+            silent_ms=-1 if silent_s is None else int(silent_s * MS_PER_SECOND),
+        )
+
     def _next_timestamp_us(self) -> int:
         # Strictly increasing, so that no two frames of one daemon have the same tag.
         self._last_sent_us = max(self._now_us(), self._last_sent_us + 1)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/core.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import random
+import time
 from collections import Counter
 from collections.abc import Callable, Coroutine, Sequence
 from functools import partial
@@ -142,6 +143,7 @@
 
     def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Route later requests by `snapshot`; replacing one reference makes the switch atomic."""
+        started_at = time.monotonic()
         table = compile_routes(snapshot)
         if self.table is not None and table.version <= self.table.version:
             return
@@ -154,6 +156,7 @@
             kinds.ROUTES_COMPILED,
             {
                 "routes": len(snapshot.document.routes),
+                "took_ms": int((time.monotonic() - started_at) * 1000),
                 "waiting": len(self.requests_awaiting_configuration),
             },
         )
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/metrics.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/metrics.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterator
 
+import msgspec
+
 from godwitpass.mesh import UpstreamState
 from godwitpass_daemon.admin.metrics import Label, Metric, MetricKind, Sample, build_summary_metric
 from godwitpass_daemon.eventlog.service import EventLog
@@ -10,14 +12,22 @@
 SECONDS_PER_US = 1e-6
 
 
-def collect_relay_metrics(
-    core: RelayCore, events: EventLog, has_rejected_document: bool, store_age_s: float
-) -> Iterator[Metric]:
-    """Yield the metrics of the calls accepted and run by this daemon, and of its state.
+class ConfigurationState(msgspec.Struct, frozen=True):
+    """What this daemon knows of newer configurations.
 
-    `has_rejected_document` tells that this daemon can't use the newest document in the store, which
-    answered a reader `store_age_s` ago, as far as this daemon knows.
+    `has_rejected_document` tells that it can't use the newest document in the store, which answered
+    a reader `store_age_s` ago. Other daemons are known to hold a later version for `version_lag_s`.
     """
+
+    has_rejected_document: bool
+    store_age_s: float
+    version_lag_s: float
+
+
+def collect_relay_metrics(
+    core: RelayCore, events: EventLog, configuration: ConfigurationState
+) -> Iterator[Metric]:
+    """Yield the metrics of the calls accepted and run by this daemon, and of its state."""
     runner, now = core.runner, core.now()
     yield _build_customer_counter(core)
     yield _build_counter("godwitpass_relay_calls_total", "Calls taken here, by event.", core.counts)
@@ -55,8 +65,9 @@
         "outbound_backlog_seconds": runner.response_sender.flow_control.backlog_s,
         "upstream_connections_opened": runner.pool.opened_count,
         "configuration_version": core.table.version if core.table else 0,
-        "configuration_rejected": int(has_rejected_document),
-        "store_age_seconds": store_age_s,
+        "configuration_rejected": int(configuration.has_rejected_document),
+        "store_age_seconds": configuration.store_age_s,
+        "version_lag_seconds": configuration.version_lag_s,
         "heartbeat_age_seconds": now - runner.registration.last_heartbeat_at,
         "upstream_ready": int(runner.registration.state is UpstreamState.READY),
         "proof_age_seconds": core.admission.compute_proof_age_s(core.table),
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/relay/service.py
@@ -43,7 +43,11 @@
 from godwitpass_daemon.relay.inbound_peers import InboundPeerConnection
 from godwitpass_daemon.relay.ingress import CallerConnection
 from godwitpass_daemon.relay.limits import TIMEOUT_CHECK_INTERVAL_S
-from godwitpass_daemon.relay.metrics import build_identity_check_counter, collect_relay_metrics
+from godwitpass_daemon.relay.metrics import (
+    ConfigurationState,
+    build_identity_check_counter,
+    collect_relay_metrics,
+)
 from godwitpass_daemon.relay.probe import Health, probe_health
 from godwitpass_daemon.relay.quota_metrics import collect_quota_metrics
 from godwitpass_daemon.relay.shutdown import close_caller_connections, count_unfinished
@@ -386,9 +390,12 @@
 
     def render_metrics(self) -> str:
         """Return the metrics as text."""
-        has_rejected = self._distribution.rejected_document() is not None
-        store_age_s = self._distribution.compute_store_age()
-        metrics = [*collect_relay_metrics(self.core, self._events, has_rejected, store_age_s)]
+        configuration = ConfigurationState(
+            self._distribution.rejected_document() is not None,
+            self._distribution.compute_store_age(),
+            self._distribution.compute_version_lag(),
+        )
+        metrics = [*collect_relay_metrics(self.core, self._events, configuration)]
         metrics.append(build_identity_check_counter(self._identifier.check_counts))
         if self._quotas is not None:
             metrics += collect_quota_metrics(self._quotas)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/services/distribution.py
@@ -114,6 +114,10 @@
         """Return the seconds since an answer of the store to any reader that is known here."""
         return self._distributor.compute_store_age(anyio.current_time())
 
+    def compute_version_lag(self) -> float:
+        """Return the seconds for which others are known to hold a later version; 0 if none does."""
+        return self._distributor.compute_version_lag(anyio.current_time())
+
     def view(self) -> View | None:
         """Return the known members and the distribution tree, once the service is started."""
         return self._view
--- a/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
@@ -115,6 +115,10 @@
         """
         return now - max(self._reader.heard_at, self._store_reported_at)
 
+    def compute_version_lag(self, now: float) -> float:
+        """Return the seconds for which others are known to hold a later version; 0 if none does."""
+        return self._fetcher.compute_lag(now)
+
     def handle(self, event: Event, now: float) -> list[Action]:
         """Return the actions that `event` causes."""
         actions = self._dispatch(event, now)
@@ -310,6 +314,7 @@
         store_age_s = self.compute_store_age(now)
         if store_age_s < math.inf:
             reader_fields["store_ms"] = int(store_age_s * 1000)
+        wait_fields = self._fetcher.describe_wait(now)
         self._cache.add(snapshot, update)
         self._fetcher.handle_activation()
         favour = snapshot.document.distribution.favour
@@ -321,7 +326,12 @@
             Activate(snapshot),
             RecordEvent(
                 events.VERSION_ACTIVATED,
-                {"previous": previous, "source": sender or "store", **reader_fields},
+                {
+                    "previous": previous,
+                    "source": sender or "store",
+                    **reader_fields,
+                    **wait_fields,
+                },
             ),
         ]
         return [*actions, *self._pusher.start_push(previous, include_upward, now, self._tuning)]
--- a/packages/godwitpass/src/godwitpass/internal/distribution/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/events.py
@@ -49,7 +49,7 @@
 STORE_LOST = EventKind(216, "store-lost", "A reader can't reach the store.", Level.WARNING)
 STORE_REGAINED = EventKind(217, "store-regained", "A reader reached the store again.")
 PEER_SILENT = EventKind(
-    218, "peer-silent", "A daemon does not answer and is bypassed in the tree.", Level.DEBUG
+    218, "peer-silent", "A daemon does not acknowledge a version and is bypassed in the tree."
 )
 SNAPSHOT_DELAYED = EventKind(
     219, "snapshot-delayed", "A request for a full version was postponed.", Level.DEBUG
@@ -86,6 +86,12 @@
 SUBSTITUTION_ENDED = EventKind(
     226, "substitution-ended", "The daemon no longer reads the store in place of a reader."
 )
+VERSION_AWAITED = EventKind(
+    227,
+    "version-awaited",
+    "The daemon has known for `known_ms` that others hold the version `later`, and lacks it.",
+    Level.WARNING,
+)
 ZONE_CONVERGED = EventKind(
     220, "zone-converged", "All daemons of the availability zone hold the version."
 )
--- a/packages/godwitpass/src/godwitpass/internal/distribution/fetcher.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/fetcher.py
@@ -7,8 +7,12 @@
 import math
 import random
 
+import msgspec
+
+from godwitpass.events import FieldValue
 from godwitpass.ids import NO_VERSION, Address, Version
-from godwitpass.internal.actions import Send
+from godwitpass.internal.actions import RecordEvent, Send
+from godwitpass.internal.distribution.events import VERSION_AWAITED
 from godwitpass.internal.distribution.messages import Announce, Fetch, Message
 from godwitpass.internal.distribution.snapshot_cache import SnapshotCache
 from godwitpass.internal.distribution.tuning import (
@@ -30,6 +34,28 @@
 """
 
 
+AWAITED_REPORT_S = 1.0
+"""Time for which a later version is known before the wait for it is reported.
+
+It doubles with each report.
+"""
+
+Actions = list[Send[Message] | RecordEvent]
+
+
+class AwaitedVersion(msgspec.Struct):
+    """The newest version that others are known to hold, while this daemon lacks it."""
+
+    version: Version
+    known_at: float
+    report_at: float
+    fetches: int = 0
+
+    def describe(self, now: float) -> dict[str, FieldValue]:
+        """Return log fields: how long the version has been known, and how often it was fetched."""
+        return {"known_ms": int((now - self.known_at) * 1000), "fetches": self.fetches}
+
+
 class Fetcher:
     """Fetches the newest known version, with at most one fetch in flight."""
 
@@ -46,6 +72,7 @@
         self._bootstrap_retry_at = math.inf
         self._backoff_s = BOOTSTRAP_TIMEOUT_S
         self._needs_full_version = False
+        self._awaited: AwaitedVersion | None = None
 
     @property
     def is_bootstrapping(self) -> bool:
@@ -55,7 +82,16 @@
     @property
     def deadline(self) -> float:
         """Return the time at which `run_due` has something to do."""
-        return min(self._deadline, self._bootstrap_retry_at)
+        report_at = self._awaited.report_at if self._awaited else math.inf
+        return min(self._deadline, self._bootstrap_retry_at, report_at)
+
+    def compute_lag(self, now: float) -> float:
+        """Return the seconds for which a later version has been known; 0 if none is."""
+        return now - self._awaited.known_at if self._awaited else 0.0
+
+    def describe_wait(self, now: float) -> dict[str, FieldValue]:
+        """Return log fields about the wait for a later version, if one is known."""
+        return self._awaited.describe(now) if self._awaited else {}
 
     def start_bootstrap(self, view: View, now: float) -> list[Send[Message]]:
         """Ask several peers for their versions, and fetch when all answered or time is up."""
@@ -68,9 +104,9 @@
         self._backoff_s = min(self._backoff_s * 2, BOOTSTRAP_RETRY_MAX_S)
         return [Send(peer, Announce(NO_VERSION, b"", wants_reply=True)) for peer in peers]
 
-    def run_due(self, view: View | None, now: float) -> list[Send[Message]]:
+    def run_due(self, view: View | None, now: float) -> Actions:
         """Handle the timeouts that are due at `now`."""
-        actions: list[Send[Message]] = []
+        actions: Actions = self._report_wait(now)
         if now >= self._deadline:
             self._awaited_peers.clear()
             if self._fetching_from is not None:
@@ -86,6 +122,7 @@
     def record_holder(self, sender: Address, version: Version, now: float) -> list[Send[Message]]:
         """Record that `sender` holds `version`; fetch it if it is later than the current one."""
         if version > self._cache.version:
+            self._await(version, now)
             self._candidates[sender] = version
             if len(self._candidates) > MAX_CANDIDATES:
                 del self._candidates[next(iter(self._candidates))]
@@ -128,6 +165,28 @@
         self._fetching_from, self._deadline, self._bootstrap_retry_at = None, math.inf, math.inf
         self._awaited_peers.clear()
         self._needs_full_version = False
+        if self._awaited is not None and self._awaited.version <= held_version:
+            self._awaited = None
+
+    def _await(self, version: Version, now: float) -> None:
+        """Remember that `version` is known, since when at least one later version has been."""
+        if self._awaited is None:
+            self._awaited = AwaitedVersion(version, now, now + AWAITED_REPORT_S)
+        self._awaited.version = max(self._awaited.version, version)
+
+    def _report_wait(self, now: float) -> Actions:
+        awaited = self._awaited
+        if awaited is None or now < awaited.report_at:
+            return []
+        awaited.report_at = now + (now - awaited.known_at)
+        fields: dict[str, FieldValue] = {
+            "held": self._cache.version,
+            "later": awaited.version,
+            **awaited.describe(now),
+            "holders": len(self._candidates),
+            "fetching_from": self._fetching_from or "",
+        }
+        return [RecordEvent(VERSION_AWAITED, fields)]
 
     def _start_fetch(self, now: float) -> list[Send[Message]]:
         if self._fetching_from is not None or self._deadline < math.inf or not self._candidates:
@@ -138,6 +197,8 @@
         holders = [peer for peer, version in self._candidates.items() if version == newest]
         self._fetching_from = self._random.choice(holders)
         self._deadline = now + FETCH_TIMEOUT_S
+        if self._awaited is not None:
+            self._awaited.fetches += 1
         bases = () if self._needs_full_version else self._cache.list_bases()
         return [Send(self._fetching_from, Fetch(bases))]
 
