Send large messages again on a new connection when one is silent

The connections between daemons had gone silent without a reset. Updates of more than 1,200 bytes went to the same silent connection, again and again: it was kept for 20 s, each call on it took 5 s to fail, and it was used on after that. A channel that had failed to connect was kept as well, with waits of up to two minutes between its attempts.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/peers/events.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/peers/events.py
@@ -27,6 +27,13 @@
     Level.WARNING,
 )
 
+PEER_CONNECTION_REPLACED = EventKind(
+    753,
+    "peer-connection-replaced",
+    "A connection to `peer` did not answer while a new one works, so large messages are sent again "
+    "on the new one; the old one last answered `silent_ms` ago, -1 if it never has.",
+)
+
 
 class Emit(Protocol):
     """Adds an event to the log and the timeline."""
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/peers/grpc_transport.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/peers/grpc_transport.py
@@ -9,12 +9,12 @@
 import msgspec
 
 from godwitpass.ids import Address
+from godwitpass_daemon.peers.connections import Connection, ConnectionPool
 from godwitpass_daemon.resources import Resources
 
 SERVICE = "godwitpass.Peers"
 METHOD = "Deliver"
 MAX_MESSAGE_BYTES = 2 * 1024 * 1024
-MAX_CONNECTIONS = 16
 MAX_CONCURRENT_INCOMING_CALLS = 32
 """Incoming calls at once; fewer where the memory has no room for as many messages."""
 
@@ -23,7 +23,7 @@
 STREAM_WINDOW_BYTES = 64 * 1024
 HANDSHAKE_TIMEOUT_S = 5.0
 MAX_INCOMING_IDLE_S = 30.0
-"""More than `IDLE_CONNECTION_S`, so that the sender closes its connection first."""
+"""More than `connections.MAX_IDLE_S`, so that the sender closes its connection first."""
 
 MAX_INCOMING_AGE_S = 60.0
 INCOMING_AGE_GRACE_S = 5.0
@@ -31,8 +31,13 @@
 
 MS_PER_SECOND = 1000
 MAX_BYTES_IN_FLIGHT = 8 * 1024 * 1024
-IDLE_CONNECTION_S = 20.0
 CALL_TIMEOUT_S = 5.0
+SILENCE_S = 0.3
+"""Time without an answer after which another connection to the same daemon is opened."""
+
+CONFIRMATION_S = 0.1
+"""Time for which a call stays unanswered, with another connection ready, until it is repeated."""
+
 STOP_GRACE_S = 0.1
 _EMPTY_RESPONSE = b""
 _OPTIONS = (
@@ -41,6 +46,8 @@
     # A second process on the same address fails to listen, and peers are reached without a proxy.
     ("grpc.so_reuseport", 0),
     ("grpc.enable_http_proxy", 0),
+    # Otherwise a new channel takes over the connection of an earlier one to the same address.
+    ("grpc.use_local_subchannel_pool", 1),
 )
 
 
@@ -68,20 +75,18 @@
     silent_s: float | None
 
 
-class _Connection(msgspec.Struct):
-    """A client connection to one daemon."""
+class Replacement(msgspec.Struct, frozen=True):
+    """A silent connection to `peer` that was replaced; it last answered `silent_s` ago."""
 
-    address: Address
-    channel: grpc.aio.Channel
-    last_used_at: float
-    answered_at: float | None = None
-    calls_in_flight: int = 0
+    peer: Address
+    silent_s: float | None
 
 
 class GrpcTransport:
     """Sends frames by unary calls, and passes received ones to `on_frame`.
 
-    `on_failure` is called with each frame that was not delivered.
+    A frame may reach the other daemon twice. `on_failure` is called with each frame that was not
+    delivered, `on_replacement` with each connection that was found silent.
     """
 
     def __init__(
@@ -89,14 +94,16 @@
         on_frame: Callable[[bytes], None],
         tls: TlsIdentity | None,
         on_failure: Callable[[SendFailure], None],
+        on_replacement: Callable[[Replacement], None],
         resources: Resources,
     ) -> None:
         self._on_frame = on_frame
         self._tls = tls
         self._on_failure = on_failure
+        self._on_replacement = on_replacement
         self._resources = resources
         self._server: grpc.aio.Server | None = None
-        self._connections: dict[Address, _Connection] = {}
+        self._pool = ConnectionPool(self._build_channel)
         self._tasks: set[asyncio.Task[None]] = set()
         self._bytes_in_flight = 0
 
@@ -107,7 +114,7 @@
             maximum_concurrent_rpcs=concurrent_calls,
             options=_build_server_options(self._resources, concurrent_calls),
         )
-        handler = grpc.unary_unary_rpc_method_handler(self._deliver)
+        handler = grpc.unary_unary_rpc_method_handler(self._handle_call)
         server.add_generic_rpc_handlers(
             (grpc.method_handlers_generic_handler(SERVICE, {METHOD: handler}),)
         )
@@ -118,89 +125,118 @@
         await server.start()
         self._server = server
 
-    def send(self, to: Address, data: bytes, now: float) -> bool:
+    def send(self, to: Address, data: bytes) -> bool:
         """Start sending `data`; return False if stopped or too much is in flight."""
         if self._server is None or self._bytes_in_flight + len(data) > MAX_BYTES_IN_FLIGHT:
             return False
-        connection = self._get_connection(to, now)
+        connection = self._pool.acquire(to)
         if connection is None:
             return False
         self._bytes_in_flight += len(data)
-        task = asyncio.get_running_loop().create_task(self._call(connection, data))
+        task = asyncio.get_running_loop().create_task(self._deliver(connection, data))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return True
 
-    async def close_idle(self, now: float) -> None:
-        """Close connections that have been unused for longer than `IDLE_CONNECTION_S`."""
-        for address, connection in list(self._connections.items()):
-            if (
-                connection.calls_in_flight == 0
-                and now - connection.last_used_at > IDLE_CONNECTION_S
-            ):
-                del self._connections[address]
-                await connection.channel.close()
+    def close_idle(self) -> None:
+        """Close the connections that no new call would use."""
+        self._pool.close_idle()
 
     async def close(self) -> None:
         """Cancel calls in flight, close all connections and stop listening."""
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for connection in self._connections.values():
-            await connection.channel.close()
-        self._connections.clear()
+        await self._pool.close()
         if self._server is not None:
             await self._server.stop(STOP_GRACE_S)
             self._server = None
 
-    async def _deliver(self, request: bytes, context: object) -> bytes:
-        self._on_frame(request)
+    async def _handle_call(self, request: bytes, context: object) -> bytes:
+        # The answer says that the frame has arrived; handling it may take long on a busy machine.
+        asyncio.get_running_loop().call_soon(self._on_frame, request)
         return _EMPTY_RESPONSE
 
-    def _get_connection(self, to: Address, now: float) -> _Connection | None:
-        connection = self._connections.get(to)
-        if connection is None:
-            if len(self._connections) >= MAX_CONNECTIONS and not self._evict_idle_connection():
-                return None
-            connection = _Connection(to, self._build_channel(to), now)
-            self._connections[to] = connection
-        connection.last_used_at = now
-        return connection
-
-    def _evict_idle_connection(self) -> bool:
-        idle = [item for item in self._connections.items() if item[1].calls_in_flight == 0]
-        if not idle:
-            return False
-        address, connection = min(idle, key=lambda item: item[1].last_used_at)
-        del self._connections[address]
-        task = asyncio.get_running_loop().create_task(connection.channel.close())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return True
-
     def _build_channel(self, to: Address) -> grpc.aio.Channel:
         if self._tls is None:
             return grpc.aio.insecure_channel(to, options=_OPTIONS)
         options = (*_OPTIONS, ("grpc.ssl_target_name_override", self._tls.name))
         return grpc.aio.secure_channel(to, _build_channel_credentials(self._tls), options=options)
 
-    async def _call(self, connection: _Connection, data: bytes) -> None:
-        connection.calls_in_flight += 1
+    async def _deliver(self, connection: Connection, data: bytes) -> None:
+        """Send `data`, and send it again on another connection if this one is silent."""
         sent_at = time.monotonic()
-        call = connection.channel.unary_unary(f"/{SERVICE}/{METHOD}")
+        first_call = asyncio.ensure_future(self._call(connection, data))
+        second_call: asyncio.Future[None] | None = None
         try:
-            await call(data, timeout=CALL_TIMEOUT_S)
-            connection.answered_at = time.monotonic()
+            replacement = await self._replace_if_silent(connection, first_call)
+            if replacement is None:
+                await first_call
+                return
+            second_call = asyncio.ensure_future(self._call(replacement, data))
+            await _wait_for_either(first_call, second_call)
         except grpc.aio.AioRpcError as error:
-            now = time.monotonic()
-            answered_at = connection.answered_at
+            now, answered_at = time.monotonic(), connection.answered_at
             silent_s = None if answered_at is None else now - answered_at
             reason = error.code().name.lower()
             self._on_failure(SendFailure(connection.address, reason, now - sent_at, silent_s))
         finally:
-            connection.calls_in_flight -= 1
+            for call in (first_call, second_call):
+                if call is not None:
+                    call.cancel()
             self._bytes_in_flight -= len(data)
 
+    async def _call(self, connection: Connection, data: bytes) -> None:
+        try:
+            await connection.channel.unary_unary(f"/{SERVICE}/{METHOD}")(
+                data, timeout=CALL_TIMEOUT_S
+            )
+            connection.answered_at = time.monotonic()
+        except grpc.aio.AioRpcError:
+            # A channel that failed to connect waits ever longer before it tries again.
+            self._pool.retire(connection)
+            raise
+        finally:
+            self._pool.release(connection)
+
+    async def _replace_if_silent(
+        self, connection: Connection, call: asyncio.Future[None]
+    ) -> Connection | None:
+        """Return a connection for a second call, if `call` is unanswered and it is ready."""
+        await asyncio.wait([call], timeout=SILENCE_S)
+        while not call.done() and connection.is_connecting(time.monotonic()):
+            await asyncio.wait([call], timeout=SILENCE_S)
+        if call.done():
+            return None
+        self._pool.retire(connection)
+        replacement = self._pool.acquire(connection.address)
+        if replacement is None:
+            return None
+        is_used = False
+        try:
+            ready = asyncio.ensure_future(replacement.channel.channel_ready())
+            await asyncio.wait([call, ready], return_when=asyncio.FIRST_COMPLETED)
+            # A path that is only slow delays the new connection as well.
+            is_used = ready.done() and not (await asyncio.wait([call], timeout=CONFIRMATION_S))[0]
+            ready.cancel()
+        finally:
+            if not is_used:
+                self._pool.release(replacement)
+        if not is_used:
+            return None
+        answered_at = connection.answered_at
+        silent_s = None if answered_at is None else time.monotonic() - answered_at
+        self._on_replacement(Replacement(connection.address, silent_s))
+        return replacement
+
+
+async def _wait_for_either(first: asyncio.Future[None], second: asyncio.Future[None]) -> None:
+    """Return when one of two calls succeeds; raise the error of the second if both fail."""
+    done, _ = await asyncio.wait([first, second], return_when=asyncio.FIRST_COMPLETED)
+    if any(call.exception() is None for call in done):
+        return
+    await (second if first in done else first)
+
 
 def _count_concurrent_calls(resources: Resources) -> int:
     messages = resources.peer_message_bytes // MAX_MESSAGE_BYTES
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/peers/transport.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/peers/transport.py
@@ -14,6 +14,7 @@
 from godwitpass_daemon.peers.counters import DropCounter, TrafficCounter, build_traffic_counters
 from godwitpass_daemon.peers.datagrams import DatagramSocket
 from godwitpass_daemon.peers.events import (
+    PEER_CONNECTION_REPLACED,
     PEER_MESSAGES_DROPPED,
     PEER_SEND_FAILED,
     PEER_SENDS_DROPPED,
@@ -30,6 +31,7 @@
     MAX_MESSAGE_BYTES,
     MS_PER_SECOND,
     GrpcTransport,
+    Replacement,
     SendFailure,
     TlsIdentity,
 )
@@ -94,7 +96,9 @@
         self._handlers: dict[Channel, Handler] = {}
         self._datagrams = DatagramSocket(self._handle_datagram)
         self._emit = emit
-        self._grpc = GrpcTransport(self._handle_incoming, tls, self._report_failure, resources)
+        self._grpc = GrpcTransport(
+            self._handle_incoming, tls, self._report_failure, self._report_replacement, resources
+        )
 
     async def start(self, tasks: TaskGroup) -> None:
         """Listen on the same port number for datagrams and for gRPC."""
@@ -131,7 +135,7 @@
         if len(payload) <= MAX_DATAGRAM_PAYLOAD_BYTES:
             was_queued = self._datagrams.send(to, frame)
         else:
-            was_queued = self._grpc.send(to, frame, time.monotonic())
+            was_queued = self._grpc.send(to, frame)
         if was_queued:
             self.sent[channel].add(len(frame))
         else:
@@ -148,6 +152,14 @@
             silent_ms=-1 if silent_s is None else int(silent_s * MS_PER_SECOND),
         )
 
+    def _report_replacement(self, replacement: Replacement) -> None:
+        silent_s = replacement.silent_s
+        self._emit(
+            PEER_CONNECTION_REPLACED,
+            peer=replacement.peer,
+            silent_ms=-1 if silent_s is None else int(silent_s * MS_PER_SECOND),
+        )
+
     def _next_timestamp_us(self) -> int:
         # Strictly increasing, so that no two frames of one daemon have the same tag.
         self._last_sent_us = max(self._now_us(), self._last_sent_us + 1)
@@ -187,4 +199,4 @@
     async def _close_idle_connections(self) -> None:
         while True:
             await anyio.sleep(IDLE_CHECK_INTERVAL_S)
-            await self._grpc.close_idle(time.monotonic())
+            self._grpc.close_idle()
