Give each daemon that is behind a way round its silent connections

A daemon whose datagrams arrived counted as one that answers, whatever version it held, so its parent repeated a lost update for ever and never bypassed it. A daemon whose only known holder did not answer its fetch waited for the next periodic announcement.

Now only an acknowledgement of what was pushed ends the attempts, a large update is repeated as an announcement, a daemon without a known holder asks others for their versions, and after 1 s without progress it reads the store itself, at most 40 daemons of an availability zone a second.

--- a/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
@@ -51,7 +51,10 @@
 )
 from godwitpass.internal.distribution.tuning import (
     HANDOVER_S,
+    MAX_OWN_READ_DELAY_S,
     MAX_READER_DELAY_S,
+    OWN_READ_DELAY_S,
+    OWN_READS_PER_S,
     REMOTE_ANNOUNCE_FRACTION,
     Tuning,
     choose_tuning,
@@ -94,6 +97,9 @@
         self._reader_ranking: ReaderRanking | None = None
         self._substitute_until = math.inf
         self._unrecorded_for: Address | None = None
+        self._own_read_at = math.inf
+        self._own_reads = 0
+        self._reads_for_itself = False
 
     @property
     def current(self) -> Snapshot | None:
@@ -123,6 +129,7 @@
         """Return the actions that `event` causes."""
         actions = self._dispatch(event, now)
         actions += self._reporter.run_due(now, self._tuning)
+        self._schedule_own_read(now)
         return actions + self._set_timer(now)
 
     def _dispatch(self, event: Event, now: float) -> list[Action]:
@@ -158,6 +165,8 @@
         if now >= self._reader_start_at:
             self._reader_start_at = math.inf
             actions += self._perform_reader_actions(self._reader.start(now), now)
+        if now >= self._own_read_at:
+            actions += self._start_own_read(now)
         if now >= self._substitute_until:
             actions += self._end_substitution()
         if now >= self._next_announce_at:
@@ -178,6 +187,7 @@
             self._reader_start_at,
             self._reporter.deadline,
             self._substitute_until,
+            self._own_read_at,
         )
         if due_at >= self._timer_at:
             return []
@@ -218,6 +228,7 @@
             return
         self._substitute_until = math.inf
         self._unrecorded_for = None
+        self._reads_for_itself = False
         if not self._reader.is_running and self._reader_start_at == math.inf:
             self._reader_start_at = now + self._random.random() * MAX_READER_DELAY_S
 
@@ -251,6 +262,8 @@
         for action in reader_actions:
             if isinstance(action, VersionFound):
                 actions += self._activate(action.snapshot, None, now)
+                if self._reads_for_itself:
+                    return [*actions, *self._end_substitution()]
             elif isinstance(action, ReadingFailed):
                 if self._substitute_until < math.inf:
                     return [*actions, *self._end_substitution()]
@@ -270,6 +283,7 @@
         if ranking is None or self._own_address not in ranking.substitutes:
             return []
         self._substitute_until = now + HANDOVER_S
+        self._reads_for_itself = False
         if self._reader.is_running:
             return []
         self._unrecorded_for = sender
@@ -278,6 +292,33 @@
             *self._perform_reader_actions(self._reader.start(now), now),
         ]
 
+    def _schedule_own_read(self, now: float) -> None:
+        """Read the store here if a later version is known for long and no daemon delivers it.
+
+        The delay is spread so that the reads of a whole availability zone stay below a rate.
+        """
+        awaited_since = self._fetcher.awaited_since
+        if awaited_since is None or self.current is None or self._view is None:
+            self._own_read_at, self._own_reads = math.inf, 0
+        elif self._own_read_at == math.inf and not self._reader.is_running:
+            spread_s = len(self._view.ranked_members) / OWN_READS_PER_S
+            wait_s = OWN_READ_DELAY_S * 2**self._own_reads + spread_s * self._random.random()
+            base_s = now if self._own_reads else awaited_since
+            self._own_read_at = base_s + min(wait_s, MAX_OWN_READ_DELAY_S + spread_s)
+
+    def _start_own_read(self, now: float) -> list[Action]:
+        self._own_read_at = math.inf
+        if self._reader.is_running:
+            return []
+        self._own_reads += 1
+        self._reads_for_itself = True
+        self._substitute_until = now + HANDOVER_S
+        fields = self._fetcher.describe_wait(now)
+        return [
+            RecordEvent(events.OWN_READ_STARTED, fields),
+            *self._perform_reader_actions(self._reader.start(now), now),
+        ]
+
     def _record_started_substitution(self) -> list[Action]:
         """Record the start once; after a failed attempt, only when the store answers."""
         sender = self._unrecorded_for
@@ -290,6 +331,9 @@
         self._substitute_until = math.inf
         self._unrecorded_for = None
         self._reader.stop()
+        if self._reads_for_itself:
+            self._reads_for_itself = False
+            return []
         return self._record_substitution(events.SUBSTITUTION_ENDED, {})
 
     def _record_substitution(self, kind: EventKind, fields: dict[str, FieldValue]) -> list[Action]:
@@ -316,7 +360,7 @@
             reader_fields["store_ms"] = int(store_age_s * 1000)
         wait_fields = self._fetcher.describe_wait(now)
         self._cache.add(snapshot, update)
-        self._fetcher.handle_activation()
+        self._fetcher.handle_activation(now)
         favour = snapshot.document.distribution.favour
         self._tuning = self._fixed_tuning or choose_tuning(favour)
         self._reader.pause_s = self._tuning.push_interval_s
--- a/packages/godwitpass/src/godwitpass/internal/distribution/events.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/events.py
@@ -92,6 +92,12 @@
     "The daemon has known for `known_ms` that others hold the version `later`, and lacks it.",
     Level.WARNING,
 )
+OWN_READ_STARTED = EventKind(
+    228,
+    "own-read-started",
+    "The daemon reads the store itself, since no daemon delivered the later version that it knows "
+    "of.",
+)
 ZONE_CONVERGED = EventKind(
     220, "zone-converged", "All daemons of the availability zone hold the version."
 )
--- a/packages/godwitpass/src/godwitpass/internal/distribution/fetcher.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/fetcher.py
@@ -44,11 +44,16 @@
 
 
 class AwaitedVersion(msgspec.Struct):
-    """The newest version that others are known to hold, while this daemon lacks it."""
+    """The newest version that others are known to hold, while this daemon lacks it.
+
+    `known_at` is the time since which no later version has arrived.
+    """
 
     version: Version
     known_at: float
     report_at: float
+    search_at: float = math.inf
+    searches: int = 0
     fetches: int = 0
 
     def describe(self, now: float) -> dict[str, FieldValue]:
@@ -83,7 +88,17 @@
     def deadline(self) -> float:
         """Return the time at which `run_due` has something to do."""
         report_at = self._awaited.report_at if self._awaited else math.inf
-        return min(self._deadline, self._bootstrap_retry_at, report_at)
+        search_at = self._awaited.search_at if self._awaited and self._lacks_holder else math.inf
+        return min(self._deadline, self._bootstrap_retry_at, report_at, search_at)
+
+    @property
+    def _lacks_holder(self) -> bool:
+        return not self._candidates and self._fetching_from is None
+
+    @property
+    def awaited_since(self) -> float | None:
+        """Return since when a later version is known without one arriving; None if none is."""
+        return self._awaited.known_at if self._awaited else None
 
     def compute_lag(self, now: float) -> float:
         """Return the seconds for which a later version has been known; 0 if none is."""
@@ -113,6 +128,7 @@
                 self._candidates.pop(self._fetching_from, None)
             self._fetching_from, self._deadline = None, math.inf
             actions += self._start_fetch(now)
+        actions += self._search_holders(view, now)
         if now >= self._bootstrap_retry_at:
             self._bootstrap_retry_at = math.inf
             if self._cache.current is None and view is not None:
@@ -156,7 +172,7 @@
         self._deadline = now + retry_s * self._random.uniform(1.0, 2.0)
         return []
 
-    def handle_activation(self) -> None:
+    def handle_activation(self, now: float) -> None:
         """Discard the state that the newly activated version makes obsolete."""
         held_version = self._cache.version
         self._candidates = {
@@ -165,8 +181,9 @@
         self._fetching_from, self._deadline, self._bootstrap_retry_at = None, math.inf, math.inf
         self._awaited_peers.clear()
         self._needs_full_version = False
-        if self._awaited is not None and self._awaited.version <= held_version:
-            self._awaited = None
+        awaited, self._awaited = self._awaited, None
+        if awaited is not None and awaited.version > held_version:
+            self._await(awaited.version, now)
 
     def _await(self, version: Version, now: float) -> None:
         """Remember that `version` is known, since when at least one later version has been."""
@@ -174,6 +191,21 @@
             self._awaited = AwaitedVersion(version, now, now + AWAITED_REPORT_S)
         self._awaited.version = max(self._awaited.version, version)
 
+    def _search_holders(self, view: View | None, now: float) -> Actions:
+        """Ask other daemons for their versions once the known holders have not answered."""
+        awaited = self._awaited
+        if awaited is None or view is None or not self._lacks_holder:
+            return []
+        if awaited.search_at == math.inf:
+            awaited.search_at = now
+        if now < awaited.search_at:
+            return []
+        backoff_s = min(BOOTSTRAP_TIMEOUT_S * 2**awaited.searches, BOOTSTRAP_RETRY_MAX_S)
+        awaited.search_at = now + backoff_s
+        awaited.searches += 1
+        announce = Announce(self._cache.version, self._cache.digest, wants_reply=True)
+        return [Send(peer, announce) for peer in self._choose_peers(view)]
+
     def _report_wait(self, now: float) -> Actions:
         awaited = self._awaited
         if awaited is None or now < awaited.report_at:
--- a/packages/godwitpass/src/godwitpass/internal/distribution/push_target.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/push_target.py
@@ -30,6 +30,7 @@
         "known_version",
         "laggards",
         "position",
+        "pushed_version",
         "role",
         "zone",
     )
@@ -40,6 +41,7 @@
         self.zone = zone
         self.position = position
         self.known_version = NO_VERSION
+        self.pushed_version = NO_VERSION
         self.holder_count = 0
         self.laggards: tuple[InstanceId, ...] = ()
         self.attempts = 0
@@ -47,9 +49,15 @@
         self.is_upward = role is Role.PARENT
         self.deadline = math.inf
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether the acknowledgement of the version pushed last is outstanding."""
+        return self.deadline < math.inf and self.known_version < self.pushed_version
+
     def copy_state_from(self, previous: "PushTarget | None") -> None:
         """Copy the state of the target for the same daemon in an earlier view, if any."""
         if previous is not None:
             self.known_version, self.holder_count = previous.known_version, previous.holder_count
+            self.pushed_version = previous.pushed_version
             self.laggards, self.is_silent = previous.laggards, previous.is_silent
             self.attempts, self.deadline = previous.attempts, previous.deadline
--- a/packages/godwitpass/src/godwitpass/internal/distribution/pusher.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/pusher.py
@@ -26,6 +26,9 @@
     list_child_positions,
 )
 
+MAX_REPEATED_BYTES = 1024
+"""Larger updates are pushed once, and then announced."""
+
 Actions = list[Send[Message] | RecordEvent]
 
 
@@ -117,6 +120,9 @@
         if target is None:
             return
         target.known_version = max(target.known_version, version)
+        if target.is_awaited:
+            # It is alive, but what was pushed to it may not arrive.
+            return
         target.attempts = 0
         if target.is_silent:
             target.is_silent = False
@@ -130,6 +136,8 @@
         target = self._targets.get(sender)
         if target is None:
             return []
+        if target.is_awaited:
+            return []
         target.deadline = math.inf
         if holdings.version < self._cache.version:
             return self._push(target, now, tuning) if self._scheduled_push_at == math.inf else []
@@ -227,6 +235,7 @@
         if target.deadline < math.inf:
             return []
         target.holder_count, target.laggards = 0, ()
+        target.pushed_version = version
         target.attempts = 1
         target.deadline = now + tuning.ack_timeout_s
         return self._send(target, tuning)
@@ -244,6 +253,7 @@
             actions += self._bypass(target, now, tuning)
         if target.attempts < tuning.push_attempts:
             target.attempts += 1
+            target.pushed_version = self._cache.version
             # The timeout grows only once a daemon is bypassed: until then, waiting delays all
             # daemons below it.
             timeout_factor = target.attempts if target.is_silent else 1
@@ -286,4 +296,7 @@
         update = self._cache.build_update(base)
         if len(update.body) > tuning.max_push_bytes:
             return [Send(target.address, announce)]
+        if target.attempts > 1 and len(update.body) > MAX_REPEATED_BYTES:
+            # The first one may be on its way; if not, the daemon fetches the version.
+            return [Send(target.address, announce)]
         return [Send(target.address, update)]
--- a/packages/godwitpass/src/godwitpass/internal/distribution/tuning.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/tuning.py
@@ -16,6 +16,16 @@
 can't either stops at once.
 """
 
+OWN_READ_DELAY_S = 1.0
+"""Time for which a daemon waits for a known later version before it reads the store itself.
+
+It doubles with each attempt, up to `MAX_OWN_READ_DELAY_S`.
+"""
+
+MAX_OWN_READ_DELAY_S = 16.0
+OWN_READS_PER_S = 40.0
+"""Reads a second of all daemons of an availability zone that lack a version."""
+
 MAX_READER_DELAY_S = 1.0
 """Maximum delay of a new reader, so that daemons that start together discover each other first."""
 
--- a/testkit/src/godwitpass_testkit/virtual.py
+++ b/testkit/src/godwitpass_testkit/virtual.py
@@ -18,6 +18,9 @@
 DATAGRAM_OVERHEAD_BYTES = 64
 """IP, UDP and authentication overhead of each message."""
 
+MAX_DATAGRAM_BYTES = 1200 + DATAGRAM_OVERHEAD_BYTES
+"""Larger messages take a connection."""
+
 
 class Node(Protocol):
     """Decision object: takes events and returns actions, without I/O of its own."""
@@ -67,8 +70,9 @@
     """Event queue that delivers the events of many nodes in the order of virtual time.
 
     `choose_link` returns the link between two addresses, `is_blocked` tells whether messages
-    between them are dropped, and `alter_message` may replace a message on its way. All three may
-    be replaced while the queue runs. Actions other than `Send`, `SetTimer` and `RecordEvent` go
+    between them are dropped, `is_silent` whether only those too large for a datagram are, and
+    `alter_message` may replace a message on its way. All four may be replaced while the queue
+    runs. Actions other than `Send`, `SetTimer` and `RecordEvent` go
     to `perform`. `after_event` is called with the address of each node that has handled an event.
     `now` is the virtual time in seconds.
     """
@@ -80,6 +84,7 @@
         self.random = random.Random(seed)
         self.choose_link: Callable[[Address, Address], Link] = lambda sender, to: link
         self.is_blocked: Callable[[Address, Address], bool] = lambda sender, to: False
+        self.is_silent: Callable[[Address, Address], bool] = lambda sender, to: False
         self.alter_message: Callable[[Any], Any] = lambda message: message
         self.perform = perform
         self.after_event: Callable[[Address], None] = lambda address: None
@@ -209,6 +214,8 @@
     def _transmit(self, sender: Address, action: Send[Any], link: Link, size_bytes: int) -> None:
         if self.is_blocked(sender, action.to) or (link.loss and self.random.random() < link.loss):
             return
+        if size_bytes > MAX_DATAGRAM_BYTES and self.is_silent(sender, action.to):
+            return
         delay_s = self.random.uniform(link.min_delay_s, link.max_delay_s)
         message = self.alter_message(action.message)
         self.call_at(
