Report messages on connections that are closed before they answer

At most 16 silent connections are kept; beyond it the oldest is closed with its calls. gRPC ends these as cancelled, so that the message was given up without a line in the log, and a second copy on its way with it. Now such a call counts as failed. Found by reading; the test, which closes a connection under a message, fails without the change.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/peers/grpc_transport.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/peers/grpc_transport.py
@@ -63,8 +63,12 @@
     name: str
 
 
+class CallFailed(Exception):
+    """A call ended without an answer; the text is the reason."""
+
+
 class SendFailure(msgspec.Struct, frozen=True):
-    """A frame that was not delivered to `peer`: lower-case status code and times in seconds.
+    """A frame that was not delivered to `peer`: why, and times in seconds.
 
     The connection last answered `silent_s` ago; it is None if it never has.
     """
@@ -175,11 +179,10 @@
                 return
             second_call = asyncio.ensure_future(self._call(replacement, data))
             await _wait_for_either(first_call, second_call)
-        except grpc.aio.AioRpcError as error:
+        except CallFailed as error:
             now, answered_at = time.monotonic(), connection.answered_at
             silent_s = None if answered_at is None else now - answered_at
-            reason = error.code().name.lower()
-            self._on_failure(SendFailure(connection.address, reason, now - sent_at, silent_s))
+            self._on_failure(SendFailure(connection.address, str(error), now - sent_at, silent_s))
         finally:
             for call in (first_call, second_call):
                 if call is not None:
@@ -192,9 +195,14 @@
                 data, timeout=CALL_TIMEOUT_S
             )
             connection.answered_at = time.monotonic()
-        except grpc.aio.AioRpcError:
+        except grpc.aio.AioRpcError as error:
             # A channel that failed to connect waits ever longer before it tries again.
             self._pool.retire(connection)
+            raise CallFailed(error.code().name.lower()) from error
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is not None and not task.cancelling():
+                raise CallFailed("connection closed") from None
             raise
         finally:
             self._pool.release(connection)
--- a/tests/cover/test_silent_peer_connections.py
+++ b/tests/cover/test_silent_peer_connections.py
@@ -134,6 +134,20 @@
 
         anyio.run(run)
 
+    def test_a_message_on_a_connection_that_is_closed_meanwhile_is_reported(self) -> None:
+        async def run() -> None:
+            async with run_peers() as peers:
+                peers.link.set_mode(LinkMode.HOLD)
+                peers.send(LARGE)
+                await anyio.sleep(0.05)
+                (connection,) = peers.sender._grpc._pool._connections.values()
+                await connection.channel.close()
+                with anyio.fail_after(DELIVERED_S):
+                    while "peer-send-failed" not in peers.events:
+                        await anyio.sleep(0.01)
+
+        anyio.run(run)
+
     def test_messages_to_a_daemon_that_does_not_accept_are_reported_and_bounded(self) -> None:
         async def run() -> None:
             async with run_peers() as peers:
