--- a/tests/nightly/test_soak_regressions.py
+++ b/tests/nightly/test_soak_regressions.py
@@ -52,6 +52,14 @@
     (54306, 4, 14),
 ]
 
+PAST_FAILURES_WITH_SILENT_VERSIONS = [
+    # Connections between daemons went silent, and large versions waited for them.
+    (56001, 8, 20),
+    (56002, 8, 20),
+    # Answers were late after the last fault; not traced.
+    (56101, 8, 20),
+]
+
 
 class TestRegressions:
     @pytest.mark.parametrize(("seed", "machines", "seconds"), PAST_FAILURES)
@@ -84,3 +92,11 @@
         plan = draw_plan(seed, machines, seconds, only_restart_faults=True)
         outcome = run_soak(plan, tmp_path)
         assert not outcome.violations, outcome
+
+    @pytest.mark.parametrize(("seed", "machines", "seconds"), PAST_FAILURES_WITH_SILENT_VERSIONS)
+    def test_a_seed_with_silent_versions_that_failed_before_violates_no_invariant(
+        self, seed: int, machines: int, seconds: int, tmp_path: Path
+    ) -> None:
+        plan = draw_plan(seed, machines, seconds, only_silent_versions=True)
+        outcome = run_soak(plan, tmp_path)
+        assert not outcome.violations, outcome
