Let no daemon that makes progress read the store for itself

A daemon that knows of a later version has a time set for a read of its own. That time stood when an earlier version arrived in the meantime, so a daemon that is always one version behind in a storm would have read whole documents over a link that is full already. Now each version that arrives ends it. The test had such reads before and has none now.

--- a/packages/godwitpass-daemon/src/godwitpass_daemon/peers/connections.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/peers/connections.py
@@ -54,7 +54,7 @@
     def __init__(self, build_channel: Callable[[Address], grpc.aio.Channel]) -> None:
         self._build_channel = build_channel
         self._connections: dict[Address, Connection] = {}
-        self._retired: dict[int, Connection] = {}
+        self._retired: list[Connection] = []
         self._closings: set[asyncio.Task[None]] = set()
 
     def acquire(self, to: Address) -> Connection | None:
@@ -84,11 +84,11 @@
             return
         connection.is_retired = True
         del self._connections[connection.address]
-        self._retired[id(connection)] = connection
+        self._retired.append(connection)
         if connection.calls_in_flight == 0:
             self._close(connection)
         elif len(self._retired) > MAX_RETIRED:
-            self._close(next(iter(self._retired.values())))
+            self._close(self._retired[0])
 
     def close_idle(self) -> None:
         """Close the connections that no new call would use."""
@@ -99,7 +99,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        for connection in [*self._connections.values(), *self._retired.values()]:
+        for connection in [*self._connections.values(), *self._retired]:
             await connection.channel.close()
         self._connections.clear()
         self._retired.clear()
@@ -113,8 +113,9 @@
         return True
 
     def _close(self, connection: Connection) -> None:
-        if self._retired.pop(id(connection), None) is None:
+        if connection not in self._retired:
             return
+        self._retired.remove(connection)
         task = asyncio.get_running_loop().create_task(connection.channel.close())
         self._closings.add(task)
         task.add_done_callback(self._closings.discard)
--- a/packages/godwitpass-daemon/src/godwitpass_daemon/peers/grpc_transport.py
+++ b/packages/godwitpass-daemon/src/godwitpass_daemon/peers/grpc_transport.py
@@ -222,11 +222,10 @@
             return None
         is_used = False
         try:
-            ready = asyncio.ensure_future(replacement.channel.channel_ready())
-            await asyncio.wait([call, ready], return_when=asyncio.FIRST_COMPLETED)
-            # A path that is only slow delays the new connection as well.
-            is_used = ready.done() and not (await asyncio.wait([call], timeout=CONFIRMATION_S))[0]
-            ready.cancel()
+            if await _is_ready_before(call, replacement.channel):
+                # A path that is only slow delays the new connection as well.
+                await asyncio.wait([call], timeout=CONFIRMATION_S)
+                is_used = not call.done()
         finally:
             if not is_used:
                 self._pool.release(replacement)
@@ -238,6 +237,16 @@
         return replacement
 
 
+async def _is_ready_before(call: asyncio.Future[None], channel: grpc.aio.Channel) -> bool:
+    """Wait until `call` is done or `channel` is connected; return whether it is."""
+    ready = asyncio.ensure_future(channel.channel_ready())
+    try:
+        await asyncio.wait([call, ready], return_when=asyncio.FIRST_COMPLETED)
+        return ready.done() and ready.exception() is None
+    finally:
+        ready.cancel()
+
+
 async def _wait_for_either(first: asyncio.Future[None], second: asyncio.Future[None]) -> None:
     """Return when one of two calls succeeds; raise the error of the second if both fail."""
     done, _ = await asyncio.wait([first, second], return_when=asyncio.FIRST_COMPLETED)
--- a/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/distributor.py
@@ -361,6 +361,8 @@
         wait_fields = self._fetcher.describe_wait(now)
         self._cache.add(snapshot, update)
         self._fetcher.handle_activation(now)
+        # A daemon that makes progress is given versions, though later ones may be known already.
+        self._own_read_at, self._own_reads = math.inf, 0
         favour = snapshot.document.distribution.favour
         self._tuning = self._fixed_tuning or choose_tuning(favour)
         self._reader.pause_s = self._tuning.push_interval_s
--- a/testkit/tests/test_silent_connections.py
+++ b/testkit/tests/test_silent_connections.py
@@ -79,6 +79,18 @@
 
 
 class TestOwnReads:
+    def test_a_daemon_that_is_always_behind_but_makes_progress_does_not_read(self) -> None:
+        # Guards against reads of whole documents on links that a storm of versions fills.
+        fleet = start_fleet()
+        sender, victim = fleet.queue.addresses()[-2:]
+        fleet.queue.post(victim, MessageReceived(sender, Announce(Version(99), b"later")))
+        for variant in range(1, 20):
+            fleet.accept(build_document(40, variant=variant), f"change-{variant}")
+            fleet.queue.run(fleet.queue.now + 0.5)
+        assert not count_events(fleet, events.OWN_READ_STARTED)
+        fleet.queue.run(fleet.queue.now + 2.0)
+        assert count_events(fleet, events.OWN_READ_STARTED) == 1
+
     def test_reads_of_all_daemons_stay_below_the_rate_of_their_zones(self) -> None:
         fleet = start_fleet(400, 2)
         silence(fleet, 1.0, 1)
