--- a/packages/godwitpass/tests/distribution/test_components.py
+++ b/packages/godwitpass/tests/distribution/test_components.py
@@ -26,7 +26,7 @@
     append_version,
     encode_root,
 )
-from godwitpass.internal.actions import RecordEvent
+from godwitpass.internal.actions import RecordEvent, Send
 from godwitpass.internal.codec import encode_canonical, hash_content
 from godwitpass.internal.distribution.delta import (
     DocumentCodec,
@@ -164,7 +164,8 @@
         assert fetcher.record_holder(Address("127.0.0.1:15"), Version(7), 0.05) == []
         assert fetcher.deadline == pytest.approx(0.05 + BOOTSTRAP_GRACE_S)
         (fetch,) = fetcher.run_due(None, 0.16)
-        assert fetch.to == Address("127.0.0.1:15") and isinstance(fetch.message, Fetch)
+        assert isinstance(fetch, Send) and isinstance(fetch.message, Fetch)
+        assert fetch.to == Address("127.0.0.1:15")
 
     def test_the_highest_version_of_the_peers_that_answer_is_fetched(self) -> None:
         fetcher, peers = self.build_bootstrapping_fetcher()
