--- a/packages/godwitpass/tests/distribution/test_components.py
+++ b/packages/godwitpass/tests/distribution/test_components.py
@@ -37,13 +37,14 @@
     encode_full,
 )
 from godwitpass.internal.distribution.events import ROOT_WENT_BACK
-from godwitpass.internal.distribution.fetcher import BOOTSTRAP_GRACE_S, Fetcher
-from godwitpass.internal.distribution.messages import Fetch, decode_message
+from godwitpass.internal.distribution.fetcher import BOOTSTRAP_GRACE_S, FETCH_TIMEOUT_S, Fetcher
+from godwitpass.internal.distribution.messages import Announce, Fetch, decode_message
 from godwitpass.internal.distribution.rate_limiter import SnapshotRateLimiter
 from godwitpass.internal.distribution.reader import ReaderAction, StoreReader
 from godwitpass.internal.distribution.snapshot_cache import SnapshotCache, find_dangling_references
 from godwitpass.internal.distribution.tuning import BOOTSTRAP_PEERS, SNAPSHOTS_BURST
 from godwitpass.internal.distribution.view import (
+    View,
     build_view,
     find_parent_position,
     list_child_positions,
@@ -140,8 +141,8 @@
 
 
 class TestFetcher:
-    def build_bootstrapping_fetcher(self) -> tuple[Fetcher, list[Address]]:
-        """Return a fetcher that has asked several peers at time 0, and those peers."""
+    def build_fetcher(self) -> tuple[Fetcher, View]:
+        """Return a fetcher without a version, and its view."""
         members = [
             Member(
                 InstanceId(f"instance-{index}"),
@@ -155,8 +156,12 @@
             for index in range(20)
         ]
         fetcher = Fetcher(members[0].address, SnapshotCache(DocumentCodec()), random.Random(1))
-        sends = fetcher.start_bootstrap(build_view(members, ZoneId("bergen")), 0.0)
-        return fetcher, [send.to for send in sends]
+        return fetcher, build_view(members, ZoneId("bergen"))
+
+    def build_bootstrapping_fetcher(self) -> tuple[Fetcher, list[Address]]:
+        """Return a fetcher that has asked several peers at time 0, and those peers."""
+        fetcher, view = self.build_fetcher()
+        return fetcher, [send.to for send in fetcher.start_bootstrap(view, 0.0)]
 
     def test_peers_that_do_not_answer_delay_a_known_version_by_the_grace_time_only(self) -> None:
         fetcher, peers = self.build_bootstrapping_fetcher()
@@ -174,6 +179,22 @@
         (fetch,) = fetcher.record_holder(peers[2], Version(5), 0.04)
         assert fetch.to == peers[1]
 
+    def test_other_daemons_are_asked_once_the_only_known_holder_has_not_answered(self) -> None:
+        # Guards against waiting for the next periodic announcement.
+        fetcher, view = self.build_fetcher()
+        holder, other = Address("127.0.0.1:15"), Address("127.0.0.1:16")
+        (fetch,) = fetcher.record_holder(holder, Version(7), 0.0)
+        assert fetch.to == holder and isinstance(fetch.message, Fetch)
+        searches = [
+            action for action in fetcher.run_due(view, FETCH_TIMEOUT_S) if isinstance(action, Send)
+        ]
+        assert len(searches) == BOOTSTRAP_PEERS
+        for search in searches:
+            assert isinstance(search.message, Announce) and search.message.wants_reply
+        assert fetcher.deadline > FETCH_TIMEOUT_S
+        (fetch,) = fetcher.record_holder(other, Version(7), FETCH_TIMEOUT_S + 0.01)
+        assert fetch.to == other and isinstance(fetch.message, Fetch)
+
 
 class TestView:
     def test_all_daemons_agree_on_a_tree_that_reaches_each_of_them_once(self) -> None:
--- a/testkit/tests/test_silent_connections.py
+++ b/testkit/tests/test_silent_connections.py
@@ -66,6 +66,26 @@
             lateness_s = fleet.queue.now - accepted_s
             assert lateness_s < IN_FORCE_S, f"{lateness_s:.2f} s"
 
+    def test_a_daemon_that_sends_datagrams_but_acknowledges_nothing_is_bypassed(self) -> None:
+        fleet = start_fleet()
+        fleet.queue.recorded_events.clear()
+        view = fleet.views[fleet.zones[0]]
+        root, silent_member = view.ranked_members[0], view.ranked_members[2]
+        fleet.queue.is_silent = lambda sender, to: to == silent_member
+
+        def send_datagram() -> None:
+            fleet.queue.post(root, MessageReceived(silent_member, Announce(Version(1), b"")))
+            fleet.queue.call_at(fleet.queue.now + 0.1, send_datagram)
+
+        send_datagram()
+        accepted_s = fleet.queue.now
+        version = accept_large_version(fleet)
+        fleet.queue.run(accepted_s + 1.0)
+        assert count_events(fleet, events.PEER_SILENT)
+        times_s = fleet.activation_times_s[version]
+        assert times_s.keys() == set(fleet.queue.addresses()) - {silent_member}
+        assert max(times_s.values()) - accepted_s < 1.0
+
     def test_without_silent_connections_no_daemon_reads_for_itself(self) -> None:
         fleet = start_fleet()
         fleet.queue.recorded_events.clear()
