--- a/packages/godwitpass/src/godwitpass/internal/distribution/fetcher.py
+++ b/packages/godwitpass/src/godwitpass/internal/distribution/fetcher.py
@@ -186,7 +186,7 @@
             self._await(awaited.version, now)
 
     def _await(self, version: Version, now: float) -> None:
-        """Remember that `version` is known, since when at least one later version has been."""
+        """Remember that others hold `version`, which is later than the current one."""
         if self._awaited is None:
             self._awaited = AwaitedVersion(version, now, now + AWAITED_REPORT_S)
         self._awaited.version = max(self._awaited.version, version)
