Show that an unsafe request runs twice after a broken-off additional answer

A response head accepts a second attempt id and keeps the last one, so the rest of a broken-off answer and the next answer are read as one head. If the first part says that nothing was run, the request is sent to another server.

--- a/review/stand_ins_3/http.py
+++ b/review/stand_ins_3/http.py
@@ -64,7 +64,7 @@
         return await reader.readexactly(int(headers.get("content-length", "0")))
     body = b""
     while True:
-        size = int((await reader.readline()).split(b";")[0], 16)
+        size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
         body += await reader.readexactly(size)
         await reader.readexactly(2)
         if not size:
--- a/review/stand_ins_3/server.py
+++ b/review/stand_ins_3/server.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 from stand_ins_3.http import Message, encode, exchange, read_message, split_address
 
@@ -13,7 +13,8 @@
 class Server:
     """Works on a request for as long as `choose_work_s` says, and answers with `choose_status`.
 
-    `on_run` is called with each request that it begins to run.
+    `on_run` is called with each request that it begins to run. What `choose_extra_bytes` returns
+    for an answer follows late on its connection, right before the next answer there.
     """
 
     def __init__(
@@ -31,7 +32,7 @@
         )
         self.choose_work_s: Callable[[Message], float] = lambda request: 0.02
         self.choose_status: Callable[[Message], int] = lambda request: 200
-        self.on_work: Callable[[Message], Awaitable[None]] | None = None
+        self.choose_extra_bytes: Callable[[Message], bytes] = lambda request: b""
         self._born = int(time.time() * 1000)
         self._sequence = 0
         self._server: asyncio.Server | None = None
@@ -80,9 +81,10 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
+        extra = b""
         try:
             while (request := await read_message(reader)) is not None:
-                await self._answer(request, writer)
+                extra = await self._answer(request, writer, extra)
         except (ConnectionError, asyncio.CancelledError):
             # The daemon has closed the connection, or the run has ended.
             pass
@@ -90,15 +92,16 @@
             self._writers.discard(writer)
             writer.close()
 
-    async def _answer(self, request: Message, writer: asyncio.StreamWriter) -> None:
+    async def _answer(self, request: Message, writer: asyncio.StreamWriter, extra: bytes) -> bytes:
+        """Answer one request behind `extra`; return the extra bytes that follow this answer."""
         if request.target == "/healthz":
             headers = {"X-Godwitpass-Instance-Id": self.name}
-            writer.write(encode("HTTP/1.1 200 OK", headers))
-            return
+            writer.write(extra + encode("HTTP/1.1 200 OK", headers))
+            return b""
         if request.headers.get("x-godwitpass-target-instance", self.name) != self.name:
             headers = {"X-Godwitpass-Instance-Id": self.name}
-            writer.write(encode("HTTP/1.1 421 Misdirected Request", headers))
-            return
+            writer.write(extra + encode("HTTP/1.1 421 Misdirected Request", headers))
+            return b""
         self.on_run(self, request)
         await asyncio.sleep(self.choose_work_s(request))
         status = self.choose_status(request)
@@ -108,6 +111,10 @@
             "X-Godwitpass-Response-Seal": f"{self.name}.{request.attempt_id}",
             "Keep-Alive": "timeout=10",
         }
-        body = f"{self.name} {request.attempt_id}\n".encode()
-        writer.write(encode(f"HTTP/1.1 {status} X", headers, body))
+        writer.write(extra + encode(f"HTTP/1.1 {status} X", headers, self.build_body(request)))
         await writer.drain()
+        return self.choose_extra_bytes(request)
+
+    def build_body(self, request: Message) -> bytes:
+        """Return the body of the answer to `request`."""
+        return f"{self.name} {request.attempt_id}\n".encode()
