Show that the loss of a later response takes an unsafe request's answer with it

A streamed response is begun as soon as its first part arrives, also behind earlier responses on the caller's connection. If it then breaks off, the whole connection is aborted.

--- a/review/stand_ins_3/server.py
+++ b/review/stand_ins_3/server.py
@@ -111,10 +111,15 @@
             "X-Godwitpass-Response-Seal": f"{self.name}.{request.attempt_id}",
             "Keep-Alive": "timeout=10",
         }
-        writer.write(extra + encode(f"HTTP/1.1 {status} X", headers, self.build_body(request)))
-        await writer.drain()
+        data = encode(f"HTTP/1.1 {status} X", headers, self.build_body(request))
+        await self.write(request, writer, extra + data)
         return self.choose_extra_bytes(request)
 
+    async def write(self, request: Message, writer: asyncio.StreamWriter, data: bytes) -> None:
+        """Write the answer to `request`."""
+        writer.write(data)
+        await writer.drain()
+
     def build_body(self, request: Message) -> bytes:
         """Return the body of the answer to `request`."""
         return f"{self.name} {request.attempt_id}\n".encode()
