--- a/review/stand_ins_3/record.py
+++ b/review/stand_ins_3/record.py
@@ -4,6 +4,7 @@
 import os
 import sys
 import tempfile
+import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -51,7 +52,9 @@
         try:
             async with asyncio.timeout(MAX_RUN_S):
                 result = await check(run)
-        except (OSError, TimeoutError) as error:
+        except Exception as error:
+            # Without this, the interpreter would exit with the code of a broken rule.
+            traceback.print_exc()
             run.record.add(f"the case could not run: {error!r}")
             result = NOT_RUN
         finally:
