--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,6 +1,7 @@
 """A daemon that starts while it is cut off completes a roll-out that another one controls."""
 
 import asyncio
+import os
 
 from stand_ins_3.configuration import build_configuration, build_route, encode_request
 from stand_ins_3.http import Message, exchange
@@ -140,4 +141,4 @@
 
 
 if __name__ == "__main__":
-    run_case(check)
+    run_case(check, has_trouble=os.environ["TROUBLE"] != "0")
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,6 +1,7 @@
 """A daemon that starts while it is cut off grants a tenant's whole rate limit again."""
 
 import asyncio
+import os
 from bisect import bisect_left
 
 from stand_ins_3.configuration import build_configuration, build_route, encode_request
@@ -111,4 +112,4 @@
 
 
 if __name__ == "__main__":
-    run_case(check)
+    run_case(check, has_trouble=os.environ["TROUBLE"] != "0")
--- a/review/stand_ins_3/record.py
+++ b/review/stand_ins_3/record.py
@@ -32,23 +32,23 @@
 
 
 class Run:
-    """One run of a case; `has_trouble` is false with TROUBLE=0."""
+    """One run of a case; without `has_trouble`, it does the same without the disruption."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, has_trouble: bool) -> None:
         self.folder = folder
-        self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.has_trouble = has_trouble
         self.record = Record()
         self.machines: list[Machine] = []
 
 
-def run_case(check: Callable[[Run], Awaitable[int]]) -> None:
+def run_case(check: Callable[[Run], Awaitable[int]], has_trouble: bool) -> None:
     """Run `check` with a temporary folder, write the record, end all processes, and exit."""
-    sys.exit(asyncio.run(_run(check)))
+    sys.exit(asyncio.run(_run(check, has_trouble)))
 
 
-async def _run(check: Callable[[Run], Awaitable[int]]) -> int:
+async def _run(check: Callable[[Run], Awaitable[int]], has_trouble: bool) -> int:
     with tempfile.TemporaryDirectory() as name:
-        run = Run(Path(name))
+        run = Run(Path(name), has_trouble)
         try:
             async with asyncio.timeout(MAX_RUN_S):
                 result = await check(run)
